Add the package's foundation, schema and test command

The schema, settings reader, logs, CURVE transport, HTTP client and server, and the runner that ends with a true count are shared by all programs, so they come before them.

--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Regenerates the Protocol Buffers code. Needs requirements-generate.txt; the build and CI do not.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+python="${MULBERRYRILL_VENV:-.venv}/bin/python"
+PATH="$(dirname "$python"):$PATH" "$python" -m grpc_tools.protoc -I src --python_out=src --mypy_out=src \
+  src/mulberryrill/internal/schema/*.proto
--- /dev/null
+++ b/src/mulberryrill/internal/transport.py
@@ -0,0 +1,105 @@
+"""ZeroMQ sockets with CURVE between the system's own processes, and their message codec."""
+
+import logging
+
+import zmq
+from google.protobuf.message import DecodeError
+from zmq.auth.thread import ThreadAuthenticator
+
+from ..errors import TransportError
+from .events import Event
+from .logs import log_event
+from .schema.settings_pb2 import KeyPair
+from .schema.wire_pb2 import Envelope
+
+# A peer that stays away must not grow our memory: beyond this many messages, new ones are dropped.
+SEND_QUEUE_MESSAGES = 1000
+# A connection without traffic for this time is closed and opened again, so that a silent one heals.
+HEARTBEAT_INTERVAL_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+RECONNECT_MAX_MS = 2000
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_LOGGER = logging.getLogger(__name__)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Returns the bytes of one frame."""
+    return envelope.SerializeToString()
+
+
+def decode_envelope(frame: bytes) -> Envelope:
+    """Parses one frame; raises TransportError if it is not a valid envelope."""
+    try:
+        envelope = Envelope.FromString(frame)
+    except DecodeError as error:
+        raise TransportError(f"undecodable frame of {len(frame)} bytes") from error
+    if envelope.WhichOneof("body") is None:
+        raise TransportError(f"envelope from {envelope.sender!r} has no known body")
+    return envelope
+
+
+class Authenticator:
+    """Admits only peers whose public key is in the settings.
+
+    The user id of each received frame is the peer's public key, so that a sender can be checked.
+    """
+
+    def __init__(self, context: zmq.Context, public_keys: list[str]) -> None:
+        self._thread = ThreadAuthenticator(context)
+        self._public_keys = public_keys
+
+    def start(self) -> None:
+        """Starts answering authentication requests of server sockets of the context."""
+        self._thread.start()
+        self._thread.configure_curve_callback(domain="*", credentials_provider=self)
+
+    def close(self) -> None:
+        """Stops the authentication thread."""
+        self._thread.stop()
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tells whether a client's public key (Z85 text) is known."""
+        known = key.decode("ascii") in self._public_keys
+        if not known:
+            log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, "unknown CURVE key refused")
+        return known
+
+
+def open_server(context: zmq.Context, endpoint: str, keys: KeyPair) -> zmq.Socket:
+    """Binds a ROUTER socket that accepts only authenticated peers."""
+    socket = context.socket(zmq.ROUTER)
+    _configure(socket)
+    socket.curve_server = True
+    socket.curve_secretkey = keys.secret_key.encode("ascii")
+    socket.curve_publickey = keys.public_key.encode("ascii")
+    socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
+    try:
+        socket.bind(endpoint)
+    except zmq.ZMQError as error:
+        socket.close()
+        raise TransportError(f"cannot bind {endpoint}: {error}") from error
+    return socket
+
+
+def open_client(
+    context: zmq.Context, endpoint: str, server_public_key: str, keys: KeyPair, identity: str
+) -> zmq.Socket:
+    """Connects a DEALER socket to a server whose public key is known."""
+    socket = context.socket(zmq.DEALER)
+    _configure(socket)
+    socket.setsockopt(zmq.IDENTITY, identity.encode("utf-8"))
+    socket.curve_serverkey = server_public_key.encode("ascii")
+    socket.curve_secretkey = keys.secret_key.encode("ascii")
+    socket.curve_publickey = keys.public_key.encode("ascii")
+    socket.connect(endpoint)
+    return socket
+
+
+def _configure(socket: zmq.Socket) -> None:
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+    socket.setsockopt(zmq.RCVHWM, SEND_QUEUE_MESSAGES)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
