--- /dev/null
+++ b/src/mulberryrill/internal/load/client.py
@@ -0,0 +1,166 @@
+"""Sends streaming completions over libcurl's multi interface and times their tokens."""
+
+import json
+import time
+from collections import deque
+from dataclasses import dataclass, field
+
+import pycurl
+
+from ..schema.load_pb2 import LoadDeployment
+from .plan import PlannedRequest
+
+_DATA = b"data: "
+_DONE = b"[DONE]"
+
+
+@dataclass
+class Result:
+    """What one request came to. Times are seconds; None: it did not happen."""
+
+    planned: PlannedRequest
+    status: int = 0
+    first_token_s: float | None = None
+    total_s: float = 0.0
+    token_gaps_s: list[float] = field(default_factory=list)
+    tokens: int = 0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    finished: bool = False
+    error: str = ""
+
+
+class _Transfer:
+    """One running request."""
+
+    def __init__(self, planned: PlannedRequest, due: float) -> None:
+        self.result = Result(planned)
+        self.due = due
+        self.curl = pycurl.Curl()
+        self._pending = b""
+        self._last_token = 0.0
+
+    def read(self, data: bytes) -> None:
+        """Times each event of the stream."""
+        now = time.monotonic()
+        *events, self._pending = (self._pending + data).split(b"\n\n")
+        for event in events:
+            self._read_event(event.removeprefix(_DATA), now)
+
+    def _read_event(self, payload: bytes, now: float) -> None:
+        if payload == _DONE:
+            self.result.finished = True
+        elif b'"usage":' in payload and b'"completion_tokens"' in payload:
+            self._read_usage(payload)
+        elif payload.startswith(b"{") and b'"error"' not in payload:
+            self._count_token(now)
+
+    def _count_token(self, now: float) -> None:
+        if self.result.first_token_s is None:
+            self.result.first_token_s = now - self.due
+        else:
+            self.result.token_gaps_s.append(now - self._last_token)
+        self._last_token = now
+        self.result.tokens += 1
+
+    def _read_usage(self, payload: bytes) -> None:
+        try:
+            usage = json.loads(payload).get("usage") or {}
+        except ValueError:
+            return
+        details = usage.get("prompt_tokens_details") or {}
+        self.result.prompt_tokens = int(usage.get("prompt_tokens", 0))
+        self.result.cached_tokens = int(details.get("cached_tokens", 0))
+
+
+class LoadClient:
+    """Sends planned requests to one deployment at their times, whatever the answers do."""
+
+    def __init__(self, deployment: LoadDeployment, timeout_s: float) -> None:
+        self._deployment = deployment
+        self._timeout_s = timeout_s
+        self._multi = pycurl.CurlMulti()
+        self._running: dict[pycurl.Curl, _Transfer] = {}
+        self._sent = 0
+
+    def run(self, requests: list[PlannedRequest], start: float) -> list[Result]:
+        """Sends all requests and returns their results; ``start`` is the monotonic time of 0 s."""
+        waiting = deque(requests)
+        results: list[Result] = []
+        while waiting or self._running:
+            now = time.monotonic()
+            while waiting and start + waiting[0].at_s <= now:
+                planned = waiting.popleft()
+                self._start(_Transfer(planned, start + planned.at_s))
+            self._multi.perform()
+            results.extend(self._collect())
+            due = start + waiting[0].at_s - time.monotonic() if waiting else 1.0
+            self._wait(min(max(due, 0.0), 0.05))
+        self._multi.close()
+        return results
+
+    def _wait(self, seconds: float) -> None:
+        if self._running:
+            self._multi.select(seconds)
+        else:
+            time.sleep(seconds)
+
+    def _start(self, transfer: _Transfer) -> None:
+        planned = transfer.result.planned
+        urls = self._deployment.urls
+        url = urls[self._sent % len(urls)] + "/v1/completions"
+        self._sent += 1
+        curl = transfer.curl
+        curl.setopt(pycurl.URL, url)
+        curl.setopt(pycurl.POSTFIELDS, _build_body(planned))
+        curl.setopt(pycurl.HTTPHEADER, self._list_headers(planned))
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.TIMEOUT_MS, int(self._timeout_s * 1000))
+        curl.setopt(pycurl.WRITEFUNCTION, transfer.read)
+        if self._deployment.ca_file:
+            curl.setopt(pycurl.CAINFO, self._deployment.ca_file)
+        self._multi.add_handle(curl)
+        self._running[curl] = transfer
+
+    def _list_headers(self, planned: PlannedRequest) -> list[str]:
+        request_id = f"load-{self._sent}"
+        return [
+            "Content-Type: application/json",
+            "Expect:",
+            f"Authorization: Bearer {planned.token}",
+            f"X-Request-Id: {request_id}",
+            f"X-Attempt-Id: {request_id}",
+            *self._deployment.headers,
+        ]
+
+    def _collect(self) -> list[Result]:
+        results = []
+        while True:
+            queued, succeeded, failed = self._multi.info_read()
+            for curl in succeeded:
+                results.append(self._finish(curl, ""))
+            for curl, _, message in failed:
+                results.append(self._finish(curl, message))
+            if not queued:
+                return results
+
+    def _finish(self, curl: pycurl.Curl, error: str) -> Result:
+        transfer = self._running.pop(curl)
+        transfer.result.status = curl.getinfo(pycurl.RESPONSE_CODE)
+        transfer.result.total_s = time.monotonic() - transfer.due
+        transfer.result.error = error
+        self._multi.remove_handle(curl)
+        curl.close()
+        return transfer.result
+
+
+def _build_body(planned: PlannedRequest) -> bytes:
+    body = {
+        "model": planned.model,
+        "prompt": planned.prompt,
+        "max_tokens": planned.max_tokens,
+        "stream": True,
+        "stream_options": {"include_usage": True},
+    }
+    return json.dumps(body).encode("utf-8")
--- /dev/null
+++ b/src/mulberryrill/internal/load/report.py
@@ -0,0 +1,143 @@
+"""Sums up the results of a load run as text, JSON and a plot."""
+
+import json
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from .client import Result
+
+HIGHEST_MICROSECONDS = 600_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 95.0, 99.0)
+
+
+@dataclass(frozen=True)
+class Summary:
+    """Figures of one class in one deployment. Times are milliseconds."""
+
+    deployment: str
+    load_class: str
+    requests: int
+    complete: int
+    rejected: int
+    failed: int
+    goodput_per_s: float
+    first_token_p50_ms: float
+    first_token_p95_ms: float
+    first_token_p99_ms: float
+    token_gap_p95_ms: float
+    recomputed_share: float
+    # Jain's index over the customers' shares of complete answers to requests; 1 is equal.
+    fairness: float
+
+
+def summarize(deployment: str, load_class: str, results: list[Result], seconds: float) -> Summary:
+    """Returns the figures of the measured results of one class."""
+    chosen = [r for r in results if r.planned.measured and r.planned.load_class == load_class]
+    complete = [r for r in chosen if r.status == 200 and r.finished]
+    rejected = [r for r in chosen if r.status in (429, 503)]
+    first = _fill([r.first_token_s for r in complete if r.first_token_s is not None])
+    gaps = _fill([gap for r in complete for gap in r.token_gaps_s])
+    p50, p95, p99 = (first.get_value_at_percentile(p) / 1000 for p in PERCENTILES)
+    prompt = sum(r.prompt_tokens for r in complete)
+    cached = sum(r.cached_tokens for r in complete)
+    return Summary(
+        deployment=deployment,
+        load_class=load_class,
+        requests=len(chosen),
+        complete=len(complete),
+        rejected=len(rejected),
+        failed=len(chosen) - len(complete) - len(rejected),
+        goodput_per_s=round(sum(_is_good(r) for r in complete) / seconds, 2),
+        first_token_p50_ms=p50,
+        first_token_p95_ms=p95,
+        first_token_p99_ms=p99,
+        token_gap_p95_ms=gaps.get_value_at_percentile(95.0) / 1000,
+        recomputed_share=round(1 - cached / prompt, 4) if prompt else 0.0,
+        fairness=_measure_fairness(chosen),
+    )
+
+
+def format_table(summaries: list[Summary], processor_s: dict[str, float]) -> str:
+    """Returns a table for people, with ratios to the first deployment."""
+    lines = [
+        f"{'deployment':<16}{'class':<14}{'sent':>6}{'done':>6}{'rej':>5}{'fail':>5}{'good/s':>8}"
+        f"{'ttft p50':>10}{'p95':>9}{'p99':>9}{'gap p95':>9}{'recomp':>8}{'fair':>6}"
+    ]
+    for s in summaries:
+        lines.append(
+            f"{s.deployment:<16}{s.load_class:<14}{s.requests:>6}{s.complete:>6}{s.rejected:>5}"
+            f"{s.failed:>5}{s.goodput_per_s:>8.1f}{s.first_token_p50_ms:>10.1f}"
+            f"{s.first_token_p95_ms:>9.1f}{s.first_token_p99_ms:>9.1f}{s.token_gap_p95_ms:>9.1f}"
+            f"{s.recomputed_share:>8.3f}{s.fairness:>6.2f}"
+        )
+    lines.extend(_list_ratios(summaries))
+    lines.extend(f"{name}: {seconds:.2f} s processor time" for name, seconds in processor_s.items())
+    return "\n".join(lines)
+
+
+def write_report(path: str, summaries: list[Summary], processor_s: dict[str, float]) -> None:
+    """Writes all figures as JSON."""
+    report = {"summaries": [asdict(s) for s in summaries], "processor_s": processor_s}
+    Path(path).write_text(json.dumps(report, indent=2) + "\n", encoding="utf-8")
+
+
+def write_plot(path: str, results: dict[str, list[Result]]) -> None:
+    """Writes a PNG with the distribution of time to first token of each deployment."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 5))
+    for name, items in results.items():
+        times = sorted(r.first_token_s for r in items if r.first_token_s is not None)
+        shares = [(index + 1) / len(times) for index in range(len(times))]
+        axes.plot(times, shares, label=name)
+    axes.set_xlabel("time to first token (s)")
+    axes.set_ylabel("share of answers")
+    axes.set_xscale("log")
+    axes.legend()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def _is_good(result: Result) -> bool:
+    bound = result.planned.first_token_bound_s
+    return bound <= 0 or (result.first_token_s is not None and result.first_token_s <= bound)
+
+
+def _fill(seconds: list[float]) -> HdrHistogram:
+    histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+    for value in seconds:
+        histogram.record_value(max(1, int(value * 1_000_000)))
+    return histogram
+
+
+def _measure_fairness(results: list[Result]) -> float:
+    sent: dict[int, int] = {}
+    done: dict[int, int] = {}
+    for result in results:
+        customer = result.planned.customer
+        sent[customer] = sent.get(customer, 0) + 1
+        done[customer] = done.get(customer, 0) + int(result.finished)
+    shares = [done[customer] / count for customer, count in sent.items()]
+    squares = sum(share * share for share in shares)
+    return round(sum(shares) ** 2 / (len(shares) * squares), 3) if squares else 0.0
+
+
+def _list_ratios(summaries: list[Summary]) -> list[str]:
+    baselines: dict[str, Summary] = {}
+    lines = []
+    for s in summaries:
+        base = baselines.setdefault(s.load_class, s)
+        if base is s or not base.first_token_p95_ms:
+            continue
+        ratio = s.first_token_p95_ms / base.first_token_p95_ms
+        text = f"{s.deployment} / {base.deployment}, {s.load_class}: ttft p95 {ratio:.2f}"
+        if base.recomputed_share:
+            text += f", recomputed {s.recomputed_share / base.recomputed_share:.2f}"
+        lines.append(text)
+    return lines
