Add first versions of the core's load modules

Cause: the gateway and the control process are written against the core's signatures. Conclusion: simple versions.

--- /dev/null
+++ b/src/mulberryrill/internal/core/membership.py
@@ -0,0 +1,124 @@
+"""Which entry instances and targets exist, and which of them this instance talks to."""
+
+from collections.abc import Sequence
+
+from ..ids import DataCentre, InstanceId
+from ..schema.wire_pb2 import Heartbeat, Member, MemberKind, MemberState
+from .rendezvous import rank_members
+
+# Peers in each other data centre. Two, so that one failure does not cut the data centre off.
+PEERS_PER_REMOTE_DATA_CENTRE = 2
+# Instances that poll each target.
+WATCHERS_PER_TARGET = 2
+# Heartbeats are sent several times a second; an instance silent for this long does not watch.
+HEARTBEAT_TIMEOUT_S = 3.0
+
+TARGET_KINDS = (MemberKind.engine, MemberKind.service)
+
+
+class Membership:
+    """Merges the platform's list with the heartbeats of peers.
+
+    The list lags, so a peer that says it is leaving, or one that has been silent, is treated as
+    such before the list shows it. While the list is unreachable, the last one stays in use.
+    """
+
+    def __init__(self, instance: InstanceId, data_centre: DataCentre) -> None:
+        self._instance = instance
+        self._data_centre = data_centre
+        self._members: dict[str, Member] = {}
+        self._first_listed: dict[str, float] = {}
+        self._heartbeats: dict[InstanceId, tuple[float, Heartbeat]] = {}
+        self._now = 0.0
+
+    def on_list(self, members: Sequence[Member], now: float) -> None:
+        """Replaces the members by those of the platform's list."""
+        self._now = max(self._now, now)
+        self._members = {member.id: member for member in members}
+        self._first_listed = {id_: self._first_listed.get(id_, now) for id_ in self._members}
+        self._forget_heartbeats()
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
+        """Notes that a peer is alive, and whether it is leaving."""
+        self._now = max(self._now, now)
+        self._heartbeats[InstanceId(heartbeat.instance)] = (now, heartbeat)
+
+    def list_peers(self) -> list[InstanceId]:
+        """Returns all instances of this data centre and two of each other one, without itself."""
+        by_data_centre: dict[str, list[InstanceId]] = {}
+        for instance, data_centre in self._list_entry_instances():
+            if instance != self._instance:
+                by_data_centre.setdefault(data_centre, []).append(instance)
+        peers = by_data_centre.pop(self._data_centre, [])
+        for instances in by_data_centre.values():
+            usable = [i for i in instances if not self._is_silent(i)] or instances
+            peers.extend(rank_members(self._instance, usable)[:PEERS_PER_REMOTE_DATA_CENTRE])
+        return sorted(peers)
+
+    def list_data_centre(self) -> list[InstanceId]:
+        """Returns the listed live entry instances of this data centre, silent ones included."""
+        return sorted(
+            InstanceId(m.id)
+            for m in self._members.values()
+            if m.kind == MemberKind.entry
+            and m.state == MemberState.live
+            and m.data_centre == self._data_centre
+        )
+
+    def list_watched(self) -> list[Member]:
+        """Returns the targets of this data centre that this instance polls."""
+        watchers = {i for i in self.list_data_centre() if self._can_watch(i)} | {self._instance}
+        return [
+            member
+            for member in self.list_targets()
+            if self._instance in rank_members(member.id, watchers)[:WATCHERS_PER_TARGET]
+        ]
+
+    def list_targets(self) -> list[Member]:
+        """Returns the listed targets of this data centre, leaving ones included."""
+        return [
+            m
+            for _, m in sorted(self._members.items())
+            if m.kind in TARGET_KINDS and m.data_centre == self._data_centre
+        ]
+
+    def count_live_instances(self) -> int:
+        """Returns the number of live entry instances of the whole deployment, at least 1."""
+        live = {
+            m.id
+            for m in self._members.values()
+            if m.kind == MemberKind.entry
+            and m.state == MemberState.live
+            and not self._is_leaving(InstanceId(m.id))
+        }
+        return max(1, len(live))
+
+    def _list_entry_instances(self) -> list[tuple[InstanceId, str]]:
+        """Returns listed instances, and unlisted ones that have sent a heartbeat recently."""
+        known = {
+            InstanceId(m.id): m.data_centre
+            for m in self._members.values()
+            if m.kind == MemberKind.entry
+        }
+        for instance, (_, heartbeat) in self._heartbeats.items():
+            if not self._is_silent(instance):
+                known.setdefault(instance, heartbeat.data_centre)
+        return sorted(known.items())
+
+    def _can_watch(self, instance: InstanceId) -> bool:
+        return not self._is_silent(instance) and not self._is_leaving(instance)
+
+    def _is_leaving(self, instance: InstanceId) -> bool:
+        heard = self._heartbeats.get(instance)
+        return heard is not None and heard[1].leaving
+
+    def _is_silent(self, instance: InstanceId) -> bool:
+        """An instance that was listed just now gets time for its first heartbeat."""
+        heard = self._heartbeats.get(instance)
+        last = self._first_listed.get(instance, self._now) if heard is None else heard[0]
+        return instance != self._instance and self._now - last > HEARTBEAT_TIMEOUT_S
+
+    def _forget_heartbeats(self) -> None:
+        for instance in list(self._heartbeats):
+            if instance not in self._members and self._is_silent(instance):
+                del self._heartbeats[instance]
--- a/src/mulberryrill/internal/core/messages.py
+++ b/src/mulberryrill/internal/core/messages.py
@@ -56,6 +56,16 @@
     link: float = 0.0
 
 
+@dataclass(frozen=True)
+class StoredPrefix:
+    """The longest part of a prompt that one store holds: its first ``blocks`` blocks."""
+
+    # Base URL of the store.
+    store: str
+    blocks: int
+    size_bytes: int
+
+
 @dataclass(frozen=True)
 class RoutingRequest:
     """A request as the router sees it. ``model`` is empty for plain services."""
@@ -72,6 +82,8 @@
     weights: CostWeights = field(default_factory=CostWeights)
     # Targets already tried by this request.
     excluded: frozenset[TargetId] = frozenset()
+    # What stores are known to hold of this prompt.
+    stored: tuple[StoredPrefix, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -89,6 +101,8 @@
     target: TargetState | None
     reason: str
     rejected: tuple[Rejection, ...] = ()
+    # The blocks that the target is to import; their bytes are already taken from the link budget.
+    imported: StoredPrefix | None = None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/mulberryrill/internal/core/quarantine.py
@@ -0,0 +1,71 @@
+"""Quarantine of requests whose runs were followed by target crashes."""
+
+from ..ids import TargetId
+from ..schema.log_pb2 import QuarantineEntry
+
+# A request that crashed this many targets is rejected.
+MAX_CRASHES = 2
+# The team needs time to remove the request; afterwards it may be tried again.
+QUARANTINE_MS = 3_600_000
+# Bounds memory: 10,000 entries take about 3 MB.
+MAX_ENTRIES = 10_000
+
+
+class Quarantine:
+    """Counts crashes by request fingerprint. Entries merge in any order to the same result."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, QuarantineEntry] = {}
+        # Crashes counted here, to recognise repeated reports of the same crash.
+        self._crashes: dict[tuple[str, TargetId, int], None] = {}
+
+    def record_crash(
+        self, fingerprint: str, target: TargetId, now_unix_ms: int
+    ) -> QuarantineEntry | None:
+        """Counts a crash and returns the entry for peers and log; None if it was known already."""
+        self._remove_expired(now_unix_ms)
+        known = self._entries.get(fingerprint)
+        crash = (fingerprint, target, now_unix_ms)
+        if crash in self._crashes:
+            return None
+        self._crashes[crash] = None
+        if len(self._crashes) > MAX_ENTRIES:
+            self._crashes.pop(next(iter(self._crashes)))
+        entry = QuarantineEntry(
+            fingerprint=fingerprint,
+            crashes=1 + (known.crashes if known is not None else 0),
+            expires_unix_ms=now_unix_ms + QUARANTINE_MS,
+        )
+        self.adopt(entry)
+        merged = QuarantineEntry()
+        merged.CopyFrom(self._entries[fingerprint])
+        return merged
+
+    def adopt(self, entry: QuarantineEntry) -> None:
+        """Merges an entry from a peer or the log."""
+        known = self._entries.pop(entry.fingerprint, None)
+        merged = QuarantineEntry()
+        merged.CopyFrom(entry)
+        if known is not None:
+            merged.crashes = max(known.crashes, entry.crashes)
+            merged.expires_unix_ms = max(known.expires_unix_ms, entry.expires_unix_ms)
+        self._entries[entry.fingerprint] = merged
+        if len(self._entries) > MAX_ENTRIES:
+            self._entries.pop(next(iter(self._entries)))
+
+    def is_quarantined(self, fingerprint: str, now_unix_ms: int) -> bool:
+        """Returns whether the request must be rejected."""
+        entry = self._entries.get(fingerprint)
+        if entry is None or now_unix_ms >= entry.expires_unix_ms:
+            return False
+        return entry.crashes >= MAX_CRASHES
+
+    def list_entries(self, now_unix_ms: int) -> list[QuarantineEntry]:
+        """Returns the entries that have not expired."""
+        self._remove_expired(now_unix_ms)
+        return list(self._entries.values())
+
+    def _remove_expired(self, now_unix_ms: int) -> None:
+        expired = [f for f, e in self._entries.items() if now_unix_ms >= e.expires_unix_ms]
+        for fingerprint in expired:
+            del self._entries[fingerprint]
--- /dev/null
+++ b/src/mulberryrill/internal/core/rendezvous.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing: every process that sees the same members ranks them in the same order."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import xxhash
+
+MemberT = TypeVar("MemberT", bound=str)
+
+
+def rank_members(key: str | bytes, members: Iterable[MemberT]) -> list[MemberT]:
+    """Returns the members in the key's order of preference; equal hashes are ordered by id."""
+    prefix = (key.encode() if isinstance(key, str) else key) + b"\0"
+    scored = [(xxhash.xxh3_64_intdigest(prefix + m.encode()), m) for m in members]
+    scored.sort(reverse=True)
+    return [member for _, member in scored]
+
+
+def choose_member(key: str | bytes, members: Iterable[MemberT]) -> MemberT | None:
+    """Returns the first member in the key's order; None without members."""
+    ranked = rank_members(key, members)
+    return ranked[0] if ranked else None
