--- /dev/null
+++ b/src/mulberryrill/internal/core/configuration.py
@@ -0,0 +1,451 @@
+"""Folds the configuration log into documents, data centre orders and quarantine entries.
+
+Whether a change is accepted depends only on the records before it, never on an instance's settings
+or clock, so that every instance that has folded the same offset has the same documents.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import yaml
+from google.protobuf import json_format
+
+from ...errors import CorruptRecordError
+from ..ids import Offset, ServiceName
+from ..schema.log_pb2 import (
+    AuditEntry,
+    DataCentreOrder,
+    DocumentChange,
+    DocumentCheckpoint,
+    LogEntry,
+    QuarantineEntry,
+)
+from ..schema.wire_pb2 import DocumentState, StateReply
+from .datacentres import DataCentreOrders
+from .messages import Record
+from .records import open_record
+
+# The checkpoint with this service is the index. Its document is the JSON form of a StateReply with
+# the names of all services and with the data centre orders in force, so that a reader knows which
+# documents do not exist, and so that orders stay in the log.
+INDEX_SERVICE = ServiceName("")
+# Nothing has been folded.
+NO_OFFSET = Offset(-1)
+# Revision 0 means "no document", so the record at offset 0 creates none. A reader that starts at
+# offset 1 has therefore missed no document.
+FIRST_REVISION = Offset(1)
+# A checkpoint holds the document and its newest audit entries and must fit into one record of
+# 1 MiB; these limits keep it below 800 KiB.
+MAX_DOCUMENT_BYTES = 512 * 1024
+MAX_AUDIT_ENTRIES = 100
+MAX_AUDIT_FIELD_BYTES = 600
+# Checkpoints are repeated when this part of the retention time has passed, so that three later
+# attempts may fail before the records that prove a document leave the log.
+CHECKPOINT_RETENTION_PARTS = 4
+
+
+@dataclass(frozen=True)
+class FoldResult:
+    """What one record changed.
+
+    ``decided`` holds the audit entries of all changes that were accepted or refused now, also of
+    earlier records whose base has become known.
+    """
+
+    corrupt: bool = False
+    # Services whose document in force is another one than before.
+    changed: tuple[ServiceName, ...] = ()
+    decided: tuple[AuditEntry, ...] = ()
+    orders: tuple[DataCentreOrder, ...] = ()
+    quarantine: tuple[QuarantineEntry, ...] = ()
+
+
+@dataclass(frozen=True)
+class _Change:
+    """A change and the record that holds it."""
+
+    offset: Offset
+    time_ms: int
+    message: DocumentChange
+
+
+@dataclass
+class _Step:
+    """Collects a FoldResult while a record is applied."""
+
+    changed: dict[ServiceName, None] = field(default_factory=dict)
+    decided: list[AuditEntry] = field(default_factory=list)
+    orders: list[DataCentreOrder] = field(default_factory=list)
+    quarantine: list[QuarantineEntry] = field(default_factory=list)
+
+    def finish(self) -> FoldResult:
+        return FoldResult(
+            changed=tuple(self.changed),
+            decided=tuple(self.decided),
+            orders=tuple(self.orders),
+            quarantine=tuple(self.quarantine),
+        )
+
+
+class ConfigurationFold:
+    """The configuration as of one offset of the log.
+
+    A reader that did not start at the beginning of the log knows a service only after a checkpoint
+    whose ``as_of`` is not before its own start; until then the service's changes stay pending. A
+    gap between records restarts this knowledge; the documents themselves stay in force.
+    """
+
+    def __init__(self, site_operators: frozenset[str], retention_ms: int) -> None:
+        self._site_operators = site_operators
+        self._checkpoint_age_ms = retention_ms // CHECKPOINT_RETENTION_PARTS
+        self._documents: dict[ServiceName, DocumentState] = {}
+        self._orders = DataCentreOrders()
+        self._quarantine: dict[str, QuarantineEntry] = {}
+        self._folded = NO_OFFSET
+        # All offsets from here to _folded have been read.
+        self._read_from = Offset(0)
+        self._known: set[ServiceName] = set()
+        # Services that exist but are not known yet; None until an index tells which exist.
+        self._awaited: set[ServiceName] | None = None
+        self._pending: dict[ServiceName, list[_Change]] = {}
+        self._index_ms = 0
+        self.corrupt_records = 0
+
+    @property
+    def folded_offset(self) -> Offset:
+        """Offset of the last folded record; -1 before the first."""
+        return self._folded
+
+    @property
+    def documents(self) -> Mapping[ServiceName, DocumentState]:
+        """The documents in force."""
+        return self._documents
+
+    @property
+    def orders(self) -> DataCentreOrders:
+        """The data centre orders; peers' orders are applied to the same object."""
+        return self._orders
+
+    @property
+    def quarantine(self) -> Mapping[str, QuarantineEntry]:
+        """Quarantine entries by fingerprint."""
+        return self._quarantine
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every document is known; an instance is not ready before."""
+        return self._awaited is not None and not self._awaited
+
+    def count_pending(self) -> int:
+        """Returns the number of changes whose base is not known yet."""
+        return sum(len(changes) for changes in self._pending.values())
+
+    def apply(self, record: Record) -> FoldResult:
+        """Folds the next record; one that is already folded changes nothing."""
+        if record.offset <= self._folded:
+            return FoldResult()
+        self._advance(record)
+        try:
+            batch = open_record(record.data)
+        except CorruptRecordError:
+            self.corrupt_records += 1
+            return FoldResult(corrupt=True)
+        step = _Step()
+        for entry in batch.entries:
+            self._apply_entry(entry, record, step)
+        return step.finish()
+
+    def _advance(self, record: Record) -> None:
+        if record.offset != self._folded + 1 or self._folded == NO_OFFSET:
+            self._start_at(record)
+        self._folded = record.offset
+        for fingerprint, entry in list(self._quarantine.items()):
+            if entry.expires_unix_ms <= record.time_ms:
+                del self._quarantine[fingerprint]
+
+    def _start_at(self, record: Record) -> None:
+        self._read_from = record.offset
+        self._known.clear()
+        self._pending.clear()
+        self._awaited = None
+        if record.offset <= FIRST_REVISION and not self._documents:
+            self._awaited = set()
+            self._index_ms = record.time_ms
+
+    def _apply_entry(self, entry: LogEntry, record: Record, step: _Step) -> None:
+        kind = entry.WhichOneof("kind")
+        if kind == "document_change":
+            self._apply_change(_Change(record.offset, record.time_ms, entry.document_change), step)
+        elif kind == "document_checkpoint":
+            self._apply_checkpoint(entry.document_checkpoint, record, step)
+        elif kind == "data_centre_order":
+            self._apply_order(entry.data_centre_order, step)
+        elif kind == "quarantine":
+            self._apply_quarantine(entry.quarantine, record, step)
+
+    def _apply_order(self, order: DataCentreOrder, step: _Step) -> None:
+        if self._orders.apply(order):
+            step.orders.append(order)
+
+    def _apply_quarantine(self, entry: QuarantineEntry, record: Record, step: _Step) -> None:
+        current = self._quarantine.get(entry.fingerprint)
+        if entry.expires_unix_ms <= record.time_ms:
+            return
+        if current is None or entry.expires_unix_ms > current.expires_unix_ms:
+            self._quarantine[entry.fingerprint] = entry
+            step.quarantine.append(entry)
+
+    def _is_known(self, service: ServiceName) -> bool:
+        if service in self._known:
+            return True
+        return self._awaited is not None and service not in self._awaited
+
+    def _apply_change(self, change: _Change, step: _Step) -> None:
+        service = ServiceName(change.message.service)
+        if not service:
+            return
+        if self._is_known(service):
+            self._decide(service, change, step)
+        else:
+            self._pending.setdefault(service, []).append(change)
+
+    def _decide(self, service: ServiceName, change: _Change, step: _Step) -> None:
+        """Accepts or refuses a change whose base is known."""
+        current = self._documents.get(service)
+        message = change.message
+        if current is not None and any(e.change_id == message.change_id for e in current.audit):
+            return
+        refusal = self._find_refusal(change, current)
+        audit = _create_audit(change, refusal)
+        step.decided.append(audit)
+        if refusal:
+            if current is not None:
+                _append_audit(current, audit)
+            return
+        accepted = DocumentState(
+            service=service,
+            revision=change.offset,
+            document=message.document,
+            recorded_unix_ms=current.recorded_unix_ms if current else change.time_ms,
+            audit=current.audit if current else (),
+        )
+        _append_audit(accepted, audit)
+        self._documents[service] = accepted
+        self._known.add(service)
+        step.changed[service] = None
+
+    def _find_refusal(self, change: _Change, current: DocumentState | None) -> str:
+        """Returns why a change is refused; empty if it is accepted."""
+        message = change.message
+        revision = current.revision if current is not None else 0
+        if change.offset < FIRST_REVISION:
+            return "the first record of the log cannot hold a change; submit it again"
+        if message.base_revision != revision:
+            return f"the base revision {message.base_revision} is not the current one, {revision}"
+        if change.offset == revision:
+            return "the same record already holds an accepted change of this service"
+        if current is None and message.author not in self._site_operators:
+            return "only a site operator can create a document"
+        if current is not None and message.author not in _list_owners(current.document):
+            return "the author is not an owner in the current document"
+        return _find_content_refusal(message)
+
+    def _apply_checkpoint(
+        self, checkpoint: DocumentCheckpoint, record: Record, step: _Step
+    ) -> None:
+        # Records between as_of and the start of this reader would be missing.
+        usable = self._read_from - 1 <= checkpoint.as_of < record.offset
+        if checkpoint.service == INDEX_SERVICE:
+            self._apply_index(checkpoint, record, usable, step)
+        elif usable:
+            self._apply_document_checkpoint(checkpoint, record, step)
+
+    def _apply_index(
+        self, index: DocumentCheckpoint, record: Record, usable: bool, step: _Step
+    ) -> None:
+        content = StateReply()
+        try:
+            json_format.Parse(index.document, content, ignore_unknown_fields=True)
+        except json_format.ParseError:
+            return
+        for order in content.orders:
+            self._apply_order(order, step)
+        if not usable:
+            return
+        self._index_ms = record.time_ms
+        if self._awaited is not None:
+            return
+        self._awaited = {ServiceName(s.service) for s in content.documents} - self._known
+        for service in [name for name in self._pending if name not in self._awaited]:
+            self._decide_pending(service, Offset(index.as_of), step)
+
+    def _apply_document_checkpoint(
+        self, checkpoint: DocumentCheckpoint, record: Record, step: _Step
+    ) -> None:
+        service = ServiceName(checkpoint.service)
+        current = self._documents.get(service)
+        if self._is_known(service):
+            if current is not None:
+                current.recorded_unix_ms = record.time_ms
+            return
+        if current is not None and checkpoint.revision < current.revision:
+            return
+        if current is None or checkpoint.revision > current.revision:
+            step.changed[service] = None
+        self._documents[service] = DocumentState(
+            service=service,
+            revision=checkpoint.revision,
+            document=checkpoint.document,
+            recorded_unix_ms=record.time_ms,
+            audit=checkpoint.audit,
+        )
+        self._known.add(service)
+        if self._awaited is not None:
+            self._awaited.discard(service)
+        self._decide_pending(service, Offset(checkpoint.as_of), step)
+
+    def _decide_pending(self, service: ServiceName, as_of: Offset, step: _Step) -> None:
+        """Decides the pending changes after ``as_of``; the base already includes earlier ones."""
+        for change in self._pending.pop(service, []):
+            if change.offset > as_of:
+                self._decide(service, change, step)
+
+    def list_due_checkpoints(self, now_unix_ms: int) -> list[DocumentCheckpoint]:
+        """Returns the checkpoints to append now, each as a record of its own.
+
+        Any instance may append them. To have one writer in the usual case, instances pass a time
+        that is reduced by a few seconds for each instance that should write before them.
+        """
+        due = [
+            DocumentCheckpoint(
+                service=service,
+                revision=state.revision,
+                document=state.document,
+                as_of=self._folded,
+                audit=state.audit,
+            )
+            for service, state in self._documents.items()
+            if self._is_known(service) and self._is_due(state.recorded_unix_ms, now_unix_ms)
+        ]
+        if self.is_complete and self._is_due(self._index_ms, now_unix_ms):
+            due.append(self._create_index())
+        return due
+
+    def _create_index(self) -> DocumentCheckpoint:
+        listed = [DocumentState(service=name) for name in sorted(self._documents)]
+        content = StateReply(documents=listed, orders=self._orders.in_force.values())
+        text = json_format.MessageToJson(content, indent=None)
+        return DocumentCheckpoint(service=INDEX_SERVICE, document=text, as_of=self._folded)
+
+    def _is_due(self, proven_unix_ms: int, now_unix_ms: int) -> bool:
+        return now_unix_ms - proven_unix_ms >= self._checkpoint_age_ms
+
+    def export(self) -> StateReply:
+        """Returns the state for a peer; its offset is -1 while this state is incomplete."""
+        state = StateReply(
+            folded_offset=NO_OFFSET,
+            orders=self._orders.in_force.values(),
+            quarantine=self._quarantine.values(),
+        )
+        if self.is_complete:
+            state.folded_offset = self._folded
+            state.documents.extend(self._documents.values())
+            state.documents.add(service=INDEX_SERVICE, recorded_unix_ms=self._index_ms)
+        return state
+
+    def adopt(self, state: StateReply) -> bool:
+        """Replaces this state by a peer's newer one; returns whether documents were adopted.
+
+        Orders are merged in any case. An incomplete state, which lacks documents that this
+        instance may have, has no offset and is never adopted.
+        """
+        for order in state.orders:
+            self._orders.apply(order)
+        newer = state.folded_offset > self._folded
+        same = state.folded_offset == self._folded and not self.is_complete
+        if state.folded_offset <= NO_OFFSET or not (newer or same):
+            return False
+        copies = {ServiceName(s.service): _copy_state(s) for s in state.documents}
+        index = copies.pop(INDEX_SERVICE, DocumentState())
+        self._documents = copies
+        self._quarantine = {entry.fingerprint: entry for entry in state.quarantine}
+        self._folded = Offset(state.folded_offset)
+        self._read_from = Offset(state.folded_offset + 1)
+        self._known = set(self._documents)
+        self._awaited = set()
+        self._pending.clear()
+        self._index_ms = index.recorded_unix_ms
+        return True
+
+    def list_history(self, service: ServiceName) -> list[AuditEntry]:
+        """Returns the newest decided changes of a service, oldest first."""
+        state = self._documents.get(service)
+        return list(state.audit) if state is not None else []
+
+
+def _find_content_refusal(message: DocumentChange) -> str:
+    """Checks only what later decisions need.
+
+    The complete check is made before a change is appended. Here it would let instances of
+    different releases disagree.
+    """
+    if len(message.document.encode("utf-8")) > MAX_DOCUMENT_BYTES:
+        return f"the document is longer than {MAX_DOCUMENT_BYTES} bytes"
+    fields = (message.change_id, message.author, message.reason, message.service)
+    if any(len(value.encode("utf-8")) > MAX_AUDIT_FIELD_BYTES for value in fields):
+        return f"change id, author, reason or service is over {MAX_AUDIT_FIELD_BYTES} bytes"
+    if not message.change_id:
+        return "the change has no id"
+    if _read_fields(message.document).get("service") != message.service:
+        return "the document names another service"
+    if not _list_owners(message.document):
+        return "the document has no owners"
+    return ""
+
+
+def _list_owners(document: str) -> list[str]:
+    owners = _read_fields(document).get("owners")
+    return owners if isinstance(owners, list) else []
+
+
+def _read_fields(document: str) -> dict[str, str | list[str]]:
+    """Returns the top-level values that are texts or lists of texts; empty if unreadable."""
+    try:
+        root = yaml.compose(document, Loader=yaml.CSafeLoader)
+    except (yaml.YAMLError, ValueError, RecursionError):
+        return {}
+    fields: dict[str, str | list[str]] = {}
+    for key, value in root.value if isinstance(root, yaml.MappingNode) else []:
+        if isinstance(value, yaml.ScalarNode):
+            fields[str(key.value)] = str(value.value)
+        elif isinstance(value, yaml.SequenceNode):
+            items = [str(n.value) for n in value.value if isinstance(n, yaml.ScalarNode)]
+            fields[str(key.value)] = items
+    return fields
+
+
+def _create_audit(change: _Change, refusal: str) -> AuditEntry:
+    message = change.message
+    return AuditEntry(
+        change_id=message.change_id[:MAX_AUDIT_FIELD_BYTES],
+        service=message.service,
+        offset=change.offset,
+        base_revision=message.base_revision,
+        author=message.author[:MAX_AUDIT_FIELD_BYTES],
+        reason=message.reason[:MAX_AUDIT_FIELD_BYTES],
+        submitted_unix_ms=message.submitted_unix_ms,
+        recorded_unix_ms=change.time_ms,
+        accepted=not refusal,
+        refusal=refusal,
+    )
+
+
+def _append_audit(state: DocumentState, audit: AuditEntry) -> None:
+    state.audit.append(audit)
+    del state.audit[:-MAX_AUDIT_ENTRIES]
+
+
+def _copy_state(state: DocumentState) -> DocumentState:
+    copy = DocumentState()
+    copy.CopyFrom(state)
+    return copy
--- /dev/null
+++ b/src/mulberryrill/internal/core/records.py
@@ -0,0 +1,29 @@
+"""Encoding of log records: a batch of entries sealed with its SHA-256."""
+
+import hashlib
+
+from google.protobuf.message import DecodeError
+
+from ...errors import CorruptRecordError
+from ..schema.log_pb2 import LogBatch, SealedRecord
+
+# Largest record that the platform's log accepts.
+MAX_RECORD_BYTES = 1024 * 1024
+
+
+def seal_batch(batch: LogBatch) -> bytes:
+    """Returns the bytes of one log record."""
+    data = batch.SerializeToString()
+    digest = hashlib.sha256(data).digest()
+    return SealedRecord(batch=data, digest=digest).SerializeToString()
+
+
+def open_record(data: bytes) -> LogBatch:
+    """Returns a record's entries; raises CorruptRecordError if its bytes are damaged."""
+    try:
+        sealed = SealedRecord.FromString(data)
+        if hashlib.sha256(sealed.batch).digest() != sealed.digest:
+            raise CorruptRecordError(f"record of {len(data)} bytes does not match its digest")
+        return LogBatch.FromString(sealed.batch)
+    except DecodeError as error:
+        raise CorruptRecordError(f"record of {len(data)} bytes cannot be decoded") from error
