--- /dev/null
+++ b/src/mulberryrill/internal/control/link.py
@@ -0,0 +1,308 @@
+"""The sockets between this control process, its gateways and its peers."""
+
+import logging
+import os
+import queue
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import zmq
+
+from ...errors import TransportError
+from ..events import Event
+from ..logs import log_event
+from ..schema.settings_pb2 import ControlSettings, PeerSettings
+from ..schema.wire_pb2 import Envelope
+from ..transport import (
+    Authenticator,
+    decode_envelope,
+    encode_envelope,
+    open_client,
+    open_server,
+)
+from .messages import GatewayMessage, Inbox, PeerMessage
+from .metrics import MESSAGES, MESSAGES_DROPPED, MESSAGES_REJECTED
+from .task import Task
+
+POLL_MS = 500
+# Messages taken from one socket before the others get their turn.
+BURST_MESSAGES = 100
+_LOGGER = logging.getLogger(__name__)
+
+# What an instance's gateways may send, and what its peers may.
+GATEWAY_BODIES = frozenset(
+    {
+        "gateway_report",
+        "claim_request",
+        "outcome_report",
+        "snapshot_ack",
+        "crash_report",
+        "request_trace",
+        "claim_abandon",
+    }
+)
+PEER_BODIES = frozenset(
+    {
+        "heartbeat",
+        "slot_promise_request",
+        "slot_promise",
+        "slot_report",
+        "slot_grant",
+        "state_request",
+        "state_reply",
+        "order_notice",
+        "quarantine_notice",
+        "target_notice",
+    }
+)
+# The field of each peer message that names its sender.
+_SENDER_FIELDS = {
+    "heartbeat": "instance",
+    "slot_promise_request": "holder",
+    "slot_promise": "instance",
+    "slot_report": "instance",
+    "slot_grant": "holder",
+    "target_notice": "instance",
+}
+
+
+@dataclass(frozen=True)
+class ToGateway:
+    """Sends a message to the gateway with this connection identity."""
+
+    identity: str
+    envelope: Envelope
+
+
+@dataclass(frozen=True)
+class ToPeer:
+    """Sends a message to another instance; dropped if there is no connection."""
+
+    instance: str
+    envelope: Envelope
+
+
+@dataclass(frozen=True)
+class ConnectPeers:
+    """Replaces the set of peers that this instance connects to."""
+
+    instances: tuple[str, ...]
+
+
+Outgoing = ToGateway | ToPeer | ConnectPeers
+
+
+def check_peer_message(instance: str, envelope: Envelope) -> str | None:
+    """Returns why ``instance``, the owner of the connection's key, may not send this message."""
+    body = envelope.WhichOneof("body") or ""
+    if envelope.sender.split("/")[0] != instance:
+        return f"sender {envelope.sender!r} on the connection of {instance!r}"
+    if body not in PEER_BODIES:
+        return f"{body} is not a message between instances"
+    field = _SENDER_FIELDS.get(body)
+    if field is not None and getattr(getattr(envelope, body), field) != instance:
+        return f"{body} of another instance on the connection of {instance!r}"
+    return None
+
+
+def check_gateway_message(instance: str, envelope: Envelope) -> str | None:
+    """Returns why a gateway of ``instance`` may not send this message."""
+    body = envelope.WhichOneof("body") or ""
+    if envelope.sender.split("/")[0] != instance:
+        return f"sender {envelope.sender!r} on a gateway connection"
+    return None if body in GATEWAY_BODIES else f"{body} is not a message of a gateway"
+
+
+class Link(Task):
+    """Owns all ZeroMQ sockets; checks the sender of each message against its CURVE key."""
+
+    def __init__(self, settings: ControlSettings, inbox: Inbox) -> None:
+        super().__init__("link")
+        self._settings = settings
+        self._inbox = inbox
+        self._outgoing: queue.SimpleQueue[Outgoing] = queue.SimpleQueue()
+        self._wake_fd = os.eventfd(0, os.EFD_NONBLOCK)
+        self._context = zmq.Context()
+        self._known = {peer.instance: peer for peer in settings.peers}
+        self._instance_of_key = {peer.public_key: peer.instance for peer in settings.peers}
+        self._authenticator = Authenticator(
+            self._context, [settings.keys.public_key, *self._instance_of_key]
+        )
+        self._clients: dict[str, zmq.Socket] = {}
+        self._identities: dict[str, bytes] = {}
+        self._poller = zmq.Poller()
+        self._gateways: zmq.Socket
+        self._peers: zmq.Socket
+        self._sequence = 0
+
+    @property
+    def gateway_endpoint(self) -> str:
+        """The bound endpoint for gateways."""
+        return str(self._gateways.get_string(zmq.LAST_ENDPOINT))
+
+    @property
+    def peer_endpoint(self) -> str:
+        """The bound endpoint for peers."""
+        return str(self._peers.get_string(zmq.LAST_ENDPOINT))
+
+    def start(self) -> None:
+        """Binds both endpoints, then starts the thread; raises TransportError."""
+        self._authenticator.start()
+        try:
+            self._gateways = self._bind(self._settings.gateway_endpoint)
+            self._peers = self._bind(self._settings.peer_endpoint)
+        except TransportError:
+            self._authenticator.close()
+            self._context.destroy(0)
+            raise
+        self._poller.register(self._wake_fd, zmq.POLLIN)
+        super().start()
+
+    def post(self, outgoing: Outgoing) -> None:
+        """Queues a message for sending; may be called on any thread."""
+        self._outgoing.put(outgoing)
+        self.wake()
+
+    def wake(self) -> None:
+        """Ends the wait for messages."""
+        os.eventfd_write(self._wake_fd, 1)
+
+    def close(self) -> None:
+        """Ends the thread and frees the sockets."""
+        super().close()
+        self._authenticator.close()
+        self._context.destroy(0)
+        os.close(self._wake_fd)
+
+    def step(self) -> None:
+        """Waits for traffic, sends what is queued and posts what has arrived."""
+        ready = dict(self._poller.poll(POLL_MS))
+        if self._wake_fd in ready:
+            os.eventfd_read(self._wake_fd)
+        self._send_queued()
+        if self._gateways in ready:
+            self._drain(self._gateways, self._receive_from_gateway)
+        if self._peers in ready:
+            self._drain(self._peers, self._receive_from_peer)
+        for instance, client in list(self._clients.items()):
+            if client in ready:
+                self._drain(client, lambda socket, name=instance: self._receive_reply(socket, name))
+
+    def release(self) -> None:
+        """Sends what is still queued."""
+        self._send_queued()
+
+    def _bind(self, endpoint: str) -> zmq.Socket:
+        socket = open_server(self._context, endpoint, self._settings.keys)
+        # An unknown receiver is reported instead of silently ignored, so that it is counted.
+        socket.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        self._poller.register(socket, zmq.POLLIN)
+        return socket
+
+    def _send_queued(self) -> None:
+        while True:
+            try:
+                outgoing = self._outgoing.get_nowait()
+            except queue.Empty:
+                return
+            if isinstance(outgoing, ConnectPeers):
+                self._connect(outgoing.instances)
+            else:
+                self._send(outgoing)
+
+    def _send(self, outgoing: ToGateway | ToPeer) -> None:
+        self._sequence += 1
+        envelope = outgoing.envelope
+        envelope.sender = f"{self._settings.instance}/control"
+        envelope.sequence = self._sequence
+        frame = encode_envelope(envelope)
+        try:
+            if isinstance(outgoing, ToGateway):
+                self._gateways.send_multipart([outgoing.identity.encode(), frame], zmq.NOBLOCK)
+            elif outgoing.instance in self._clients:
+                self._clients[outgoing.instance].send(frame, zmq.NOBLOCK)
+            elif outgoing.instance in self._identities:
+                identity = self._identities[outgoing.instance]
+                self._peers.send_multipart([identity, frame], zmq.NOBLOCK)
+            else:
+                MESSAGES_DROPPED.inc()
+        except zmq.ZMQError as error:
+            MESSAGES_DROPPED.inc()
+            log_event(_LOGGER, logging.DEBUG, Event.MESSAGE_DROPPED, f"not sent: {error}")
+
+    def _connect(self, instances: tuple[str, ...]) -> None:
+        for instance in set(self._clients) - set(instances):
+            client = self._clients.pop(instance)
+            self._poller.unregister(client)
+            client.close()
+        for instance in instances:
+            peer = self._known.get(instance)
+            if instance not in self._clients and peer is not None:
+                self._clients[instance] = self._open(peer)
+
+    def _open(self, peer: PeerSettings) -> zmq.Socket:
+        client = open_client(
+            self._context,
+            peer.endpoint,
+            peer.public_key,
+            self._settings.keys,
+            self._settings.instance,
+        )
+        self._poller.register(client, zmq.POLLIN)
+        return client
+
+    def _drain(self, socket: zmq.Socket, receive: Callable[[zmq.Socket], None]) -> None:
+        for _ in range(BURST_MESSAGES):
+            try:
+                receive(socket)
+            except zmq.Again:
+                return
+            except TransportError as error:
+                _reject(str(error))
+
+    def _receive_from_gateway(self, socket: zmq.Socket) -> None:
+        identity, key, frame = _receive(socket)
+        if key != self._settings.keys.public_key:
+            raise TransportError("a key other than this instance's on the gateway endpoint")
+        envelope = decode_envelope(frame)
+        _raise_refusal(check_gateway_message(self._settings.instance, envelope))
+        MESSAGES.labels(envelope.WhichOneof("body")).inc()
+        self._inbox.put(GatewayMessage(identity.decode("utf-8", "replace"), envelope))
+
+    def _receive_from_peer(self, socket: zmq.Socket) -> None:
+        identity, key, frame = _receive(socket)
+        instance = self._instance_of_key.get(key)
+        if instance is None:
+            raise TransportError("a key that belongs to no peer on the peer endpoint")
+        self._accept(instance, frame)
+        self._identities[instance] = identity
+
+    def _receive_reply(self, socket: zmq.Socket, instance: str) -> None:
+        self._accept(instance, socket.recv(zmq.NOBLOCK))
+
+    def _accept(self, instance: str, frame: bytes) -> None:
+        envelope = decode_envelope(frame)
+        _raise_refusal(check_peer_message(instance, envelope))
+        MESSAGES.labels(envelope.WhichOneof("body")).inc()
+        self._inbox.put(PeerMessage(instance, envelope))
+
+
+def _receive(socket: zmq.Socket) -> tuple[bytes, str, bytes]:
+    frames = socket.recv_multipart(zmq.NOBLOCK, copy=False)
+    if len(frames) != 2:
+        raise TransportError(f"a message of {len(frames)} frames")
+    try:
+        key = str(frames[1].get("User-Id"))
+    except zmq.ZMQError as error:
+        raise TransportError("a message without an authenticated key") from error
+    return frames[0].bytes, key, frames[1].bytes
+
+
+def _raise_refusal(refusal: str | None) -> None:
+    if refusal is not None:
+        raise TransportError(refusal)
+
+
+def _reject(reason: str) -> None:
+    MESSAGES_REJECTED.inc()
+    log_event(_LOGGER, logging.WARNING, Event.SENDER_REJECTED, f"message rejected: {reason}")
--- /dev/null
+++ b/src/mulberryrill/internal/control/lister.py
@@ -0,0 +1,65 @@
+"""Polls the platform's list and keeps this instance registered."""
+
+import logging
+from collections.abc import Callable
+
+from ...errors import PlatformError
+from ..events import Event
+from ..logs import log_event
+from ..platform.listclient import ListClient
+from ..schema.wire_pb2 import MemberState
+from ..schema.wire_pb2 import Member
+from .messages import Inbox, ListFailed, MembersListed
+from .task import Task
+
+POLL_S = 1.0
+_LOGGER = logging.getLogger(__name__)
+
+
+class Lister(Task):
+    """Posts the list once a second; renews the registration each time."""
+
+    def __init__(self, member: Member, open_client: Callable[[], ListClient], inbox: Inbox) -> None:
+        super().__init__("lister")
+        self._member = member
+        self._client = open_client()
+        self._inbox = inbox
+        self._reachable = True
+
+    def step(self) -> None:
+        """Registers, reads the list, then waits."""
+        try:
+            self._client.register(self._member)
+            members = self._client.read_members()
+        except PlatformError as error:
+            self._note_failure(error)
+        else:
+            self._note_success()
+            self._inbox.put(MembersListed(tuple(members)))
+        self._stop.wait(POLL_S)
+
+    def release(self) -> None:
+        """Removes the registration and closes the connection."""
+        try:
+            self._client.remove(self._member.id)
+        except PlatformError as error:
+            log_event(_LOGGER, logging.WARNING, Event.LIST_UNREACHABLE, f"not removed: {error}")
+        self._client.close()
+
+    def leave(self) -> None:
+        """Registers as leaving from the next poll on."""
+        leaving = Member()
+        leaving.CopyFrom(self._member)
+        leaving.state = MemberState.leaving
+        self._member = leaving
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if self._reachable:
+            self._reachable = False
+            log_event(_LOGGER, logging.WARNING, Event.LIST_UNREACHABLE, str(error))
+        self._inbox.put(ListFailed())
+
+    def _note_success(self) -> None:
+        if not self._reachable:
+            self._reachable = True
+            log_event(_LOGGER, logging.INFO, Event.LIST_REACHABLE, "list read again")
--- /dev/null
+++ b/src/mulberryrill/internal/control/operators.py
@@ -0,0 +1,194 @@
+"""The operators' HTTP interface. Handlers check and translate; the main task decides."""
+
+import hashlib
+import json
+from collections.abc import Callable
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from ...errors import SettingsError
+from ..httpserver import create_problem
+from ..ids import Executed
+from ..platform.records import MAX_RECORD_BYTES
+from ..schema.log_pb2 import DataCentreState
+from ..schema.settings_pb2 import SiteOperator
+from ..settings.documents import check_document
+from .messages import (
+    Call,
+    CallAnswer,
+    CallRequest,
+    Inbox,
+    ShowDocument,
+    ShowHistory,
+    ShowInForce,
+    ShowRequest,
+    ShowStatus,
+    SubmitDocument,
+    SubmitOrder,
+)
+from .metrics import CALLS
+
+# Longer than the main task takes to decide or to give up on reading back.
+CALL_TIMEOUT_S = 20.0
+# Leaves room for the other fields of the record.
+MAX_DOCUMENT_BYTES = MAX_RECORD_BYTES - 64 * 1024
+MAX_REASON_CHARACTERS = 1000
+_STATES = {
+    "drain": DataCentreState.DRAINED,
+    "drained": DataCentreState.DRAINED,
+    "return": DataCentreState.IN_SERVICE,
+    "in_service": DataCentreState.IN_SERVICE,
+}
+_ROUTES = Map(
+    [
+        Rule("/v1/documents/<service>", endpoint="document", methods=["GET", "PUT"]),
+        Rule("/v1/documents/<service>/history", endpoint="history", methods=["GET"]),
+        Rule("/v1/in-force", endpoint="in_force", methods=["GET"]),
+        Rule("/v1/datacentres/<data_centre>/orders", endpoint="order", methods=["POST"]),
+        Rule("/v1/status", endpoint="status", methods=["GET"]),
+        Rule("/v1/requests/<request_id>", endpoint="request", methods=["GET"]),
+    ]
+)
+
+
+class _InvalidCallError(Exception):
+    """A call's input is invalid; carries the response."""
+
+    def __init__(self, response: Response) -> None:
+        super().__init__()
+        self.response = response
+
+
+class OperatorsInterface:
+    """Answers operators' requests on the threads of the HTTP server."""
+
+    def __init__(self, operators: list[SiteOperator], known: frozenset[str], inbox: Inbox) -> None:
+        """``known`` are the data centres that an order may name."""
+        self._names = {
+            digest.lower(): operator.name
+            for operator in operators
+            for digest in operator.token_sha256
+        }
+        self._data_centres = known
+        self._inbox = inbox
+        self._handlers: dict[str, Callable[..., CallRequest]] = {
+            "document": self._read_document_call,
+            "history": lambda request, author, service: ShowHistory(service),
+            "in_force": self._read_in_force_call,
+            "order": self._read_order_call,
+            "status": lambda request, author: ShowStatus(),
+            "request": lambda request, author, request_id: ShowRequest(request_id),
+        }
+
+    def handle(self, request: Request) -> Response:
+        """Answers one request."""
+        response = self._answer(request)
+        CALLS.labels(str(response.status_code)).inc()
+        return response
+
+    def _answer(self, request: Request) -> Response:
+        author = self._authenticate(request)
+        if author is None:
+            response = create_problem(401, "Unauthorized", "Send the bearer token of an operator.")
+            response.headers["WWW-Authenticate"] = "Bearer"
+            return response
+        try:
+            endpoint, arguments = _ROUTES.bind_to_environ(request.environ).match()
+            call = self._handlers[endpoint](request, author, **arguments)
+        except _InvalidCallError as error:
+            return error.response
+        except HTTPException as error:
+            return create_problem(error.code or 500, error.name, error.description or "")
+        return self._call(call)
+
+    def _authenticate(self, request: Request) -> str | None:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer":
+            return None
+        return self._names.get(hashlib.sha256(token.strip().encode()).hexdigest())
+
+    def _call(self, request: CallRequest) -> Response:
+        call = Call(request)
+        self._inbox.put(call)
+        try:
+            answer = call.future.result(CALL_TIMEOUT_S)
+        except FutureTimeoutError:
+            detail = "The control process did not answer in time; read the state before repeating."
+            return create_problem(504, "No answer in time", detail, Executed.UNKNOWN)
+        return _build_response(answer)
+
+    def _read_document_call(self, request: Request, author: str, service: str) -> CallRequest:
+        if request.method != "PUT":
+            return ShowDocument(service)
+        base_revision = _read_integer(request, "base_revision")
+        reason = request.args.get("reason", "")[:MAX_REASON_CHARACTERS]
+        if (request.content_length or 0) > MAX_DOCUMENT_BYTES:
+            detail = f"A document has at most {MAX_DOCUMENT_BYTES} bytes."
+            raise _InvalidCallError(create_problem(413, "Document too long", detail))
+        text = _check_text(service, request.get_data())
+        return SubmitDocument(service, text, base_revision, author, reason)
+
+    def _read_in_force_call(self, request: Request, author: str) -> CallRequest:
+        service = request.args.get("service", "")
+        if not service:
+            _refuse_field("service", "is required")
+        return ShowInForce(service, _read_integer(request, "revision"))
+
+    def _read_order_call(self, request: Request, author: str, data_centre: str) -> CallRequest:
+        if data_centre not in self._data_centres:
+            known = ", ".join(sorted(self._data_centres))
+            detail = f"There is no data centre {data_centre!r}; use one of: {known}."
+            raise _InvalidCallError(create_problem(404, "Unknown data centre", detail))
+        try:
+            body = json.loads(request.get_data() or b"{}")
+            state = _STATES.get(str(body.get("state", "")).lower())
+            reason = str(body.get("reason", ""))[:MAX_REASON_CHARACTERS]
+        except (ValueError, AttributeError):
+            state, reason = None, ""
+        if state is None:
+            _refuse_field("state", 'must be "drained" or "in_service" in a JSON object')
+        assert state is not None
+        return SubmitOrder(data_centre, state, author, reason)
+
+
+def _check_text(service: str, body: bytes) -> str:
+    try:
+        text = body.decode("utf-8")
+        document = check_document(text, f"{service}.yaml")
+        if document.service != service:
+            raise SettingsError(
+                [f"{service}.yaml: service: is {document.service!r}; the address says {service!r}"]
+            )
+    except UnicodeDecodeError:
+        problems = [f"{service}.yaml: is not UTF-8 text; save it as UTF-8"]
+    except SettingsError as error:
+        problems = error.problems
+    else:
+        return text
+    extra: dict[str, object] = {"problems": problems}
+    detail = "; ".join(problems)
+    raise _InvalidCallError(create_problem(422, "Invalid document", detail, extra=extra))
+
+
+def _read_integer(request: Request, name: str) -> int:
+    text = request.args.get(name, "")
+    if not text.isascii() or not text.isdigit():
+        _refuse_field(name, "must be a whole number that is not negative")
+    return int(text)
+
+
+def _refuse_field(name: str, remedy: str) -> None:
+    detail = f"{name} {remedy}."
+    raise _InvalidCallError(create_problem(400, "Invalid call", detail))
+
+
+def _build_response(answer: CallAnswer) -> Response:
+    if answer.status < 400:
+        text = json.dumps(answer.body)
+        return Response(text, status=answer.status, content_type="application/json")
+    extra = dict(answer.body)
+    title, detail = str(extra.pop("title", "")), str(extra.pop("detail", ""))
+    return create_problem(answer.status, title, detail, answer.executed, extra)
--- /dev/null
+++ b/src/mulberryrill/internal/control/watcher.py
@@ -0,0 +1,145 @@
+"""Polls the state of targets over HTTP."""
+
+import io
+import json
+from dataclasses import dataclass, field
+
+import pycurl
+
+from ..clock import Clock
+from ..schema.wire_pb2 import Health, Member, ModelView, TargetView
+from .messages import Inbox, TargetsSeen
+from .metrics import POLLS
+from .task import Task
+
+POLL_S = 0.5
+# A target that does not answer within this time counts as unreachable.
+POLL_TIMEOUT_S = 1.0
+MAX_STATE_BYTES = 256 * 1024
+SELECT_S = 0.05
+_LOADED = "loaded"
+
+
+@dataclass
+class _Poll:
+    """One repeated poll; ``curl`` keeps its connection."""
+
+    member: Member
+    curl: pycurl.Curl = field(default_factory=pycurl.Curl)
+    body: io.BytesIO = field(default_factory=io.BytesIO)
+    due_at: float = 0.0
+    running: bool = False
+
+
+class Watcher(Task):
+    """Polls all targets at once, so that a silent one delays no other."""
+
+    def __init__(self, inbox: Inbox, clock: Clock) -> None:
+        super().__init__("watcher")
+        self._inbox = inbox
+        self._clock = clock
+        self._multi = pycurl.CurlMulti()
+        self._polls: dict[str, _Poll] = {}
+        self._wanted: tuple[Member, ...] = ()
+        self._adopted: tuple[Member, ...] = ()
+
+    def watch(self, members: tuple[Member, ...]) -> None:
+        """Replaces the set of polled targets; may be called on any thread."""
+        self._wanted = members
+
+    def step(self) -> None:
+        """Starts due polls and posts the results of finished ones."""
+        self._adopt_wanted()
+        now = self._clock.monotonic()
+        for poll in self._polls.values():
+            if not poll.running and now >= poll.due_at:
+                self._start_poll(poll, now)
+        self._multi.perform()
+        views = self._collect()
+        if views:
+            self._inbox.put(TargetsSeen(tuple(views)))
+        if any(poll.running for poll in self._polls.values()):
+            self._multi.select(SELECT_S)
+        else:
+            self._stop.wait(SELECT_S)
+
+    def release(self) -> None:
+        """Closes all connections."""
+        for poll in self._polls.values():
+            self._drop(poll)
+        self._multi.close()
+
+    def _adopt_wanted(self) -> None:
+        wanted = self._wanted
+        if wanted is self._adopted:
+            return
+        self._adopted = wanted
+        members = {member.id: member for member in wanted}
+        for target, poll in list(self._polls.items()):
+            if members.get(target) != poll.member:
+                self._drop(self._polls.pop(target))
+        for target, member in members.items():
+            if target not in self._polls:
+                self._polls[target] = _Poll(member)
+
+    def _start_poll(self, poll: _Poll, now: float) -> None:
+        curl = poll.curl
+        poll.body = io.BytesIO()
+        curl.setopt(pycurl.URL, poll.member.address.rstrip("/") + "/v1/state")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.TIMEOUT_MS, int(POLL_TIMEOUT_S * 1000))
+        curl.setopt(pycurl.MAXFILESIZE, MAX_STATE_BYTES)
+        curl.setopt(pycurl.WRITEFUNCTION, poll.body.write)
+        self._multi.add_handle(curl)
+        poll.running = True
+        poll.due_at = now + POLL_S
+
+    def _collect(self) -> list[TargetView]:
+        by_curl = {poll.curl: poll for poll in self._polls.values()}
+        views = []
+        _, finished, failed = self._multi.info_read()
+        for curl in finished:
+            poll = by_curl[curl]
+            status = curl.getinfo(pycurl.RESPONSE_CODE)
+            views.append(parse_state(poll.member.id, status, poll.body.getvalue()))
+            self._finish(poll, views[-1])
+        for curl, _, _ in failed:
+            poll = by_curl[curl]
+            views.append(TargetView(target=poll.member.id, health=Health.UNREACHABLE))
+            self._finish(poll, views[-1])
+        return views
+
+    def _finish(self, poll: _Poll, view: TargetView) -> None:
+        self._multi.remove_handle(poll.curl)
+        poll.running = False
+        POLLS.labels(Health.Name(view.health).lower()).inc()
+
+    def _drop(self, poll: _Poll) -> None:
+        if poll.running:
+            self._multi.remove_handle(poll.curl)
+        poll.curl.close()
+
+
+def parse_state(target: str, status: int, body: bytes) -> TargetView:
+    """Returns the view of a target's answer; an unusable answer is an unreachable target."""
+    unreachable = TargetView(target=target, health=Health.UNREACHABLE)
+    if status != 200:
+        return unreachable
+    try:
+        state = json.loads(body)
+        return TargetView(
+            target=target,
+            incarnation=state["incarnation"],
+            health=Health.HEALTHY,
+            running=state.get("running", 0),
+            waiting=state.get("waiting", 0),
+            max_concurrency=state["max_concurrency"],
+            models=[
+                ModelView(name=model["name"], version=str(model["version"]))
+                for model in state.get("models", ())
+                if model.get("state", _LOADED) in (_LOADED, "ready")
+            ],
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return unreachable
--- /dev/null
+++ b/src/mulberryrill/internal/control/writer.py
@@ -0,0 +1,97 @@
+"""Appends records to the platform's log on a thread of its own."""
+
+import logging
+import queue
+from collections import deque
+from collections.abc import Callable
+
+from ...errors import AppendInDoubtError, PlatformError
+from ..clock import Clock
+from ..events import Event
+from ..logs import log_event
+from ..platform.logclient import LogClient
+from ..platform.records import seal_batch
+from .messages import AppendRequest, AppendResult, Inbox
+from .metrics import APPENDS
+from .task import Task
+
+IDLE_WAIT_S = 0.2
+RETRY_PAUSE_S = 0.5
+# Beyond this, a persistent entry is refused, so that a long outage does not exhaust memory.
+MAX_WAITING = 10_000
+_LOGGER = logging.getLogger(__name__)
+
+
+class Writer(Task):
+    """Performs appends one after another and posts their results to an inbox.
+
+    Persistent requests are repeated until the log has them; records that repeat are harmless,
+    because every fold ignores the second one.
+    """
+
+    def __init__(
+        self, name: str, open_client: Callable[[], LogClient], inbox: Inbox, clock: Clock
+    ) -> None:
+        super().__init__(name)
+        self._open_client = open_client
+        self._client = open_client()
+        self._inbox = inbox
+        self._clock = clock
+        self._requests: queue.SimpleQueue[AppendRequest | None] = queue.SimpleQueue()
+        self._waiting: deque[AppendRequest] = deque()
+        self._retry_at = 0.0
+
+    def post(self, request: AppendRequest) -> None:
+        """Asks for an append; may be called on any thread."""
+        self._requests.put(request)
+
+    def wake(self) -> None:
+        """Ends the wait for a request."""
+        self._requests.put(None)
+
+    def step(self) -> None:
+        """Takes one request, or retries one when no request is waiting."""
+        request = self._take()
+        if request is not None:
+            self._append(request)
+        elif self._waiting and self._clock.monotonic() >= self._retry_at:
+            self._append(self._waiting.popleft())
+
+    def release(self) -> None:
+        """Closes the connection."""
+        self._client.close()
+
+    def _take(self) -> AppendRequest | None:
+        try:
+            return self._requests.get(timeout=IDLE_WAIT_S if not self._waiting else 0.05)
+        except queue.Empty:
+            return None
+
+    def _append(self, request: AppendRequest) -> None:
+        try:
+            offset = self._client.append(request.stream, seal_batch(request.batch))
+        except AppendInDoubtError as error:
+            self._fail(request, True, error)
+        except PlatformError as error:
+            self._fail(request, False, error)
+        else:
+            APPENDS.labels("appended").inc()
+            self._inbox.put(AppendResult(request, offset, in_doubt=False))
+
+    def _fail(self, request: AppendRequest, in_doubt: bool, error: PlatformError) -> None:
+        APPENDS.labels("in_doubt" if in_doubt else "failed").inc()
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.LOG_APPEND_FAILED,
+            f"append to {request.stream}: {error}",
+            in_doubt=in_doubt,
+            persistent=request.persistent,
+        )
+        self._client.close()
+        self._client = self._open_client()
+        if request.persistent and len(self._waiting) < MAX_WAITING:
+            self._waiting.append(request)
+            self._retry_at = self._clock.monotonic() + RETRY_PAUSE_S
+            return
+        self._inbox.put(AppendResult(request, None, in_doubt, str(error)))
--- /dev/null
+++ b/src/mulberryrill/internal/platform/listclient.py
@@ -0,0 +1,86 @@
+"""Client of the platform's list of entry instances, targets and stores."""
+
+import json
+from urllib.parse import quote
+
+from ...errors import HttpError, PlatformError
+from ..httpclient import HttpClient, HttpResponse
+from ..schema.wire_pb2 import Member, MemberKind, MemberState
+
+LIST_TIMEOUT_S = 3.0
+
+
+class ListClient:
+    """One connection to the list. Not thread-safe: each task owns its client."""
+
+    def __init__(self, url: str, ca_file: str = "") -> None:
+        self._url = url.rstrip("/")
+        self._http = HttpClient(ca_file)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._http.close()
+
+    def read_members(self) -> list[Member]:
+        """Returns all usable members; raises PlatformError. Malformed members are left out."""
+        answer = self._send("GET", f"{self._url}/v1/members")
+        try:
+            body = answer.parse_json()
+        except HttpError as error:
+            raise PlatformError(str(error)) from error
+        if not isinstance(body, dict) or not isinstance(body.get("members"), list):
+            raise PlatformError("the list's answer has no members")
+        parsed = (parse_member(item) for item in body["members"])
+        return [member for member in parsed if member is not None]
+
+    def register(self, member: Member) -> None:
+        """Enters or renews a member; raises PlatformError."""
+        self._send("PUT", self._locate(member.id), encode_member(member))
+
+    def remove(self, member_id: str) -> None:
+        """Removes a member; raises PlatformError."""
+        self._send("DELETE", self._locate(member_id))
+
+    def _locate(self, member_id: str) -> str:
+        return f"{self._url}/v1/members/{quote(member_id, safe='')}"
+
+    def _send(self, method: str, url: str, body: bytes = b"") -> HttpResponse:
+        headers = {"Content-Type": "application/json"} if body else {}
+        try:
+            answer = self._http.send(method, url, body, headers, timeout_s=LIST_TIMEOUT_S)
+        except HttpError as error:
+            raise PlatformError(f"list not reached: {error}") from error
+        if answer.status // 100 != 2:
+            raise PlatformError(f"list refused {method} with status {answer.status}")
+        return answer
+
+
+def encode_member(member: Member) -> bytes:
+    """Returns the JSON body that registers a member."""
+    return json.dumps(
+        {
+            "id": member.id,
+            "kind": MemberKind.Name(member.kind),
+            "data_centre": member.data_centre,
+            "address": member.address,
+            "pool": member.pool,
+            "state": MemberState.Name(member.state),
+        }
+    ).encode()
+
+
+def parse_member(item: object) -> Member | None:
+    """Reads one listed member; None if a field is missing, of a wrong type or unknown."""
+    if not isinstance(item, dict):
+        return None
+    try:
+        return Member(
+            id=item["id"],
+            kind=MemberKind.Value(item["kind"]),
+            data_centre=item["data_centre"],
+            address=item.get("address") or "",
+            pool=item.get("pool") or "",
+            state=MemberState.Value(item.get("state") or "live"),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/src/mulberryrill/internal/platform/logclient.py
@@ -0,0 +1,124 @@
+"""Client of the platform's log service."""
+
+import base64
+import binascii
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from ...errors import (
+    AppendInDoubtError,
+    HttpError,
+    OffsetExpiredError,
+    PlatformError,
+)
+from ..core.messages import Record
+from ..httpclient import HttpClient, HttpResponse
+from ..ids import Offset
+
+APPEND_TIMEOUT_S = 5.0
+# Added to the long poll's wait, so that only a silent server runs into the timeout.
+READ_MARGIN_S = 5.0
+_FIRST_CLIENT_ERROR = 400
+_FIRST_SERVER_ERROR = 500
+_GONE = 410
+
+
+@dataclass(frozen=True)
+class LogPage:
+    """Records in offset order. ``first`` is the oldest offset kept, ``next`` follows the last."""
+
+    first: Offset
+    next: Offset
+    records: tuple[Record, ...]
+
+
+class LogClient:
+    """One connection to the log. Not thread-safe: each task owns its client."""
+
+    def __init__(self, url: str, ca_file: str = "") -> None:
+        self._url = url.rstrip("/")
+        self._http = HttpClient(ca_file)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._http.close()
+
+    def append(self, stream: str, data: bytes, timeout_s: float = APPEND_TIMEOUT_S) -> Offset:
+        """Appends one record and returns its offset.
+
+        Raises AppendInDoubtError if the record may be in the log, PlatformError if it is not.
+        """
+        headers = {"Content-Type": "application/octet-stream"}
+        try:
+            answer = self._http.send(
+                "POST", self._locate(stream), data, headers, timeout_s=timeout_s
+            )
+        except HttpError as error:
+            if error.sent:
+                raise AppendInDoubtError(f"append without an answer: {error}") from error
+            raise PlatformError(f"append not sent: {error}") from error
+        if _FIRST_CLIENT_ERROR <= answer.status < _FIRST_SERVER_ERROR:
+            raise PlatformError(f"append refused with status {answer.status}")
+        try:
+            return Offset(int(_parse_object(answer)["offset"]))
+        except (PlatformError, KeyError, TypeError, ValueError) as error:
+            raise AppendInDoubtError(
+                f"append with unusable answer, status {answer.status}"
+            ) from error
+
+    def read(self, stream: str, start: Offset, limit: int, wait_s: float) -> LogPage:
+        """Returns records from ``start`` on, waiting up to ``wait_s`` for the first one.
+
+        Raises OffsetExpiredError if ``start`` is no longer kept, else PlatformError.
+        """
+        query = f"from={start}&limit={limit}&wait_ms={int(wait_s * 1000)}"
+        url = f"{self._locate(stream)}?{query}"
+        try:
+            answer = self._http.send("GET", url, timeout_s=wait_s + READ_MARGIN_S)
+        except HttpError as error:
+            raise PlatformError(f"log read failed: {error}") from error
+        if answer.status == _GONE:
+            raise OffsetExpiredError(_read_first(answer))
+        if answer.status != 200:
+            raise PlatformError(f"log read refused with status {answer.status}")
+        return _parse_page(answer)
+
+    def _locate(self, stream: str) -> str:
+        return f"{self._url}/v1/streams/{quote(stream, safe='')}/records"
+
+
+def _parse_object(answer: HttpResponse) -> dict[str, object]:
+    try:
+        body = answer.parse_json()
+    except HttpError as error:
+        raise PlatformError(str(error)) from error
+    if answer.status != 200 and answer.status != _GONE:
+        raise PlatformError(f"status {answer.status}")
+    if not isinstance(body, dict):
+        raise PlatformError("answer is not a JSON object")
+    return body
+
+
+def _read_first(answer: HttpResponse) -> int:
+    first = _parse_object(answer).get("first")
+    if not isinstance(first, int):
+        raise PlatformError("status 410 without the first offset")
+    return first
+
+
+def _parse_page(answer: HttpResponse) -> LogPage:
+    body = _parse_object(answer)
+    try:
+        records = tuple(_parse_record(item) for item in body["records"])  # type: ignore[attr-defined]
+        first, following = int(body["first"]), int(body["next"])  # type: ignore[call-overload]
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        raise PlatformError(f"malformed log page: {error!r}") from error
+    return LogPage(Offset(first), Offset(following), records)
+
+
+def _parse_record(item: dict[str, object]) -> Record:
+    return Record(
+        offset=Offset(int(item["offset"])),  # type: ignore[call-overload]
+        time_ms=int(item["time_ms"]),  # type: ignore[call-overload]
+        data=base64.b64decode(str(item["data"]), validate=True),
+    )
