Add the stand-ins for platform, engines, plain services and stores

Cause: process tests, demonstrations and load runs need the outside systems. Change: the log and list service, the model engine, the plain service and the store are small programs with fault interfaces and histories of executions. The engine's output is a function of model, version, prompt and token index. Conclusion: tests can inject outages, lost answers, crashes, stalls and cold starts.

--- /dev/null
+++ b/src/mulberryrill/internal/standins/engine.py
@@ -0,0 +1,351 @@
+"""The model engine stand-in: HTTP in front of ``EngineModel``.
+
+werkzeug reads the requests; one loop thread owns the sockets of accepted runs and sends all
+tokens, so that 200 streams cost no thread each.
+"""
+
+import logging
+import selectors
+import socket
+import threading
+import time
+from collections.abc import Mapping
+from queue import Empty, SimpleQueue
+
+from werkzeug.exceptions import BadRequest, NotFound
+from werkzeug.wrappers import Request, Response
+
+from ..events import Event
+from ..history.writer import HistoryWriter
+from ..httpserver import DetachedConnectionError, HttpServer, create_problem
+from ..logs import log_event
+from ..schema.settings_pb2 import EngineSettings
+from .answers import StreamAnswer, format_json_answer
+from .enginemodel import Emission, EngineModel, Run, Submission
+from .kvtransfer import KvTransfer
+from .pseudotext import DEFAULT_MAX_TOKENS, render_prompt
+from .registration import Registration
+from .requests import (
+    close_socket,
+    create_json_response,
+    drop_connection,
+    read_count,
+    read_json_object,
+)
+
+HTTP_THREADS = 32
+# Tokens due within this time are sent together, which bounds the loop's wake-ups.
+TICK_S = 0.002
+IDLE_WAIT_S = 0.2
+DRAIN_TIMEOUT_S = 60.0
+RECEIVE_BYTES = 4096
+PATHS = ("/v1/completions", "/v1/chat/completions")
+_LOGGER = logging.getLogger(__name__)
+
+
+class _Connection:
+    """The socket of one run and what is still to be sent on it."""
+
+    def __init__(self, sock: socket.socket, run: Run, wrong_attempt: bool) -> None:
+        sock.setblocking(False)
+        self.sock = sock
+        self.run = run
+        self.wrong_attempt = wrong_attempt
+        self.stream = StreamAnswer(run, wrong_attempt) if run.stream else None
+        self.unsent = b""
+        self.waits_for_write = False
+        self.closing = False
+        self.closed = False
+
+    def format(self, emission: Emission) -> bytes:
+        """Returns the bytes of an emission."""
+        if self.stream is not None:
+            data = self.stream.format_tokens(emission.first, emission.end)
+            return data + self.stream.format_end() if emission.finished else data
+        answer = format_json_answer(self.run, self.wrong_attempt)
+        return answer[: len(answer) // 2] if emission.cut else answer
+
+
+class EngineStandin:
+    """Serves the engine's interface until closed."""
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self._settings = settings
+        self._history = HistoryWriter(settings.history_file, settings.id)
+        self._lock = threading.Lock()
+        self._model = EngineModel(settings, self._record, self._drop_runs, time.monotonic())
+        self._server = HttpServer(settings.listen, self._handle, HTTP_THREADS)
+        self._kv = KvTransfer(self._record)
+        self._selector = selectors.DefaultSelector()
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._added: SimpleQueue[_Connection] = SimpleQueue()
+        self._dropped: SimpleQueue[_Connection] = SimpleQueue()
+        self._stop = threading.Event()
+        self._loop = threading.Thread(target=self._run_loop, name="engine", daemon=True)
+        self._registration: Registration | None = None
+
+    @property
+    def port(self) -> int:
+        """The bound port."""
+        return self._server.port
+
+    def start(self) -> None:
+        """Opens the listening socket and registers."""
+        self._wake_out.setblocking(False)
+        self._wake_in.setblocking(False)
+        self._selector.register(self._wake_out, selectors.EVENT_READ)
+        self._loop.start()
+        self._server.start()
+        settings = self._settings
+        address = f"http://{settings.listen.host}:{self.port}"
+        self._registration = Registration(
+            settings.list_url, settings.id, "engine", settings.data_centre, address, settings.pool
+        )
+        self._registration.start()
+
+    def close(self) -> None:
+        """Says leaving, finishes its runs and stops."""
+        if self._registration is not None:
+            self._registration.leave()
+        deadline = time.monotonic() + DRAIN_TIMEOUT_S
+        while self._model.running + self._model.waiting and time.monotonic() < deadline:
+            time.sleep(0.05)
+        if self._registration is not None:
+            self._registration.close()
+        self._server.close()
+        self._kv.close()
+        self._stop.set()
+        self._wake()
+        self._loop.join()
+        self._history.close()
+
+    def _record(self, event: str, fields: dict[str, object]) -> None:
+        self._history.write(event, target=self._settings.id, **fields)
+
+    def _handle(self, request: Request) -> Response:
+        if request.path == "/v1/faults":
+            return self._set_faults(request)
+        with self._lock:
+            down = self._model.is_down(time.monotonic())
+        if down:
+            drop_connection(self._server, request)
+        if request.path in PATHS and request.method == "POST":
+            return self._serve_run(request)
+        if request.path == "/v1/state":
+            return self._describe_state()
+        if request.path == "/v1/orders" and request.method == "POST":
+            return self._apply_order(request)
+        raise NotFound(f"There is no {request.path}.")
+
+    def _serve_run(self, request: Request) -> Response:
+        body = read_json_object(request)
+        extension = body.get("engine", {})
+        if not isinstance(extension, dict):
+            raise BadRequest('"engine" must be an object.')
+        model = str(body.get("model", ""))
+        with self._lock:
+            version = self._model.find_version(model, time.monotonic())
+        if version is None:
+            return create_problem(404, "Model not loaded", f"Model {model!r} is not loaded here.")
+        if request.headers.get("X-Model-Version", version) != version:
+            return create_problem(409, "Other version", f"Version {version} is loaded.")
+        run = _create_run(request, body, extension, version)
+        run.imported_blocks = self._kv.import_blocks(extension, run)
+        response = self._submit(request, run)
+        if response is None:
+            self._wake()
+            raise DetachedConnectionError("the engine's loop owns the connection")
+        return response
+
+    def _submit(self, request: Request, run: Run) -> Response | None:
+        with self._lock:
+            submission = self._model.submit(run, time.monotonic())
+            if submission is Submission.ACCEPTED:
+                wrong = self._model.faults.wrong_attempt > 0
+                self._model.faults.wrong_attempt -= int(wrong)
+                connection = _Connection(self._server.detach(request), run, wrong)
+                run.connection = connection
+                self._added.put(connection)
+                return None
+        if submission is not Submission.REJECTED:
+            drop_connection(self._server, request)
+        return create_problem(503, "Rejected", "The engine rejected the request before running.")
+
+    def _describe_state(self) -> Response:
+        with self._lock:
+            model = self._model
+            state = {
+                "incarnation": model.incarnation,
+                "running": model.running,
+                "waiting": model.waiting,
+                "max_concurrency": model.max_concurrency,
+                "models": model.list_models(time.monotonic()),
+                "fence": model.fence,
+            }
+        return create_json_response(state)
+
+    def _apply_order(self, request: Request) -> Response:
+        body = read_json_object(request)
+        fence = read_count(body, "fence")
+        with self._lock:
+            accepted = self._model.load(
+                str(body.get("model", "")), str(body.get("version", "")), fence, time.monotonic()
+            )
+            current = self._model.fence
+        if not accepted:
+            return create_problem(409, "Old fence", f"The last fence was {current}.")
+        return create_json_response({"fence": current}, status=202)
+
+    def _set_faults(self, request: Request) -> Response:
+        body = read_json_object(request)
+        log_event(_LOGGER, logging.INFO, Event.STANDIN_FAULT_SET, f"faults set: {sorted(body)}")
+        with self._lock:
+            faults = self._model.faults
+            for name in ("stall_after_tokens", "cut_after_tokens", "reject", "wrong_attempt"):
+                if name in body:
+                    setattr(faults, name, read_count(body, name))
+            if "poison" in body:
+                faults.poison = str(body["poison"])
+            if body.get("restart"):
+                self._model.crash(time.monotonic())
+            return create_json_response(vars(faults))
+
+    def _drop_runs(self, runs: list[Run]) -> None:
+        """Called under the lock when the engine crashes."""
+        log_event(
+            _LOGGER, logging.WARNING, Event.STANDIN_CRASHED, f"crashed with {len(runs)} requests"
+        )
+        for run in runs:
+            if isinstance(run.connection, _Connection):
+                self._dropped.put(run.connection)
+        self._wake()
+
+    def _wake(self) -> None:
+        try:
+            self._wake_in.send(b"w")
+        except OSError:
+            # A full pipe already wakes the loop; a closed one has no loop to wake.
+            pass
+
+    def _run_loop(self) -> None:
+        while not self._stop.is_set():
+            with self._lock:
+                emissions = self._model.advance(time.monotonic())
+                due = self._model.next_due()
+            for connection in _drain(self._added):
+                if not connection.closed:
+                    self._selector.register(connection.sock, selectors.EVENT_READ, connection)
+            for connection in _drain(self._dropped):
+                self._close_connection(connection)
+            for emission in emissions:
+                self._send(emission)
+            wait_s = IDLE_WAIT_S if due is None else max(TICK_S, due - time.monotonic())
+            for key, events in self._selector.select(min(wait_s, IDLE_WAIT_S)):
+                self._on_ready(key.data, events)
+
+    def _on_ready(self, connection: _Connection | None, events: int) -> None:
+        if connection is None:
+            self._wake_out.recv(RECEIVE_BYTES)
+            return
+        if events & selectors.EVENT_WRITE:
+            self._flush(connection)
+        if not connection.closed and events & selectors.EVENT_READ:
+            try:
+                data = connection.sock.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                data = b""
+            if not data:
+                self._cancel(connection)
+
+    def _send(self, emission: Emission) -> None:
+        connection = emission.run.connection
+        if not isinstance(connection, _Connection) or connection.closed:
+            return
+        if emission.finished:
+            self._kv.start_export(emission.run)
+        connection.closing = emission.finished or emission.cut
+        pending = bool(connection.unsent)
+        connection.unsent += connection.format(emission)
+        if not pending:
+            self._flush(connection)
+
+    def _flush(self, connection: _Connection) -> None:
+        try:
+            sent = connection.sock.send(connection.unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._cancel(connection)
+            return
+        connection.unsent = connection.unsent[sent:]
+        if connection.unsent:
+            self._watch_write(connection, True)
+        elif connection.closing:
+            self._close_connection(connection)
+        else:
+            self._watch_write(connection, False)
+
+    def _watch_write(self, connection: _Connection, wanted: bool) -> None:
+        if connection.waits_for_write != wanted:
+            connection.waits_for_write = wanted
+            events = selectors.EVENT_READ | (selectors.EVENT_WRITE if wanted else 0)
+            self._selector.modify(connection.sock, events, connection)
+
+    def _cancel(self, connection: _Connection) -> None:
+        with self._lock:
+            self._model.cancel(connection.run, time.monotonic())
+        self._close_connection(connection)
+
+    def _close_connection(self, connection: _Connection) -> None:
+        if connection.closed:
+            return
+        connection.closed = True
+        try:
+            self._selector.unregister(connection.sock)
+        except (KeyError, ValueError):
+            # It was closed before the loop registered it.
+            pass
+        close_socket(connection.sock)
+
+
+def _drain(queue: "SimpleQueue[_Connection]") -> list[_Connection]:
+    items = []
+    while True:
+        try:
+            items.append(queue.get_nowait())
+        except Empty:
+            return items
+
+
+def _create_run(
+    request: Request, body: dict[str, object], extension: Mapping[str, object], version: str
+) -> Run:
+    """Returns the run of a request; raises BadRequest."""
+    max_tokens = read_count(body, "max_tokens") or DEFAULT_MAX_TOKENS
+    start_token = read_count(extension, "continue_tokens")
+    priority = extension.get("priority", 0)
+    if not isinstance(priority, int):
+        raise BadRequest("engine.priority must be a whole number.")
+    run = Run(
+        request=request.headers.get("X-Request-Id", ""),
+        attempt=request.headers.get("X-Attempt-Id", ""),
+        customer=request.headers.get("X-Customer", ""),
+        model=str(body.get("model", "")),
+        version=version,
+        prompt=render_prompt(body),
+        path=request.path,
+        max_tokens=max_tokens,
+        stream=bool(body.get("stream", False)),
+        start_token=start_token,
+        priority=priority,
+    )
+    export = extension.get("kv_export")
+    run.kv_export = export if isinstance(export, dict) else None
+    if start_token >= max_tokens:
+        raise BadRequest("engine.continue_tokens must be less than max_tokens.")
+    # The output is deterministic, so other text here means that answers were mixed up.
+    if str(extension.get("continue_text", "")) != "".join(run.tokens[:start_token]):
+        raise BadRequest("engine.continue_text is not the beginning of this output.")
+    return run
--- /dev/null
+++ b/src/mulberryrill/internal/standins/enginemodel.py
@@ -0,0 +1,300 @@
+"""Behaviour of the model engine stand-in without I/O: queue, batch, cold start, cache, faults.
+
+All times are seconds passed in as ``now``. Not thread-safe: its owner holds a lock.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..ids import create_id
+from ..schema.settings_pb2 import EngineSettings
+from .prefixcache import BLOCK_TOKENS, PrefixCache, chain_blocks
+from .pseudotext import count_tokens, digest_text, list_tokens
+
+# A crashed engine drops every connection for this time and then is back, cold.
+RESTART_S = 0.5
+# Time to load the weights of a version, as on the users' workers.
+LOAD_S = 1.0
+MAX_WAITING = 1000
+DEFAULT_PREFILL_TOKENS_PER_SECOND = 20_000.0
+DEFAULT_MAX_CONCURRENCY = 32
+
+
+class Submission(Enum):
+    """What became of a request that arrived."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    DOWN = "down"
+    CRASHED = "crashed"
+
+
+@dataclass(eq=False)
+class Run:
+    """One request; ``emitted`` counts output tokens including those it resumes after."""
+
+    request: str
+    attempt: str
+    customer: str
+    model: str
+    version: str
+    prompt: str
+    path: str
+    max_tokens: int
+    stream: bool = True
+    start_token: int = 0
+    priority: int = 0
+    imported_blocks: int = 0
+    incarnation: str = ""
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    prompt_digest: str = ""
+    tokens: list[str] = field(default_factory=list)
+    block_keys: list[bytes] = field(default_factory=list)
+    emitted: int = 0
+    stall_after: int | None = None
+    cut_after: int | None = None
+    # Where to export the run's blocks when it ends: the request's ``kv_export``.
+    kv_export: Mapping[str, object] | None = None
+    # Owned by the server: the connection that gets the answer.
+    connection: object = None
+
+    def __post_init__(self) -> None:
+        self.prompt_digest = digest_text(self.prompt)
+        self.prompt_tokens = count_tokens(self.prompt)
+        self.tokens = list_tokens(self.model, self.version, self.prompt_digest, self.max_tokens)
+        self.block_keys = chain_blocks(
+            self.customer, self.model, self.version, self.prompt.encode("utf-8")
+        )
+        self.emitted = self.start_token
+
+
+@dataclass(frozen=True)
+class Emission:
+    """Tokens ``first`` to ``end - 1`` of a run are due; ``cut`` ends its connection early."""
+
+    run: Run
+    first: int
+    end: int
+    finished: bool
+    cut: bool = False
+
+
+@dataclass
+class _Faults:
+    stall_after_tokens: int | None = None
+    cut_after_tokens: int | None = None
+    reject: int = 0
+    wrong_attempt: int = 0
+    poison: str = ""
+
+
+@dataclass
+class _Load:
+    name: str
+    version: str
+    ready_at: float
+
+
+class EngineModel:
+    """Decides when runs start and when their tokens are due.
+
+    ``record(event, fields)`` receives "execution" and "overload" for the history;
+    ``on_crash(runs)`` receives the runs whose connections end.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        record: Callable[[str, dict[str, object]], None],
+        on_crash: Callable[[list[Run]], None],
+        now: float,
+    ) -> None:
+        self._settings = settings
+        self._record = record
+        self._on_crash = on_crash
+        self._sequence = itertools.count()
+        self.max_concurrency = settings.max_concurrency or DEFAULT_MAX_CONCURRENCY
+        self._prefill_rate = settings.prefill_tokens_per_second or DEFAULT_PREFILL_TOKENS_PER_SECOND
+        self._decode_s = settings.decode_ms_per_token / 1000
+        self._cache = PrefixCache(settings.cache_blocks)
+        self.faults = _Faults()
+        self.fence = 0
+        self._boot(now)
+
+    def _boot(self, ready_at: float) -> None:
+        self.incarnation = create_id("inc")
+        self._down_until = ready_at
+        self._cold_until = ready_at + self._settings.cold_ms / 1000
+        self._versions = dict(_parse_model(text) for text in self._settings.models)
+        self._loads: list[_Load] = []
+        self._running: set[Run] = set()
+        self._waiting: list[tuple[int, int, Run]] = []
+        self._due: list[tuple[float, int, Run]] = []
+        self._cache.clear()
+
+    @property
+    def running(self) -> int:
+        """Number of runs in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Number of runs in the queue."""
+        return len(self._waiting)
+
+    def is_down(self, now: float) -> bool:
+        """Tells whether the engine is restarting and drops every connection."""
+        return now < self._down_until
+
+    def find_version(self, model: str, now: float) -> str | None:
+        """Returns the version that new runs of a model get, or None if it is not loaded."""
+        self._finish_loads(now)
+        return self._versions.get(model)
+
+    def list_models(self, now: float) -> list[dict[str, str]]:
+        """Returns loaded and loading versions as in the state answer."""
+        self._finish_loads(now)
+        ready = [(name, version, "ready") for name, version in sorted(self._versions.items())]
+        loading = [(load.name, load.version, "loading") for load in self._loads]
+        return [
+            dict(zip(("name", "version", "state"), row, strict=True)) for row in ready + loading
+        ]
+
+    def load(self, model: str, version: str, fence: int, now: float) -> bool:
+        """Starts loading a version; False if the fence is checked and out of date."""
+        if self._settings.checks_fence and fence < self.fence:
+            return False
+        self.fence = fence
+        self._loads = [load for load in self._loads if load.name != model]
+        if self._versions.get(model) != version:
+            self._loads.append(_Load(model, version, now + LOAD_S))
+        return True
+
+    def submit(self, run: Run, now: float) -> Submission:
+        """Takes a request; one too many while cold crashes the engine."""
+        if self.is_down(now):
+            return Submission.DOWN
+        if self.faults.reject:
+            self.faults.reject -= 1
+            return Submission.REJECTED
+        load = self.running + self.waiting
+        if now < self._cold_until and load >= self._settings.cold_concurrency:
+            fields: dict[str, object] = {"incarnation": self.incarnation, "running": load}
+            self._record("overload", {**fields, "attempt": run.attempt, "request": run.request})
+            self.crash(now)
+            return Submission.CRASHED
+        if self.waiting >= MAX_WAITING:
+            return Submission.REJECTED
+        run.incarnation = self.incarnation
+        heapq.heappush(self._waiting, (run.priority, next(self._sequence), run))
+        return self._start_waiting(now, run)
+
+    def cancel(self, run: Run, now: float) -> None:
+        """Ends a run whose caller closed its connection."""
+        self._running.discard(run)
+        self._waiting = [entry for entry in self._waiting if entry[2] is not run]
+        heapq.heapify(self._waiting)
+        self._start_waiting(now, None)
+
+    def crash(self, now: float) -> None:
+        """Ends all runs; the engine comes back with a new incarnation, cold and empty."""
+        victims = [*self._running, *(entry[2] for entry in self._waiting)]
+        self._boot(now + RESTART_S)
+        self._on_crash(victims)
+
+    def next_due(self) -> float | None:
+        """Returns when ``advance`` has the next tokens."""
+        return self._due[0][0] if self._due else None
+
+    def advance(self, now: float) -> list[Emission]:
+        """Returns all tokens due by now and starts waiting runs in freed places."""
+        emissions = []
+        while self._due and self._due[0][0] <= now:
+            at, _, run = heapq.heappop(self._due)
+            if run not in self._running:
+                continue
+            emission = self._emit(run, at, now)
+            if emission is not None:
+                emissions.append(emission)
+        if emissions:
+            self._start_waiting(now, None)
+        return emissions
+
+    def _emit(self, run: Run, at: float, now: float) -> Emission | None:
+        first = run.emitted
+        if not run.stream:
+            end = run.max_tokens
+        else:
+            late = int((now - at) / self._decode_s) if self._decode_s else run.max_tokens
+            end = min(run.max_tokens, first + 1 + late)
+        if run.stall_after is not None and end >= run.stall_after:
+            end = min(end, max(first, run.stall_after))
+            run.emitted = end
+            # The run keeps its place but is never due again.
+            return Emission(run, first, end, finished=False) if end > first else None
+        if run.cut_after is not None and end >= run.cut_after:
+            self._running.discard(run)
+            return Emission(run, first, max(first, run.cut_after), finished=False, cut=True)
+        run.emitted = end
+        finished = end >= run.max_tokens
+        if finished:
+            self._running.discard(run)
+        else:
+            due = at + (end - first) * self._decode_s
+            heapq.heappush(self._due, (due, next(self._sequence), run))
+        return Emission(run, first, end, finished)
+
+    def _start_waiting(self, now: float, submitted: Run | None) -> Submission:
+        while self._waiting and self.running < self.max_concurrency:
+            run = heapq.heappop(self._waiting)[2]
+            self._start(run, now)
+            if self.faults.poison and self.faults.poison in run.prompt:
+                self.crash(now)
+                return Submission.CRASHED if submitted is not None else Submission.ACCEPTED
+        return Submission.ACCEPTED
+
+    def _start(self, run: Run, now: float) -> None:
+        hits = max(self._cache.count_cached(run.block_keys), run.imported_blocks)
+        run.cached_tokens = hits * BLOCK_TOKENS
+        self._cache.add(run.block_keys)
+        self._record("execution", _describe(run))
+        if run.stream:
+            run.stall_after, self.faults.stall_after_tokens = self.faults.stall_after_tokens, None
+        run.cut_after, self.faults.cut_after_tokens = self.faults.cut_after_tokens, None
+        # A resumed run recomputes its prompt and the output so far.
+        computed = run.prompt_tokens + run.start_token - run.cached_tokens
+        tokens_before_due = 1 if run.stream else run.max_tokens - run.start_token
+        due = now + computed / self._prefill_rate + tokens_before_due * self._decode_s
+        self._running.add(run)
+        heapq.heappush(self._due, (due, next(self._sequence), run))
+
+    def _finish_loads(self, now: float) -> None:
+        for load in [load for load in self._loads if load.ready_at <= now]:
+            self._versions[load.name] = load.version
+            self._loads.remove(load)
+
+
+def _describe(run: Run) -> dict[str, object]:
+    return {
+        "attempt": run.attempt,
+        "request": run.request,
+        "customer": run.customer,
+        "incarnation": run.incarnation,
+        "model": run.model,
+        "version": run.version,
+        "path": run.path,
+        "prompt_sha256": run.prompt_digest,
+        "start_token": run.start_token,
+        "cached_tokens": run.cached_tokens,
+        "prompt_tokens": run.prompt_tokens,
+    }
+
+
+def _parse_model(text: str) -> tuple[str, str]:
+    """Splits ``name@version``."""
+    name, _, version = text.partition("@")
+    return name, version or "1"
--- /dev/null
+++ b/src/mulberryrill/internal/standins/logstreams.py
@@ -0,0 +1,83 @@
+"""The log streams of the platform stand-in, in memory."""
+
+import threading
+from dataclasses import dataclass, field
+
+from ...errors import OffsetExpiredError
+from ..clock import Clock
+from ..core.messages import Record
+from ..ids import Offset
+
+# Revision 0 of a document means that there is none, and revisions are offsets.
+FIRST_OFFSET = 1
+
+
+@dataclass
+class _Stream:
+    """One stream; ``records[0]`` has offset ``first``."""
+
+    first: int = FIRST_OFFSET
+    records: list[Record] = field(default_factory=list)
+
+    @property
+    def next(self) -> int:
+        return self.first + len(self.records)
+
+
+@dataclass(frozen=True)
+class Slice:
+    """Records of a stream; ``next`` is the offset that the next append gets."""
+
+    first: int
+    next: int
+    records: list[Record]
+
+
+class LogStreams:
+    """Named streams with retention. Record times never decrease, even if the wall clock does."""
+
+    def __init__(self, retention_ms: int, clock: Clock) -> None:
+        self._retention_ms = retention_ms
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._streams: dict[str, _Stream] = {}
+        self._last_ms = 0
+
+    def append(self, name: str, data: bytes) -> int:
+        """Adds a record and returns its offset."""
+        with self._changed:
+            stream = self._streams.setdefault(name, _Stream())
+            self._last_ms = max(self._last_ms, int(self._clock.wall() * 1000))
+            offset = stream.next
+            stream.records.append(Record(Offset(offset), self._last_ms, data))
+            self._drop_old(stream)
+            self._changed.notify_all()
+            return offset
+
+    def read(self, name: str, start: int, limit: int, wait_s: float) -> Slice:
+        """Returns records from ``start`` on; waits for one if there is none.
+
+        Raises OffsetExpiredError if ``start`` is no longer kept.
+        """
+        deadline = self._clock.monotonic() + wait_s
+        with self._changed:
+            while True:
+                stream = self._streams.setdefault(name, _Stream())
+                self._drop_old(stream)
+                if start < stream.first:
+                    raise OffsetExpiredError(stream.first)
+                left = deadline - self._clock.monotonic()
+                if start < stream.next or left <= 0:
+                    index = start - stream.first
+                    records = stream.records[index : index + limit]
+                    return Slice(stream.first, stream.next, records)
+                self._changed.wait(left)
+
+    def _drop_old(self, stream: _Stream) -> None:
+        oldest_ms = int(self._clock.wall() * 1000) - self._retention_ms
+        count = 0
+        while count < len(stream.records) and stream.records[count].time_ms < oldest_ms:
+            count += 1
+        if count:
+            del stream.records[:count]
+            stream.first += count
