--- a/src/mulberryrill/internal/control/follower.py
+++ b/src/mulberryrill/internal/control/follower.py
@@ -84,9 +84,7 @@
         self._client = self._open_client()
         if self._reachable:
             self._reachable = False
-            log_event(
-                _LOGGER, logging.WARNING, Event.LOG_UNREACHABLE, f"{self._stream}: {error}"
-            )
+            log_event(_LOGGER, logging.WARNING, Event.LOG_UNREACHABLE, f"{self._stream}: {error}")
         self._inbox.put(ReadFailed(self._stream))
         self._stop.wait(RETRY_PAUSE_S)
 
--- a/src/mulberryrill/internal/control/task.py
+++ b/src/mulberryrill/internal/control/task.py
@@ -49,7 +49,10 @@
             except Exception as error:  # One bad input must not end the task.
                 TASK_FAILURES.labels(self._name).inc()
                 log_event(
-                    _LOGGER, logging.ERROR, Event.TASK_FAILED, f"{self._name} step failed: {error!r}"
+                    _LOGGER,
+                    logging.ERROR,
+                    Event.TASK_FAILED,
+                    f"{self._name} step failed: {error!r}",
                 )
                 self._stop.wait(FAILURE_PAUSE_S)
         self.release()
