--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements outside CI."""
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,7 @@
 scripts/setup.sh
 export PYTHONPATH=src
 bin="$(cd "${MULBERRYRILL_VENV:-.venv}" && pwd)/bin"
-"$bin/black" --quiet --check src tests
-"$bin/ruff" check --quiet src tests
+"$bin/black" --quiet --check src tests benches
+"$bin/ruff" check --quiet src tests benches
 "$bin/mypy" --no-error-summary
 "$bin/python" -m tests.runner
--- a/src/mulberryrill/internal/settings/files.py
+++ b/src/mulberryrill/internal/settings/files.py
@@ -31,7 +31,7 @@
 def parse_yaml(text: str, message_type: type[MessageT], name: str) -> MessageT:
     """Parses YAML text; ``name`` stands for the file in messages."""
     try:
-        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        root = yaml.compose(text, Loader=yaml.CSafeLoader)
     except yaml.YAMLError as error:
         raise SettingsError([f"{name}: not valid YAML: {error}"]) from error
     message = message_type()
