Rewrite the slots with promises, dated reports and accounts

Cause: the first version divided caps by the last reports only and used no floor shares. Conclusion: interim state.

--- a/src/mulberryrill/internal/core/slots.py
+++ b/src/mulberryrill/internal/core/slots.py
@@ -1,12 +1,22 @@
 """Slots: how many requests each instance may run on each target of its data centre.
 
-One instance of the data centre is the holder and divides each target's cap. An instance divides
-its grant among its gateways. Each grant is dated by the clock of its receiver: it ends a fixed time
-after the receiver sent the report that it answers, so a delayed grant is never used too long.
+One instance of the data centre is the holder and divides each target's cap among the instances; an
+instance divides its grant among its gateways. The rules that keep the sum within the cap:
+
+* The holder acts only while every instance that may use slots has promised to it, and its grants
+  end before the first of these promises does.
+* A promise counts at the holder from when it sent the request and at the instance from when the
+  request arrived. A grant counts at the instance from when it sent the report and at the holder
+  from when it sent the grant. So the one who uses a right always stops first.
+* Slots given away count until a later report shows what was really started (``allotments``).
+
+Reports are dated in the holder's time: ``sent_at`` is the time of the promised request plus the
+time since its arrival. It is never later than the holder's clock was when the report was sent,
+whatever the delay of the request, and shows under which promise the report was sent.
 """
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TypeVar
 
 from ..ids import DataCentre, GatewayId, Incarnation, InstanceId, TargetId
@@ -20,32 +30,35 @@
     TargetCap,
     TargetUse,
 )
+from .allotments import Account, Allotment, SlotKey, Slots, compute_fair_share
 from .messages import TargetState
 from .rendezvous import choose_member
 from .slowstart import SlowStart
 
 # How long a grant is valid, from the report that it answers.
 GRANT_S = 2.0
+# A gateway's part of a grant is shorter, because slots move between gateways only when it ends.
+GATEWAY_GRANT_S = 1.0
 # How long an instance promises to use one holder's grants only. Longer than a grant, so that all
 # grants have ended before another holder can start.
 PROMISE_S = 3.0
 PROMISE_RENEWAL_S = 0.5
+# The floor share is used this long after the last promise has ended. A promise whose request was
+# sent in this time cannot be in force any more once floor shares are used.
+FLOOR_DELAY_S = PROMISE_S
 # A gateway or instance that is silent for this long has failed, and its connections are closed.
 SILENCE_S = 10.0
+# Date of a report that is not sent under a promise; it only makes the sender known to the holder.
+UNPROMISED = 0.0
 
-GranteeT = TypeVar("GranteeT", bound=str)
-
-Slots = dict[tuple[TargetId, Incarnation], int]
+KeyT = TypeVar("KeyT")
 
 
 @dataclass
-class _GatewayUse:
-    """Requests of this gateway on one target."""
+class _Use:
+    """Requests of a gateway on one incarnation of a target."""
 
-    incarnation: Incarnation
     in_flight: int = 0
-    # Requests that an earlier incarnation was running; their ends say nothing of this one.
-    old_in_flight: int = 0
     completions: int = 0
     failures: int = 0
 
@@ -55,13 +68,14 @@
 
     def __init__(self, max_instances: int) -> None:
         self._max_instances = max_instances
-        self._uses: dict[TargetId, _GatewayUse] = {}
+        # Incarnations are kept in the order in which they were first used.
+        self._uses: dict[TargetId, dict[Incarnation, _Use]] = {}
         self._grants: Slots = {}
         self._valid_until = float("-inf")
 
     def update(self, grant: GrantUpdate) -> None:
-        """Replaces the grant; an update older than the current one is ignored."""
-        if grant.valid_until < self._valid_until:
+        """Replaces the grant; an update that ends no later than the current one is ignored."""
+        if grant.valid_until <= self._valid_until:
             return
         self._valid_until = grant.valid_until
         self._grants = {
@@ -73,33 +87,33 @@
         if now >= self._valid_until:
             return 0
         granted = self._grants.get((target.target, target.incarnation), 0)
-        use = self._uses.get(target.target)
-        in_flight = use.in_flight if use is not None else 0
-        return max(0, granted - in_flight)
+        use = self._uses.get(target.target, {}).get(target.incarnation)
+        return max(0, granted - (use.in_flight if use is not None else 0))
 
     def acquire(self, target: TargetState, now: float) -> bool:
         """Takes one slot if one is free; each success needs one ``release``."""
         if self.count_free(target, now) <= 0:
             return False
-        use = self._uses.setdefault(target.target, _GatewayUse(target.incarnation))
-        if use.incarnation != target.incarnation:
-            use.incarnation = target.incarnation
-            use.old_in_flight = use.in_flight
-        use.in_flight += 1
+        uses = self._uses.setdefault(target.target, {})
+        uses.setdefault(target.incarnation, _Use()).in_flight += 1
         return True
 
     def release(self, target: TargetId, succeeded: bool) -> None:
-        """Returns one slot; ``succeeded`` is false if the target refused or reset the call."""
-        use = self._uses.get(target)
-        if use is None or use.in_flight == 0:
+        """Returns one slot; ``succeeded`` is false if the target refused or reset the call.
+
+        After a restart the ends of older requests come first or late, so an end is attributed to
+        the oldest incarnation in use: the newest one is never counted too low.
+        """
+        uses = [use for use in self._uses.get(target, {}).values() if use.in_flight > 0]
+        if not uses:
             return
-        use.in_flight -= 1
-        if use.old_in_flight > 0:
-            use.old_in_flight -= 1
-        elif succeeded:
-            use.completions += 1
+        uses[0].in_flight -= 1
+        if succeeded:
+            uses[0].completions += 1
         else:
-            use.failures += 1
+            # Either incarnation may have failed; a failure only makes the cap smaller.
+            for use in uses:
+                use.failures += 1
 
     def drop(self, target: TargetId) -> None:
         """Gives up the grant for a target that restarted or refused a connection."""
@@ -111,27 +125,39 @@
     ) -> GatewayReport:
         """Returns the report for the control process; counts of results start again at 0."""
         report = GatewayReport(gateway=gateway, sent_at=now)
-        for target in sorted(set(self._uses) | set(demand)):
-            use = self._uses.get(target)
-            entry = report.uses.add(target=target, demand=demand.get(target, 0))
-            if use is None:
-                continue
-            entry.incarnation = use.incarnation
-            entry.in_flight = use.in_flight
-            entry.completions = use.completions
-            entry.failures = use.failures
-            use.completions = use.failures = 0
-            if use.in_flight == 0:
-                del self._uses[target]
+        for target, uses in sorted(self._uses.items()):
+            for incarnation, use in uses.items():
+                report.uses.add(
+                    target=target,
+                    incarnation=incarnation,
+                    in_flight=use.in_flight,
+                    completions=use.completions,
+                    failures=use.failures,
+                )
+                use.completions = use.failures = 0
+        for target, waiting in sorted(demand.items()):
+            if waiting > 0:
+                report.uses.add(target=target, demand=waiting)
+        self._forget_idle()
         return report
 
+    def _forget_idle(self) -> None:
+        for target in list(self._uses):
+            uses = self._uses[target]
+            for incarnation in [i for i, use in uses.items() if use.in_flight == 0]:
+                del uses[incarnation]
+            if not uses:
+                del self._uses[target]
+
 
 @dataclass
-class _GatewayRecord:
-    """The last report of a gateway as its control process knows it."""
+class _Gateway:
+    """A gateway as its control process knows it."""
 
-    report: GatewayReport
+    account: Account
     received: float
+    # End of the last update, so that each later one ends later.
+    granted_until: float = float("-inf")
 
 
 class SlotClient:
@@ -141,47 +167,65 @@
         self._instance = instance
         self._max_instances = max_instances
         self._started = now
-        self._gateways: dict[GatewayId, _GatewayRecord] = {}
+        self._gateways: dict[GatewayId, _Gateway] = {}
+        # None until the first promise. An earlier run of this process may have promised just now.
         self._holder: InstanceId | None = None
         self._promised_until = now + PROMISE_S
+        # Own time minus the holder's time, never too small: the smallest seen includes some delay.
+        self._offset = 0.0
         self._grant: Slots = {}
         self._grant_until = float("-inf")
         self._caps: dict[TargetId, TargetCap] = {}
-        self._counts: dict[tuple[str, str], list[int]] = {}
+        self._results: dict[SlotKey, _Use] = {}
+
+    def get_holder(self, now: float) -> InstanceId | None:
+        """Returns the holder that this instance has promised to, if the promise still lasts."""
+        return self._holder if now < self._promised_until else None
 
     def on_gateway_report(self, report: GatewayReport, now: float) -> None:
         """Keeps the newest report of a gateway and adds up its results."""
-        gateway = GatewayId(report.gateway)
-        known = self._gateways.get(gateway)
-        if known is not None and report.sent_at <= known.report.sent_at:
+        gateway = self._gateways.setdefault(GatewayId(report.gateway), _Gateway(Account(), now))
+        if not gateway.account.accept_report(report.sent_at, report.uses):
             return
-        self._gateways[gateway] = _GatewayRecord(report, now)
+        gateway.received = now
         for use in report.uses:
-            counts = self._counts.setdefault((use.target, use.incarnation), [0, 0])
-            counts[0] += use.completions
-            counts[1] += use.failures
+            key = (TargetId(use.target), Incarnation(use.incarnation))
+            if use.completions or use.failures:
+                results = self._results.setdefault(key, _Use())
+                results.completions += use.completions
+                results.failures += use.failures
+            if use.failures:
+                # A target that fails is not known to be warm, so it has no floor share.
+                self._caps.pop(key[0], None)
 
     def build_report(self, now: float) -> SlotReport:
-        """Returns the report for the holder; counts of results start again at 0."""
+        """Returns the report for the holder; counts of results start again at 0.
+
+        Before a promise the report carries no date and no use; it only asks to be included.
+        """
         self._forget_gateways(now)
-        uses: dict[tuple[str, str], TargetUse] = {}
-        for record in self._gateways.values():
-            for use in record.report.uses:
-                entry = _get_use(uses, use.target, use.incarnation)
-                entry.in_flight += use.in_flight
-                entry.demand += use.demand
-        for (target, incarnation), (completions, failures) in self._counts.items():
-            entry = _get_use(uses, target, incarnation)
-            entry.completions, entry.failures = completions, failures
-        self._counts.clear()
-        return SlotReport(
-            instance=self._instance, sent_at=now, uses=[uses[key] for key in sorted(uses)]
-        )
+        if self.get_holder(now) is None:
+            return SlotReport(instance=self._instance, sent_at=UNPROMISED)
+        report = SlotReport(instance=self._instance, sent_at=now - self._offset)
+        uses: dict[SlotKey, TargetUse] = {}
+        for gateway in self._gateways.values():
+            for key, count in gateway.account.list_left_behind(now).items():
+                _get_use(uses, key).in_flight += count
+            for target, wanted in gateway.account.wanted.items():
+                running = sum(n for k, n in gateway.account.in_flight.items() if k[0] == target)
+                if wanted > running:
+                    _get_use(uses, (target, Incarnation(""))).demand += wanted - running
+        for key, results in self._results.items():
+            use = _get_use(uses, key)
+            use.completions, use.failures = results.completions, results.failures
+        self._results.clear()
+        report.uses.extend(uses[key] for key in sorted(uses))
+        return report
 
     def on_grant(self, grant: SlotGrant, now: float) -> None:
         """Takes a grant of the promised holder; it ends by this instance's clock."""
-        until = grant.report_sent_at + grant.duration_ms / 1000.0
-        if grant.holder != self._holder or until <= self._grant_until:
+        until = grant.report_sent_at + grant.duration_ms / 1000.0 + self._offset
+        if grant.holder != self.get_holder(now) or until <= self._grant_until:
             return
         self._grant = {
             (TargetId(g.target), Incarnation(g.incarnation)): g.slots for g in grant.grants
@@ -193,7 +237,13 @@
     def on_promise_request(self, request: SlotPromiseRequest, now: float) -> SlotPromise:
         """Promises to one holder at a time; refuses another one until the promise has ended."""
         holder = InstanceId(request.holder)
-        refused = holder != self._holder and now < self._promised_until
+        continued = holder == self.get_holder(now)
+        refused = not continued and (now < self._promised_until or not self._knows_gateways())
+        if continued:
+            self._offset = min(self._offset, now - request.sent_at)
+        elif not refused:
+            self._offset = now - request.sent_at
+            self._grant, self._grant_until = {}, float("-inf")
         if not refused:
             self._holder = holder
             self._promised_until = now + PROMISE_S
@@ -207,44 +257,70 @@
         )
 
     def list_gateway_grants(self, now: float) -> list[GrantUpdate]:
-        """Returns one update for each gateway: a valid grant, divided by demand."""
+        """Returns updates for the gateways whose present grant should be renewed."""
         self._forget_gateways(now)
-        slots = self._grant if now < self._grant_until else {}
-        updates = {
-            gateway: GrantUpdate(gateway=gateway, valid_until=self._grant_until)
-            for gateway in sorted(self._gateways)
-        }
-        for (target, incarnation), total in sorted(slots.items()):
-            shares = self._divide(target, total)
-            for gateway, share in shares.items():
-                updates[gateway].grants.add(target=target, incarnation=incarnation, slots=share)
-        return list(updates.values())
-
-    def _divide(self, target: TargetId, total: int) -> dict[GatewayId, int]:
-        in_flight: dict[GatewayId, int] = {}
-        demand: dict[GatewayId, int] = {}
-        for gateway, record in self._gateways.items():
-            uses = [u for u in record.report.uses if u.target == target]
-            in_flight[gateway] = sum(u.in_flight for u in uses)
-            demand[gateway] = sum(u.demand for u in uses)
-        return divide_slots(total, in_flight, demand)
+        slots, until = self._get_usable(now)
+        until = min(until, now + GATEWAY_GRANT_S)
+        updates: list[GrantUpdate] = []
+        for name, gateway in sorted(self._gateways.items()):
+            if until <= max(now, gateway.granted_until):
+                continue
+            shares = {key: self._compute_share(gateway, key, total) for key, total in slots.items()}
+            gateway.account.add(Allotment(until, shares))
+            gateway.granted_until = until
+            update = GrantUpdate(gateway=name, valid_until=until)
+            for (target, incarnation), share in shares.items():
+                update.grants.add(target=target, incarnation=incarnation, slots=share)
+            updates.append(update)
+        return updates
+
+    def _get_usable(self, now: float) -> tuple[Slots, float]:
+        """Returns the slots of this instance and their end: a valid grant or the floor shares."""
+        if now < self._grant_until:
+            return self._grant, self._grant_until
+        if now < self._promised_until + FLOOR_DELAY_S or not self._knows_gateways():
+            return {}, float("-inf")
+        floors: Slots = {}
+        for cap in self._caps.values():
+            floor = cap.cap // self._max_instances
+            if floor > 0:
+                floors[(TargetId(cap.target), Incarnation(cap.incarnation))] = floor
+        return floors, float("inf")
+
+    def _compute_share(self, gateway: _Gateway, key: SlotKey, total: int) -> int:
+        accounts = [g.account for g in self._gateways.values()]
+        others = sum(a.committed.get(key, 0) for a in accounts if a is not gateway.account)
+        wanted = gateway.account.wanted.get(key[0], 0)
+        all_wanted = sum(a.wanted.get(key[0], 0) for a in accounts)
+        fair = compute_fair_share(total, wanted, all_wanted, len(accounts))
+        return max(0, min(total - others, fair))
+
+    def _knows_gateways(self) -> bool:
+        """A gateway may use what an earlier run of this process granted until that has ended."""
+        ended = self._started + GATEWAY_GRANT_S
+        return all(g.account.reported_at >= ended for g in self._gateways.values())
 
     def _forget_gateways(self, now: float) -> None:
-        for gateway, record in list(self._gateways.items()):
-            if now - record.received > SILENCE_S:
-                del self._gateways[gateway]
+        for name, gateway in list(self._gateways.items()):
+            if now - gateway.received > SILENCE_S:
+                del self._gateways[name]
 
 
-@dataclass
-class _InstanceRecord:
-    """What the holder knows of one instance."""
+class _Instance:
+    """An instance as the holder knows it."""
+
+    def __init__(self) -> None:
+        self.account = Account()
+        self.heard = float("-inf")
+        # Holder's time until which the instance has promised, and of the first request since which
+        # the promises have had no gap.
+        self.promised_until = float("-inf")
+        self.promised_since = float("inf")
+        self.caps: dict[SlotKey, int] = {}
 
-    # Time of the holder's clock until which the instance has promised.
-    promised_until: float = float("-inf")
-    report: SlotReport | None = None
-    received: float = float("-inf")
-    # Largest grant by target since the last grant that is still valid: (ends at, slots).
-    outstanding: list[tuple[float, Slots]] = field(default_factory=list)
+    def knows_use(self) -> bool:
+        """Returns whether a report was sent under the present promises."""
+        return self.account.reported_at >= self.promised_since
 
 
 class SlotHolder:
@@ -261,168 +337,203 @@
         self._instance = instance
         self._data_centre = data_centre
         self._max_instances = max_instances
+        # Until then the list may not show this instance to another holder, or an earlier run of
+        # this process may have been the holder.
         self._may_hold_from = now + list_lag_s + PROMISE_S
         self._listed: frozenset[InstanceId] = frozenset()
-        self._records: dict[InstanceId, _InstanceRecord] = {}
+        self._instances: dict[InstanceId, _Instance] = {}
         self._last_request = float("-inf")
-        self._requests: dict[float, None] = {}
-        self._caps: dict[TargetId, SlowStart] = {}
+        self._requests: list[float] = []
+        self._slow_starts: dict[TargetId, SlowStart] = {}
+        # Another instance may have been the holder since the caps were last used.
+        self._caps_are_stale = True
+        # Sums over all instances.
+        self._committed: dict[SlotKey, int] = {}
+        self._wanted: dict[TargetId, int] = {}
 
     def tick(
         self, listed: Sequence[InstanceId], now: float
     ) -> list[tuple[InstanceId, SlotPromiseRequest]]:
-        """Returns promise requests with their recipients, this instance's own client included."""
+        """Returns promise requests with their recipients, this instance's own client included.
+
+        ``listed`` are the listed live entry instances of the data centre.
+        """
         self._listed = frozenset(listed)
-        self._forget_instances(now)
+        self._advance(now)
         first = choose_member(self._data_centre, self._listed)
         if now < self._may_hold_from or first != self._instance:
             return []
         if now - self._last_request < PROMISE_RENEWAL_S:
             return []
         self._last_request = now
-        self._requests[now] = None
-        while len(self._requests) > PROMISE_S / PROMISE_RENEWAL_S:
-            del self._requests[next(iter(self._requests))]
+        self._requests = [sent for sent in self._requests if now - sent < PROMISE_S] + [now]
         request = SlotPromiseRequest(holder=self._instance, sent_at=now)
-        return [(instance, request) for instance in sorted(self._list_required())]
+        return [(instance, request) for instance in sorted(self._list_required(now))]
 
     def on_promise(self, promise: SlotPromise, now: float) -> None:
         """Extends the promise of an instance, counted from when the request was sent."""
+        self._advance(now)
         if promise.holder != self._instance or promise.request_sent_at not in self._requests:
             return
-        record = self._records.setdefault(InstanceId(promise.instance), _InstanceRecord())
-        if promise.refused:
-            return
+        record = self._instances.setdefault(InstanceId(promise.instance), _Instance())
+        record.heard = now
         until = promise.request_sent_at + promise.duration_ms / 1000.0
-        record.promised_until = max(record.promised_until, until)
-        for cap in promise.caps:
-            known = self._caps.get(TargetId(cap.target))
-            if known is None:
-                self._caps[TargetId(cap.target)] = SlowStart(Incarnation(cap.incarnation), cap.cap)
+        if promise.refused or until <= max(now, record.promised_until):
+            return
+        if record.promised_until <= now:
+            record.promised_since = promise.request_sent_at
+        record.promised_until = until
+        record.caps = {
+            (TargetId(c.target), Incarnation(c.incarnation)): c.cap for c in promise.caps
+        }
 
     def on_report(
         self, report: SlotReport, targets: Mapping[TargetId, TargetState], now: float
     ) -> SlotGrant | None:
         """Returns the grant for the reporting instance; None if this instance is not the holder."""
-        instance = InstanceId(report.instance)
-        record = self._records.setdefault(instance, _InstanceRecord())
-        if record.report is not None and report.sent_at <= record.report.sent_at:
+        self._advance(now)
+        record = self._instances.setdefault(InstanceId(report.instance), _Instance())
+        record.heard = now
+        if not record.promised_since <= report.sent_at <= now:
             return None
-        record.report, record.received = report, now
-        if not self._is_holder(now):
+        if not self._accept_report(record, report) or not self.is_holder(now):
             return None
+        if self._caps_are_stale:
+            self._restore_caps(targets, now)
         self._count_results(report, targets)
-        ends = min(now + GRANT_S, min(r.promised_until for r in self._list_records()))
+        duration_ms = int(1000 * min(GRANT_S, self._get_first_end(now) - now))
         grant = SlotGrant(
-            holder=self._instance,
-            report_sent_at=report.sent_at,
-            duration_ms=int((ends - now) * 1000),
+            holder=self._instance, report_sent_at=report.sent_at, duration_ms=duration_ms
         )
         slots: Slots = {}
-        for target in sorted(targets):
-            state = targets[target]
-            cap = self._get_cap(state).cap
-            share = self._compute_share(instance, state, cap, now)
-            slots[(target, state.incarnation)] = share
-            grant.grants.add(target=target, incarnation=state.incarnation, slots=share)
+        for target, state in sorted(targets.items()):
+            cap = self._get_cap(state)
+            share = self._compute_share(record, state, cap, now)
+            if share > 0:
+                slots[(target, state.incarnation)] = share
+                grant.grants.add(target=target, incarnation=state.incarnation, slots=share)
             grant.caps.add(target=target, incarnation=state.incarnation, cap=cap)
-        record.outstanding.append((ends, slots))
+        self._subtract(record)
+        record.account.add(Allotment(report.sent_at + duration_ms / 1000.0, slots))
+        self._add(record)
         return grant
 
+    def is_holder(self, now: float) -> bool:
+        """Returns whether all required instances have promised and reported since."""
+        if now < self._may_hold_from:
+            return False
+        records = [self._instances.get(i) for i in self._list_required(now)]
+        return all(r is not None and r.promised_until > now and r.knows_use() for r in records)
+
+    def _advance(self, now: float) -> None:
+        """Notes promises that have ended, and forgets instances that are gone."""
+        for instance, record in list(self._instances.items()):
+            if record.promised_until <= now and record.promised_since != float("inf"):
+                record.promised_since = float("inf")
+                self._caps_are_stale = True
+            if instance not in self._listed and now - record.heard > SILENCE_S:
+                self._subtract(record)
+                del self._instances[instance]
+
+    def _list_required(self, now: float) -> set[InstanceId]:
+        """Returns the instances without whose promise this one does not act as holder.
+
+        An unlisted one that stays silent after its promise has ended uses its floor share at most.
+        """
+        required = {self._instance, *self._listed}
+        for instance, record in self._instances.items():
+            if record.promised_until > now or now - record.heard < PROMISE_S:
+                required.add(instance)
+        return required
+
+    def _get_first_end(self, now: float) -> float:
+        return min(self._instances[i].promised_until for i in self._list_required(now))
+
+    def _accept_report(self, record: _Instance, report: SlotReport) -> bool:
+        self._subtract(record)
+        accepted = record.account.accept_report(report.sent_at, report.uses)
+        self._add(record)
+        return accepted
+
+    def _subtract(self, record: _Instance) -> None:
+        _add_counts(self._committed, record.account.committed, -1)
+        _add_counts(self._wanted, record.account.wanted, -1)
+
+    def _add(self, record: _Instance) -> None:
+        _add_counts(self._committed, record.account.committed, 1)
+        _add_counts(self._wanted, record.account.wanted, 1)
+
+    def _restore_caps(self, targets: Mapping[TargetId, TargetState], now: float) -> None:
+        """Continues from the lowest cap that the promises report, or from 1 if none does."""
+        records = [self._instances[i] for i in self._list_required(now)]
+        self._slow_starts.clear()
+        for target, state in targets.items():
+            key = (target, state.incarnation)
+            reported = [r.caps[key] for r in records if key in r.caps]
+            if reported:
+                self._slow_starts[target] = SlowStart(state.incarnation, min(reported))
+        self._caps_are_stale = False
+
     def _count_results(self, report: SlotReport, targets: Mapping[TargetId, TargetState]) -> None:
         for use in report.uses:
             state = targets.get(TargetId(use.target))
-            if state is not None:
-                self._get_cap(state).record(
+            if state is not None and (use.completions or use.failures):
+                self._get_slow_start(state).record(
                     Incarnation(use.incarnation),
                     use.completions,
                     use.failures,
                     state.max_concurrency,
                 )
 
-    def _get_cap(self, state: TargetState) -> SlowStart:
-        cap = self._caps.setdefault(state.target, SlowStart(state.incarnation))
-        if cap.incarnation != state.incarnation:
-            cap.reset(state.incarnation)
-        return cap
-
-    def _compute_share(self, instance: InstanceId, state: TargetState, cap: int, now: float) -> int:
-        """Returns what the other instances leave, at most this one's part by demand."""
-        required = self._list_required()
-        unknown = max(0, self._max_instances - len(required))
-        available = cap - unknown * (cap // self._max_instances)
-        in_flight: dict[InstanceId, int] = {}
-        demand: dict[InstanceId, int] = {}
-        committed: dict[InstanceId, int] = {}
-        for other in required:
-            record = self._records[other]
-            uses = (
-                [u for u in record.report.uses if u.target == state.target] if record.report else []
-            )
-            in_flight[other] = sum(u.in_flight for u in uses)
-            demand[other] = sum(u.demand for u in uses)
-            record.outstanding = [o for o in record.outstanding if o[0] > now]
-            key = (state.target, state.incarnation)
-            granted = max((s.get(key, 0) for _, s in record.outstanding), default=0)
-            committed[other] = max(in_flight[other], granted)
-        left = available - sum(c for other, c in committed.items() if other != instance)
-        fair = divide_slots(available, in_flight, demand)[instance]
-        return max(0, min(left, fair))
-
-    def _is_holder(self, now: float) -> bool:
-        return now >= self._may_hold_from and all(
-            r.promised_until > now and r.report is not None for r in self._list_records()
+    def _get_slow_start(self, state: TargetState) -> SlowStart:
+        slow_start = self._slow_starts.get(state.target)
+        if slow_start is None:
+            slow_start = self._slow_starts[state.target] = SlowStart(state.incarnation)
+        if slow_start.incarnation != state.incarnation or not state.healthy:
+            slow_start.reset(state.incarnation)
+        return slow_start
+
+    def _get_cap(self, state: TargetState) -> int:
+        return min(self._get_slow_start(state).cap, max(1, state.max_concurrency))
+
+    def _compute_share(self, record: _Instance, state: TargetState, cap: int, now: float) -> int:
+        """Returns the slots of one instance: at most what the others, known or not, leave."""
+        key = (state.target, state.incarnation)
+        committed = self._committed.get(key, 0)
+        reserved = self._count_reserved(key, cap // self._max_instances, now)
+        # Load that no report explains, for example of an instance this one does not know.
+        reserved += max(0, state.running + state.waiting - committed)
+        fair = compute_fair_share(
+            cap - reserved,
+            record.account.wanted.get(state.target, 0),
+            self._wanted.get(state.target, 0),
+            len(self._list_required(now)),
         )
+        others = committed - record.account.committed.get(key, 0)
+        return max(0, min(cap - reserved - others, fair))
+
+    def _count_reserved(self, key: SlotKey, floor: int, now: float) -> int:
+        """Returns the floor shares of the instances that have not promised."""
+        if floor == 0:
+            return 0
+        reserved = floor * max(0, self._max_instances - len(self._instances))
+        for record in self._instances.values():
+            if record.promised_until <= now:
+                reserved += max(0, floor - record.account.committed.get(key, 0))
+        return reserved
+
+
+def _add_counts(sums: dict[KeyT, int], counts: Mapping[KeyT, int], sign: int) -> None:
+    """Adds or subtracts counts; keys that reach 0 are removed."""
+    for key, count in counts.items():
+        total = sums.get(key, 0) + sign * count
+        if total:
+            sums[key] = total
+        else:
+            sums.pop(key, None)
+
 
-    def _list_required(self) -> set[InstanceId]:
-        return set(self._listed) | set(self._records) | {self._instance}
-
-    def _list_records(self) -> list[_InstanceRecord]:
-        return [self._records.setdefault(i, _InstanceRecord()) for i in self._list_required()]
-
-    def _forget_instances(self, now: float) -> None:
-        for instance, record in list(self._records.items()):
-            silent = now - max(record.received, record.promised_until) > SILENCE_S
-            if instance not in self._listed and silent:
-                del self._records[instance]
-
-
-def divide_slots(
-    total: int, in_flight: Mapping[GranteeT, int], demand: Mapping[GranteeT, int]
-) -> dict[GranteeT, int]:
-    """Divides slots: first what is in flight, then demand evenly, then the rest evenly.
-
-    The sum is at most ``total``. The result depends only on the arguments.
-    """
-    order = sorted(in_flight)
-    shares = dict.fromkeys(order, 0)
-    left = max(0, total)
-    wanted = {g: in_flight[g] + demand.get(g, 0) for g in order}
-    for limits in (in_flight, wanted, dict.fromkeys(order, left)):
-        left = _fill(shares, limits, order, left)
-    return shares
-
-
-def _fill(
-    shares: dict[GranteeT, int],
-    limits: Mapping[GranteeT, int],
-    order: Sequence[GranteeT],
-    left: int,
-) -> int:
-    """Raises the shares evenly up to their limits; returns what is left."""
-    open_ = [g for g in order if shares[g] < limits[g]]
-    while left > 0 and open_:
-        step = max(1, left // len(open_))
-        for grantee in open_:
-            add = min(step, limits[grantee] - shares[grantee], left)
-            shares[grantee] += add
-            left -= add
-        open_ = [g for g in open_ if shares[g] < limits[g]]
-    return left
-
-
-def _get_use(uses: dict[tuple[str, str], TargetUse], target: str, incarnation: str) -> TargetUse:
-    key = (target, incarnation)
+def _get_use(uses: dict[SlotKey, TargetUse], key: SlotKey) -> TargetUse:
     if key not in uses:
-        uses[key] = TargetUse(target=target, incarnation=incarnation)
+        uses[key] = TargetUse(target=key[0], incarnation=key[1])
     return uses[key]
--- /dev/null
+++ b/tests/common/slotworld.py
@@ -0,0 +1,243 @@
+"""A simulated data centre in which slots are requested, granted and used.
+
+Each instance has its own clock. Messages are lost, repeated, delayed and reordered by a seeded
+generator; processes pause and fail. No request runs longer than the silence after which an instance
+counts as failed, which is the longest run that the holder can account for.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from mulberryrill.internal.core.messages import TargetState
+from mulberryrill.internal.core.rendezvous import choose_member
+from mulberryrill.internal.core.slots import (
+    GRANT_S,
+    SILENCE_S,
+    GatewaySlots,
+    SlotClient,
+    SlotHolder,
+)
+from mulberryrill.internal.ids import GatewayId, Incarnation, InstanceId, TargetId
+from mulberryrill.internal.schema.wire_pb2 import SlotGrant
+from tests.common.core import DATA_CENTRE, create_target
+
+MAX_INSTANCES = 4
+LIST_LAG_S = 5.0
+GATEWAYS = 2
+STEP_S = 0.1
+MAX_RUN_S = SILENCE_S - 2.0
+# Target to max_concurrency. The first one has no floor share, so its bound is exact.
+TARGETS = {TargetId("small"): 3, TargetId("large"): 9}
+NAMES = [InstanceId(f"i{n}") for n in range(MAX_INSTANCES)]
+# The member that every view of the list contains.
+COMMON = NAMES[0]
+
+
+@dataclass
+class Network:
+    """How messages fare at present."""
+
+    loss: float = 0.0
+    repeats: float = 0.0
+    late: float = 0.0
+
+
+@dataclass
+class Request:
+    target: TargetId
+    incarnation: Incarnation
+    ends: float
+
+
+@dataclass
+class Process:
+    """A control process or gateway; while paused it neither works nor receives."""
+
+    paused_until: float = 0.0
+    alive: bool = True
+
+
+@dataclass
+class Gateway(Process):
+    slots: GatewaySlots = field(default_factory=lambda: GatewaySlots(MAX_INSTANCES))
+    requests: list[Request] = field(default_factory=list)
+
+
+class Instance(Process):
+    """One control process with its gateways. ``clock`` is its clock minus the world's time."""
+
+    def __init__(self, world: "SlotWorld", name: InstanceId, clock: float) -> None:
+        super().__init__()
+        self.name, self.clock = name, clock
+        self.gateways = [Gateway() for _ in range(GATEWAYS)]
+        self.start(world)
+
+    def start(self, world: "SlotWorld") -> None:
+        now = world.now + self.clock
+        self.holder = world.holder_type(self.name, DATA_CENTRE, MAX_INSTANCES, LIST_LAG_S, now)
+        self.client = world.client_type(self.name, MAX_INSTANCES, now)
+
+
+class SlotWorld:
+    """Steps all processes; ``check`` compares what may be started with the decided caps."""
+
+    def __init__(
+        self,
+        seed: int,
+        holder_type: type[SlotHolder] = SlotHolder,
+        client_type: type[SlotClient] = SlotClient,
+    ) -> None:
+        self.holder_type, self.client_type = holder_type, client_type
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.network = Network()
+        self.incarnations = dict.fromkeys(TARGETS, 1)
+        self.instances: dict[InstanceId, Instance] = {}
+        self.views = {name: frozenset(NAMES[:3]) for name in NAMES}
+        self.messages: list[tuple[float, Process, Callable[[], None]]] = []
+        # (target, incarnation) to the caps that holders decided, with their times.
+        self.caps: dict[tuple[TargetId, Incarnation], list[tuple[float, int]]] = {}
+        self.grants = self.starts = self.floor_checks = 0
+        for name in NAMES[:3]:
+            self.join(name)
+
+    def join(self, name: InstanceId) -> None:
+        """Starts an instance, in place of a running one of the same name."""
+        self.fail(name)
+        self.instances[name] = Instance(self, name, self.random.uniform(0.0, 1e4))
+
+    def fail(self, name: InstanceId) -> None:
+        instance = self.instances.pop(name, None)
+        if instance is not None:
+            for process in (instance, *instance.gateways):
+                process.alive = False
+
+    def restart_control(self, name: InstanceId) -> None:
+        """Replaces the control process; the gateways and their requests go on."""
+        if name in self.instances:
+            self.instances[name].start(self)
+
+    def restart_target(self, target: TargetId) -> None:
+        self.incarnations[target] += 1
+
+    def get_state(self, target: TargetId, incarnation: Incarnation | None = None) -> TargetState:
+        current = incarnation or str(self.incarnations[target])
+        return create_target(target, current, max_concurrency=TARGETS[target])
+
+    def run(self, steps: int) -> None:
+        for _ in range(steps):
+            self.step()
+            self.check()
+
+    def step(self) -> None:
+        self.now += STEP_S
+        for instance in list(self.instances.values()):
+            for number, gateway in enumerate(instance.gateways):
+                if gateway.paused_until <= self.now:
+                    self._run_gateway(instance, number, gateway)
+            if instance.paused_until <= self.now:
+                self._run_control(instance)
+        self._deliver()
+
+    def check(self) -> None:
+        """Raises AssertionError if more could run on a target than a holder decided."""
+        for (target, incarnation), decided in self.caps.items():
+            running = free = 0
+            for instance in self.instances.values():
+                for gateway in instance.gateways:
+                    running += sum(
+                        (r.target, r.incarnation) == (target, incarnation) for r in gateway.requests
+                    )
+                    now = self.now + instance.clock
+                    free += gateway.slots.count_free(self.get_state(target, incarnation), now)
+            bound = self._get_bound(target, decided)
+            assert free == 0 or running + free <= bound, (
+                f"{target} incarnation {incarnation} at {self.now:.1f}: "
+                f"{running} running and {free} free of {bound}"
+            )
+
+    def _get_bound(self, target: TargetId, decided: list[tuple[float, int]]) -> int:
+        """Floor shares come from any earlier cap, other grants from one of the last 2 s."""
+        if TARGETS[target] >= MAX_INSTANCES:
+            return max(cap for _, cap in decided)
+        recent = [cap for time, cap in decided if self.now - time <= GRANT_S + STEP_S]
+        return max([decided[-1][1], *recent])
+
+    def _run_gateway(self, instance: Instance, number: int, gateway: Gateway) -> None:
+        now = self.now + instance.clock
+        slots = gateway.slots
+        for request in list(gateway.requests):
+            restarted = request.incarnation != str(self.incarnations[request.target])
+            if request.ends <= self.now or (restarted and self.random.random() < 0.5):
+                gateway.requests.remove(request)
+                slots.release(request.target, not restarted)
+        for target in TARGETS:
+            state = self.get_state(target)
+            while self.random.random() < 0.7 and slots.acquire(state, now):
+                ends = self.now + self.random.choice([0.1, 0.3, 1.0, MAX_RUN_S])
+                gateway.requests.append(Request(target, state.incarnation, ends))
+                self.starts += 1
+        demand = {target: self.random.randint(0, 3) for target in TARGETS}
+        report = slots.report(GatewayId(f"{instance.name}/{number}"), demand, now)
+        self._send(
+            instance,
+            lambda: instance.client.on_gateway_report(report, self.now + instance.clock),
+        )
+
+    def _run_control(self, instance: Instance) -> None:
+        now = self.now + instance.clock
+        for recipient, request in instance.holder.tick(sorted(self.views[instance.name]), now):
+            self._send_request(instance, recipient, request)
+        report = instance.client.build_report(now)
+        holder = instance.client.get_holder(now)
+        holder = holder or choose_member(DATA_CENTRE, self.views[instance.name])
+        if holder is not None and holder in self.instances:
+            self._send_report(instance, self.instances[holder], report)
+        for update in instance.client.list_gateway_grants(now):
+            gateway = instance.gateways[int(update.gateway.rpartition("/")[2])]
+            self._send(gateway, partial(gateway.slots.update, update))
+
+    def _send_request(self, sender: Instance, recipient: InstanceId, request) -> None:
+        other = self.instances.get(recipient)
+        if other is None:
+            return
+
+        def receive() -> None:
+            promise = other.client.on_promise_request(request, self.now + other.clock)
+            self._send(sender, lambda: sender.holder.on_promise(promise, self.now + sender.clock))
+
+        self._send(other, receive)
+
+    def _send_report(self, sender: Instance, other: Instance, report) -> None:
+        def receive() -> None:
+            targets = {target: self.get_state(target) for target in TARGETS}
+            grant = other.holder.on_report(report, targets, self.now + other.clock)
+            if grant is not None:
+                self._note_caps(grant)
+                self._send(sender, lambda: sender.client.on_grant(grant, self.now + sender.clock))
+
+        self._send(other, receive)
+
+    def _note_caps(self, grant: SlotGrant) -> None:
+        self.grants += 1
+        for cap in grant.caps:
+            key = (TargetId(cap.target), Incarnation(cap.incarnation))
+            self.caps.setdefault(key, []).append((self.now, cap.cap))
+
+    def _send(self, receiver: Process, receive: Callable[[], None]) -> None:
+        copies = 0 if self.random.random() < self.network.loss else 1
+        copies += self.random.random() < self.network.repeats
+        for _ in range(copies):
+            late = self.random.random() < self.network.late
+            delay = self.random.uniform(0.0, 6.0) if late else self.random.uniform(0.0, 0.05)
+            self.messages.append((self.now + delay, receiver, receive))
+
+    def _deliver(self) -> None:
+        due = [m for m in self.messages if m[0] <= self.now and m[1].paused_until <= self.now]
+        self.messages = [m for m in self.messages if m not in due]
+        self.random.shuffle(due)
+        for _, receiver, receive in due:
+            if receiver.alive:
+                receive()
--- a/tests/unit/test_slots.py
+++ b/tests/unit/test_slots.py
@@ -58,7 +58,10 @@
         self.assertFalse(self.gateway.acquire(self.single.target, READY))
 
     def test_grant_ends_without_renewal(self) -> None:
+        """Guards against a gateway that keeps its slots when the control process is cut off."""
         self.single.exchange(READY)
+        for update in self.single.client.list_gateway_grants(READY + GRANT_S / 2):
+            self.gateway.update(update)
         self.assertEqual(self.gateway.count_free(self.single.target, READY + GRANT_S - 0.01), 1)
         self.assertEqual(self.gateway.count_free(self.single.target, READY + GRANT_S), 0)
 
