Check claims with a state machine over an unreliable log

Cause: at-most-once execution must hold under lost answers, delayed, repeated and damaged appends, outages, restarts and keys at the edge of their window.

Change: a derandomized state machine runs three claim tasks against a model of the platform.

With a mechanism disabled the check fails: granting before the read-back, granting a refused claim in doubt, withdrawing a granted claim, and accepting claims outside the window of their key.

Conclusion: no second run of a key was found.

--- /dev/null
+++ b/tests/property/test_claims.py
@@ -0,0 +1,324 @@
+"""At-most-once over an unreliable log: several claim tasks against a model of the platform."""
+
+import unittest
+import uuid
+from collections import Counter, defaultdict
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from mulberryrill.internal.core.claims import (
+    KEY_LEAD_MS,
+    Action,
+    AppendBatch,
+    AppendResult,
+    AppendStatus,
+    ClaimFold,
+    ClaimTask,
+)
+from mulberryrill.internal.core.messages import Record
+from mulberryrill.internal.core.records import seal_batch
+from mulberryrill.internal.ids import InstanceId, Offset
+from mulberryrill.internal.schema.log_pb2 import Claim, Outcome
+from mulberryrill.internal.schema.wire_pb2 import (
+    GRANTED,
+    REPLAY,
+    ClaimReply,
+    ClaimRequest,
+)
+
+WINDOW_MS = 300_000
+RETENTION_MS = WINDOW_MS + 3 * KEY_LEAD_MS
+START_MS = 1_800_000_000_000
+INSTANCES = st.integers(0, 2)
+EDGES_MS = (0, 0, -1000, -WINDOW_MS + 50, -WINDOW_MS - 1, KEY_LEAD_MS - 50, KEY_LEAD_MS + 1000)
+OUTAGE_MS = 7000
+# Longer than the wait of a request, in steps of 200 ms.
+HEALING_ROUNDS = 40
+
+
+class Instance:
+    """One claim task, its position in the log and its appends without a result."""
+
+    def __init__(self, name: str, task: ClaimTask, position: int) -> None:
+        self.name = name
+        self.task = task
+        self.position = position
+        self.appends: list[AppendBatch] = []
+        self.unanswered: set[str] = set()
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Lost answers, delayed, failed and repeated appends, damage, outages, restarts, retention."""
+
+    fold_type: type[ClaimFold] = ClaimFold
+    task_type: type[ClaimTask] = ClaimTask
+
+    @initialize()
+    def start(self) -> None:
+        self.now_ms = START_MS
+        self.first = 0
+        self.log: list[Record] = []
+        self.delayed: list[bytes] = []
+        self.down_until_ms = 0
+        self.keys: list[str] = []
+        self.digests: dict[str, bytes] = {}
+        self.requests: dict[str, Claim] = {}
+        self.answers: dict[str, list[ClaimReply]] = defaultdict(list)
+        self.runs: Counter[str] = Counter()
+        self.running: dict[str, tuple[Instance, Claim]] = {}
+        self.abandoned: set[str] = set()
+        self.instances = [self.create_instance(f"i{number}") for number in range(3)]
+
+    def create_instance(self, name: str) -> Instance:
+        task = self.task_type(self.fold_type(WINDOW_MS), InstanceId(name))
+        return Instance(name, task, self.first)
+
+    @property
+    def up(self) -> bool:
+        return self.now_ms >= self.down_until_ms
+
+    @property
+    def now(self) -> float:
+        return self.now_ms / 1000
+
+    def handle(self, instance: Instance, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, AppendBatch):
+                instance.appends.append(action)
+            else:
+                self.on_reply(instance, action.reply)
+
+    def on_reply(self, instance: Instance, reply: ClaimReply) -> None:
+        self.answers[reply.claim_id].append(reply)
+        instance.unanswered.discard(reply.claim_id)
+        claim = self.requests[reply.claim_id]
+        if reply.status == REPLAY:
+            assert reply.outcome.body == self.digests[claim.key]
+        if reply.status != GRANTED:
+            return
+        if claim.claim_id in self.abandoned:
+            self.handle(instance, instance.task.abandon(claim, self.now))
+        else:
+            self.runs[claim.key] += 1
+            self.running[claim.claim_id] = (instance, claim)
+            self.digests[claim.key] = claim.claim_id.encode()
+
+    def store(self, data: bytes) -> None:
+        self.log.append(Record(Offset(self.first + len(self.log)), self.now_ms, data))
+
+    def create_key(self, edge_ms: int) -> str:
+        value = ((self.now_ms + edge_ms) << 80) | (7 << 76) | (2 << 62) | len(self.keys)
+        self.keys.append(str(uuid.UUID(int=value)))
+        return self.keys[-1]
+
+    @rule(
+        number=INSTANCES,
+        edge_ms=st.sampled_from(EDGES_MS),
+        recent=st.sampled_from([0, 0, 1, 1, 1, 2, 2, 3]),
+        digest=st.sampled_from([b"a", b"a", b"b"]),
+        abandon=st.sampled_from([False, False, True]),
+    )
+    def request(self, number: int, edge_ms: int, recent: int, digest: bytes, abandon: bool) -> None:
+        """Asks for a new key (recent is 0) or again for one of the last three."""
+        instance = self.instances[number]
+        is_new = not recent or not self.keys
+        claim = Claim(
+            claim_id=f"claim-{len(self.requests)}",
+            customer="c",
+            service="s",
+            key=self.create_key(edge_ms) if is_new else self.keys[-min(recent, len(self.keys))],
+            request_digest=digest,
+            instance=instance.name,
+        )
+        self.requests[claim.claim_id] = claim
+        if abandon:
+            self.abandoned.add(claim.claim_id)
+        instance.unanswered.add(claim.claim_id)
+        message = ClaimRequest(request_id=claim.claim_id, claim=claim)
+        self.handle(instance, instance.task.request(message, self.now))
+
+    @rule(
+        number=INSTANCES,
+        status=st.sampled_from([*AppendStatus, AppendStatus.APPENDED]),
+        fate=st.sampled_from(["stored", "stored", "delayed", "lost", "twice", "damaged"]),
+        count=st.sampled_from([0, 1, 1000]),
+    )
+    def finish_append(self, number: int, status: AppendStatus, fate: str, count: int) -> None:
+        """One append ends, then some records are read."""
+        instance = self.instances[number]
+        if instance.appends:
+            append = instance.appends.pop(0)
+            status = status if self.up else AppendStatus.FAILED
+            if status != AppendStatus.FAILED:
+                self.store_with_fate(seal_batch(append.batch), status, fate)
+            result = AppendResult(append.batch_id, status)
+            self.handle(instance, instance.task.on_append_result(result, self.now))
+        self.read(instance, count)
+
+    def store_with_fate(self, data: bytes, status: AppendStatus, fate: str) -> None:
+        if status == AppendStatus.IN_DOUBT and fate in ("lost", "delayed"):
+            self.delayed += [data] if fate == "delayed" else []
+            return
+        self.store(data[:-1] if fate == "damaged" else data)
+        self.delayed += [data] if fate == "twice" else []
+
+    def read(self, instance: Instance, count: int) -> None:
+        instance.position = max(instance.position, self.first)
+        start = instance.position - self.first
+        for record in self.log[start : start + count] if self.up else []:
+            instance.position = record.offset + 1
+            self.handle(instance, instance.task.on_record(record, self.now))
+
+    @rule(numbers=st.sampled_from([[0], [1], [2], [0, 1, 2], [2, 1, 0]]), ends=st.booleans())
+    def serve(self, numbers: list[int], ends: bool) -> None:
+        """Everything due is appended and read; with ``ends``, the last run ends before."""
+        self.now_ms += 60
+        if ends and self.running:
+            self.end_run()
+        for number in numbers:
+            instance = self.instances[number]
+            self.handle(instance, instance.task.tick(self.now))
+            while instance.appends:
+                self.finish_append(number, AppendStatus.APPENDED, "stored", 0)
+            self.read(instance, 1000)
+
+    @rule(step_ms=st.sampled_from([60, 60, 1000, 6000, KEY_LEAD_MS, WINDOW_MS]))
+    def advance(self, step_ms: int) -> None:
+        self.now_ms += step_ms
+        while self.log and self.log[0].time_ms < self.now_ms - RETENTION_MS:
+            self.log.pop(0)
+            self.first += 1
+
+    @rule(number=INSTANCES, kind=st.sampled_from(["restart", "answer", "delayed", "platform"]))
+    def fail(self, number: int, kind: str) -> None:
+        instance = self.instances[number]
+        if kind == "restart":  # Waiting requests and queued voids are lost.
+            self.delayed.extend(seal_batch(append.batch) for append in instance.appends)
+            self.instances[number] = self.create_instance(instance.name)
+        elif kind == "answer" and instance.appends and self.up:  # Its result never arrives.
+            self.store(seal_batch(instance.appends.pop(0).batch))
+        elif kind == "delayed" and self.delayed:
+            self.store(self.delayed.pop(0))
+        elif kind == "platform":
+            self.down_until_ms = self.now_ms + OUTAGE_MS
+
+    def end_run(self) -> None:
+        claim_id, (instance, claim) = self.running.popitem()
+        outcome = Outcome(
+            claim_id=claim_id, customer="c", service="s", key=claim.key, body=claim_id.encode()
+        )
+        if instance in self.instances:  # Otherwise its process has failed.
+            self.handle(instance, instance.task.record_outcome(outcome, self.now))
+
+    @invariant()
+    def each_key_runs_at_most_once(self) -> None:
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+
+    @invariant()
+    def each_request_gets_one_answer(self) -> None:
+        for answers in self.answers.values():
+            assert len(answers) <= 1, answers
+
+    def teardown(self) -> None:
+        """With a working log, every request is answered and every void is appended."""
+        if not hasattr(self, "instances"):
+            return
+        self.down_until_ms = 0
+        for _ in range(HEALING_ROUNDS):
+            self.advance(140)
+            self.serve([0, 1, 2], ends=False)
+            self.each_key_runs_at_most_once()
+            self.each_request_gets_one_answer()
+        for instance in self.instances:
+            assert not instance.unanswered
+            assert instance.task.count_queued() == 0
+
+
+class GrantBeforeReadBack(ClaimTask):
+    """Mechanism disabled: a certain append is enough."""
+
+    def _on_claim_result(self, claim_id: str, status: AppendStatus) -> list[Action]:
+        waiting = self._waiting.get(claim_id)
+        if waiting is not None and status == AppendStatus.APPENDED:
+            waiting.won_at = Offset(0)
+        return super()._on_claim_result(claim_id, status)
+
+
+class GrantInDoubt(ClaimTask):
+    """Mechanism disabled: a refused claim in doubt is granted once it is read back."""
+
+    def _on_claim_result(self, claim_id: str, status: AppendStatus) -> list[Action]:
+        waiting = self._waiting.get(claim_id)
+        actions = super()._on_claim_result(claim_id, status)
+        if waiting is not None and status == AppendStatus.IN_DOUBT:
+            waiting.appended = True
+            self._waiting[claim_id] = waiting
+        return actions
+
+    def _remove(self, waiting) -> None:  # type: ignore[no-untyped-def]
+        self._waiting.pop(waiting.request.claim.claim_id, None)
+        self._by_key = {k: v for k, v in self._by_key.items() if v in self._waiting}
+
+
+class VoidGranted(ClaimTask):
+    """Mechanism disabled: a claim is withdrawn although it was granted."""
+
+    def record_outcome(self, outcome: Outcome, now: float) -> list[Action]:
+        claim = Claim(claim_id=outcome.claim_id, customer="c", service="s", key=outcome.key)
+        return self.abandon(claim, now)
+
+
+class AnyTimeFold(ClaimFold):
+    """Mechanism disabled: claims outside the window of their key are valid."""
+
+    def _is_valid(self, key: str, time_ms: int) -> bool:
+        return True
+
+    def is_key_expired(self, key: str) -> bool:
+        return False
+
+
+def run_machine(
+    examples: int,
+    fold: type[ClaimFold] = ClaimFold,
+    task: type[ClaimTask] = ClaimTask,
+    phases: tuple[Phase, ...] = (Phase.generate,),
+) -> None:
+    """Runs the state machine with a fixed seed."""
+    machine: type[RuleBasedStateMachine] = type(
+        "Machine", (ClaimMachine,), {"fold_type": fold, "task_type": task}
+    )
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            derandomize=True,
+            database=None,
+            deadline=None,
+            max_examples=examples,
+            stateful_step_count=60,
+            phases=phases,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class ClaimPropertyTest(unittest.TestCase):
+    """Guards against a second run of a call that may run only once."""
+
+    def test_every_key_runs_at_most_once(self) -> None:
+        run_machine(250)
+
+    def test_the_check_notices_each_disabled_mechanism(self) -> None:
+        for task in (GrantBeforeReadBack, GrantInDoubt, VoidGranted):
+            with self.subTest(task.__name__), self.assertRaises(AssertionError):
+                run_machine(400, task=task)
+        with self.subTest("AnyTimeFold"), self.assertRaises(AssertionError):
+            run_machine(400, fold=AnyTimeFold)
