--- /dev/null
+++ b/src/mulberryrill/bin/standin_wait.py
@@ -0,0 +1,57 @@
+"""Waits until all processes of a local deployment are ready: ``--plan FILE``.
+
+Stand-ins are ready when they answer at all; gateways and control processes when ``/readyz`` says
+so.
+"""
+
+import sys
+import time
+from pathlib import Path
+
+from absl import app, flags
+
+from ..errors import HttpError
+from ..internal.httpclient import HttpClient
+from ..internal.standins.site import ProcessPlan, read_plan
+
+POLL_S = 0.2
+REQUEST_TIMEOUT_S = 2.0
+EXIT_NOT_READY = 1
+
+_PLAN = flags.DEFINE_string("plan", None, "plan.json of the deployment", required=True)
+_TIMEOUT_S = flags.DEFINE_float("timeout_s", 60.0, "seconds to wait")
+
+
+def is_ready(client: HttpClient, process: ProcessPlan) -> bool:
+    """Tells whether one process can work now."""
+    try:
+        url = process.ready_url or f"{process.url}/v1/state"
+        answer = client.send("GET", url, timeout_s=REQUEST_TIMEOUT_S)
+    except HttpError:
+        return False
+    return answer.status == 200 or not process.ready_url
+
+
+def main(argv: list[str]) -> int:
+    """Waits and returns the exit code."""
+    plan = read_plan(Path(_PLAN.value))
+    deadline = time.monotonic() + _TIMEOUT_S.value
+    client = HttpClient()
+    waiting = list(plan.processes)
+    while waiting and time.monotonic() < deadline:
+        waiting = [process for process in waiting if not is_ready(client, process)]
+        if waiting:
+            time.sleep(POLL_S)
+    client.close()
+    for process in waiting:
+        print(f"{plan.name}: {process.name} is not ready; see its log", file=sys.stderr)
+    return EXIT_NOT_READY if waiting else 0
+
+
+def run() -> None:
+    """Runs the command."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
