--- /dev/null
+++ b/src/mulberryrill/internal/history/checks.py
@@ -0,0 +1,307 @@
+"""One checker for each invariant, over the events of all processes of a run.
+
+Events and the fields that are read:
+
+- ``call`` (gateway): request, customer, service, key, repeatable, version, forwarded
+- ``answer`` (gateway): request, status, executed
+- ``dispatch`` (gateway): request, attempt, target, data_centre, version
+- ``configuration`` (control): service, revision, accepted, digest, adopted, run
+- ``order`` (control): data_centre, epoch, state
+- ``execution`` (targets): request, attempt, customer, target, version, body_sha256
+- ``overload``, ``foreign_block``, ``leaving``, ``started`` (targets): target
+- ``caller_call``, ``caller_answer`` (test clients): call, request, customer, service, key,
+  executed, body_sha256, complete, text_sha256, prompt_sha256, model, version, max_tokens
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..standins.pseudotext import digest_expected
+from .reading import History, HistoryEvent
+
+# "A few seconds": new work on a drained data centre or a leaving target after this is a violation.
+DRAIN_GRACE_S = 5.0
+LEAVING_GRACE_S = 5.0
+MAX_AMPLIFICATION = 1.2
+# Retries come from a share of the requests and a reserve, so a smaller window says nothing.
+AMPLIFICATION_WINDOW = 100
+DRAINED_STATES = ("drained", "2")
+
+
+@dataclass(frozen=True)
+class Violation:
+    """An invariant that a history breaks."""
+
+    check: str
+    message: str
+
+
+@dataclass(frozen=True)
+class CheckResult:
+    """``examined`` is the number of events that could have broken the invariant."""
+
+    check: str
+    invariants: str
+    examined: int
+    violations: list[Violation]
+
+
+Checker = Callable[[History], tuple[int, list[str]]]
+CallKey = tuple[str, str, str]
+
+
+def check_single_execution(history: History) -> tuple[int, list[str]]:
+    """A non-repeatable call runs at most once for each customer, service and key."""
+    runs: dict[CallKey, list[HistoryEvent]] = defaultdict(list)
+    by_body = _map_bodies(history)
+    for event in history.executions:
+        key = _find_key(history, event) or by_body.get(
+            (event.get("customer"), event.get("body_sha256"))
+        )
+        if key is not None:
+            runs[key].append(event)
+    problems = [
+        f"{'/'.join(key)} ran {len(events)} times: "
+        + ", ".join(f"{event.get('request')} on {event.get('target')}" for event in events)
+        for key, events in runs.items()
+        if len(events) > 1
+    ]
+    return len(runs), problems
+
+
+def _map_bodies(history: History) -> dict[tuple[str, str], CallKey]:
+    """Keys by customer and body, for requests whose gateway was killed before it answered."""
+    bodies: dict[tuple[str, str], set[CallKey]] = defaultdict(set)
+    for event in history.select("caller_call"):
+        if event.get("key"):
+            key = (event.get("customer"), event.get("service"), event.get("key"))
+            bodies[event.get("customer"), event.get("body_sha256")].add(key)
+    return {body: next(iter(keys)) for body, keys in bodies.items() if len(keys) == 1}
+
+
+def _find_key(history: History, execution: HistoryEvent) -> CallKey | None:
+    call = history.calls.get(execution.get("request"))
+    if call is None or not call.get("key") or call.fields.get("repeatable") is True:
+        return None
+    return call.get("customer"), call.get("service"), call.get("key")
+
+
+def check_not_run(history: History) -> tuple[int, list[str]]:
+    """A request that was answered "executed: no" never ran, before or after its answer."""
+    executed = {event.get("request"): event for event in history.executions}
+    refusals = [
+        event
+        for event in history.select("answer", "caller_answer")
+        if event.get("executed") == "no" and event.get("request")
+    ]
+    problems = [
+        f"{event.get('request')} was answered as not run by {event.process} "
+        f"but ran on {executed[event.get('request')].get('target')}"
+        for event in refusals
+        if event.get("request") in executed
+    ]
+    return len(refusals), problems
+
+
+def check_overload(history: History) -> tuple[int, list[str]]:
+    """No cold target gets more than it can bear."""
+    problems = [
+        f"{event.get('target')} got request {event.get('request')} while cold "
+        f"with {event.get('running')} others"
+        for event in history.select("overload")
+    ]
+    return len(history.executions) + len(problems), problems
+
+
+def check_blocks(history: History) -> tuple[int, list[str]]:
+    """No engine reads a cache block of other data, another customer or another version."""
+    problems = [
+        f"{event.get('target')} read block {event.get('key')} that does not belong to "
+        f"request {event.get('request')}"
+        for event in history.select("foreign_block")
+    ]
+    return len(history.executions), problems
+
+
+def check_drained(history: History) -> tuple[int, list[str]]:
+    """A drained data centre gets no new work later than a few seconds after the order."""
+    orders: dict[str, list[HistoryEvent]] = defaultdict(list)
+    for event in history.select("order"):
+        orders[event.get("data_centre")].append(event)
+    problems = []
+    dispatches = history.select("dispatch")
+    for event in dispatches:
+        name = event.get("data_centre")
+        known = [order for order in orders.get(name, ()) if order.at <= event.at]
+        settled = [order for order in known if order.at <= event.at - DRAIN_GRACE_S]
+        if _is_drained(settled) and _is_drained(known):
+            problems.append(
+                f"{event.process} sent {event.get('request')} to {event.get('target')} "
+                f"in {name}, which was drained"
+            )
+    return len(dispatches), problems
+
+
+def _is_drained(orders: list[HistoryEvent]) -> bool:
+    if not orders:
+        return False
+    newest = max(order.get_number("epoch") for order in orders)
+    states = {order.get("state").lower() for order in orders if order.get_number("epoch") == newest}
+    # Of two orders with one epoch either may win, so only agreement counts.
+    return all(state in DRAINED_STATES for state in states)
+
+
+def check_leaving(history: History) -> tuple[int, list[str]]:
+    """A leaving target gets no new work later than a few seconds after it said so."""
+    problems = []
+    left: dict[str, float] = {}
+    dispatches = 0
+    for event in history.select("leaving", "started", "dispatch"):
+        target = event.get("target")
+        if event.kind == "leaving":
+            left[target] = event.at
+        elif event.kind == "started":
+            left.pop(target, None)
+        else:
+            dispatches += 1
+            if event.at - left.get(target, event.at) > LEAVING_GRACE_S:
+                problems.append(
+                    f"{event.process} sent {event.get('request')} to {target}, which is leaving"
+                )
+    return dispatches, problems
+
+
+def check_answers(history: History) -> tuple[int, list[str]]:
+    """Each complete answer is the whole output for its own prompt, model and version."""
+    problems = []
+    answers = [
+        event
+        for event in history.select("answer", "caller_answer")
+        if event.fields.get("complete") is True and event.get("prompt_sha256")
+    ]
+    for event in answers:
+        expected = digest_expected(
+            event.get("model"),
+            event.get("version"),
+            event.get("prompt_sha256"),
+            event.get_number("max_tokens"),
+        )
+        if event.get("text_sha256") != expected:
+            problems.append(
+                f"{event.get('request')} of {event.get('customer')} got a text that is not its own "
+                "or not complete"
+            )
+    return len(answers), problems
+
+
+def check_owners(history: History) -> tuple[int, list[str]]:
+    """Each run has the customer of its call and the version of its dispatch."""
+    problems = []
+    examined = 0
+    dispatches = {event.get("attempt"): event for event in history.select("dispatch")}
+    for event in history.executions:
+        request = event.get("request")
+        call = history.calls.get(request)
+        dispatch = dispatches.get(event.get("attempt"))
+        examined += int(call is not None or dispatch is not None)
+        if call is not None and call.get("customer") != event.get("customer"):
+            problems.append(
+                f"{request} of {call.get('customer')} ran for {event.get('customer')} "
+                f"on {event.get('target')}"
+            )
+        versions = (dispatch.get("version") if dispatch else "", event.get("version"))
+        if all(versions) and versions[0] != versions[1]:
+            problems.append(f"{request} was sent for version {versions[0]}, ran on {versions[1]}")
+    return examined, problems
+
+
+def check_configuration(history: History) -> tuple[int, list[str]]:
+    """Accepted revisions are the same in all processes and never decrease."""
+    accepted = [
+        event
+        for event in history.select("configuration")
+        if event.get("service") and event.fields.get("accepted", True) is True
+    ]
+    refused = {
+        (event.get("service"), event.get_number("revision")): event
+        for event in history.select("configuration")
+        if event.fields.get("accepted") is False
+    }
+    problems = []
+    digests: dict[tuple[str, int], tuple[str, str]] = {}
+    sequences: dict[tuple[str, str, str], list[HistoryEvent]] = defaultdict(list)
+    for event in accepted:
+        place = (event.get("service"), event.get_number("revision"))
+        label = f"{place[0]} revision {place[1]}"
+        digest, process = digests.setdefault(place, (event.get("digest"), event.process))
+        if digest != event.get("digest"):
+            problems.append(f"{label} differs between {process} and {event.process}")
+        if place in refused:
+            problems.append(f"{label}: {refused[place].process} refused, {event.process} accepted")
+        sequences[event.process, event.get("run"), place[0]].append(event)
+    for (process, _, service), events in sequences.items():
+        problems.extend(_check_sequence(process, service, events, digests))
+    return len(accepted), problems
+
+
+def _check_sequence(
+    process: str,
+    service: str,
+    events: list[HistoryEvent],
+    known: dict[tuple[str, int], tuple[str, str]],
+) -> list[str]:
+    problems = []
+    revisions = sorted(revision for name, revision in known if name == service)
+    for before, after in zip(events, events[1:], strict=False):
+        first, second = before.get_number("revision"), after.get_number("revision")
+        if second < first:
+            problems.append(f"{process}: {service} went from revision {first} back to {second}")
+        # A state adopted from a peer may skip revisions; a fold may not.
+        skipped = [revision for revision in revisions if first < revision < second]
+        if skipped and after.fields.get("adopted") is not True:
+            problems.append(f"{process}: {service} never had revision {skipped[0]} in force")
+    return problems
+
+
+def check_amplification(history: History) -> tuple[int, list[str]]:
+    """At most 1.2 requests are sent to targets for each one received, in windows of 100."""
+    sent: dict[str, int] = defaultdict(int)
+    for event in history.select("dispatch"):
+        sent[event.get("request")] += 1
+    received = [
+        event.get("request")
+        for event in history.select("call")
+        if event.fields.get("forwarded") is not True
+    ]
+    problems = []
+    for start in range(0, len(received) - AMPLIFICATION_WINDOW + 1, AMPLIFICATION_WINDOW):
+        window = received[start : start + AMPLIFICATION_WINDOW]
+        total = sum(sent[request] for request in window)
+        if total > MAX_AMPLIFICATION * len(window):
+            problems.append(f"{total} requests sent for {len(window)} received from {window[0]} on")
+    return len(received), problems
+
+
+CHECKS: dict[str, tuple[str, Checker]] = {
+    "single-execution": ("I8", check_single_execution),
+    "not-run": ("I7", check_not_run),
+    "overload": ("I4", check_overload),
+    "blocks": ("I1 I2 I3", check_blocks),
+    "drained": ("I5", check_drained),
+    "leaving": ("I9", check_leaving),
+    "answers": ("I6", check_answers),
+    "owners": ("I2 I3", check_owners),
+    "configuration": ("I11", check_configuration),
+    "amplification": ("objective", check_amplification),
+}
+
+
+def run_checks(history: History) -> list[CheckResult]:
+    """Runs every checker."""
+    results = []
+    for name, (invariants, checker) in CHECKS.items():
+        examined, problems = checker(history)
+        violations = [Violation(name, problem) for problem in problems]
+        results.append(CheckResult(name, invariants, examined, violations))
+    return results
--- a/src/mulberryrill/internal/standins/engine.py
+++ b/src/mulberryrill/internal/standins/engine.py
@@ -101,10 +101,12 @@
         self._registration = Registration(
             settings.list_url, settings.id, "engine", settings.data_centre, address, settings.pool
         )
+        self._history.write("started", target=settings.id)
         self._registration.start()
 
     def close(self) -> None:
         """Says leaving, finishes its runs and stops."""
+        self._history.write("leaving", target=self._settings.id)
         if self._registration is not None:
             self._registration.leave()
         deadline = time.monotonic() + DRAIN_TIMEOUT_S
