--- /dev/null
+++ b/src/mulberryrill/internal/standins/callers.py
@@ -0,0 +1,162 @@
+"""Example callers of a local deployment: they send real requests and check every answer."""
+
+import json
+import time
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+from secrets import randbits
+
+from ...errors import HttpError
+from ..httpclient import HttpClient, HttpResponse
+from ..schema import documents_pb2 as documents
+from ..schema.documents_pb2 import ServiceDocument
+from ..settings.documents import check_document
+from .pseudotext import digest_text, list_tokens, render_prompt
+from .site import SitePlan
+
+MAX_TOKENS = 24
+TIMEOUT_S = 30.0
+_MAX_TIME_BITS = 48
+
+
+def create_key(time_ms: int) -> str:
+    """Returns a UUIDv7 (RFC 9562) with this Unix time."""
+    value = (time_ms & ((1 << _MAX_TIME_BITS) - 1)) << 80
+    value |= 0x7 << 76 | randbits(12) << 64 | 0x2 << 62 | randbits(62)
+    return str(uuid.UUID(int=value))
+
+
+@dataclass
+class Report:
+    """What the callers saw; ``problems`` is empty if all was right."""
+
+    lines: list[str] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
+    requests: list[str] = field(default_factory=list)
+
+    def note(self, what: str, answer: HttpResponse, right: bool, detail: str) -> None:
+        """Adds one answer."""
+        request = answer.headers.get("x-request-id", "")
+        text = f"{what}: status {answer.status}, {detail}, request {request or 'without id'}"
+        self.lines.append(text)
+        if not right or not request:
+            self.problems.append(text)
+        else:
+            self.requests.append(request)
+
+
+class ExampleCallers:
+    """Sends one request of each kind to the services of a site, through different instances."""
+
+    def __init__(self, plan: SitePlan) -> None:
+        self._plan = plan
+        self._client = HttpClient()
+        self._report = Report()
+
+    def run(self) -> Report:
+        """Sends all requests and returns what was seen."""
+        try:
+            for path in self._plan.documents:
+                document = check_document(Path(path).read_text(encoding="utf-8"), path)
+                if document.kind == documents.model:
+                    self._send_chat(document)
+                    self._send_completion(document)
+                else:
+                    self._send_plain(document)
+                    self._send_once(document)
+        except HttpError as error:
+            self._report.problems.append(str(error))
+        finally:
+            self._client.close()
+        return self._report
+
+    def _send(
+        self,
+        document: ServiceDocument,
+        instance: int,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str] | None = None,
+    ) -> HttpResponse:
+        tokens = self._plan.customer_tokens[document.service]
+        token = tokens[document.customers[0].name]
+        sent = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+        url = self._plan.instances[instance % len(self._plan.instances)].gateway_url + path
+        return self._client.send(method, url, body, {**sent, **(headers or {})}, TIMEOUT_S)
+
+    def _send_chat(self, document: ServiceDocument) -> None:
+        model = document.models[0]
+        body: dict[str, object] = {
+            "model": model.name,
+            "messages": [{"role": "user", "content": f"What does {document.service} say today?"}],
+            "max_tokens": MAX_TOKENS,
+            "stream": True,
+        }
+        answer = self._send(
+            document, 0, "POST", "/v1/chat/completions", json.dumps(body).encode("utf-8")
+        )
+        text, ended = read_chat_stream(answer.body)
+        right = ended and text == _expect(model.name, model.version, body)
+        detail = f"{'complete' if ended else 'incomplete'}: {text.strip()!r}"
+        self._report.note(f"{document.service} streaming chat", answer, right, detail)
+
+    def _send_completion(self, document: ServiceDocument) -> None:
+        model = document.models[0]
+        body: dict[str, object] = {
+            "model": model.name,
+            "prompt": f"Notes for {document.service}",
+            "max_tokens": MAX_TOKENS,
+        }
+        answer = self._send(
+            document, 1, "POST", "/v1/completions", json.dumps(body).encode("utf-8")
+        )
+        parsed = answer.parse_json()
+        text = ""
+        if answer.status == 200 and isinstance(parsed, dict):
+            text = str(parsed["choices"][0]["text"])
+        right = text == _expect(model.name, model.version, body)
+        self._report.note(f"{document.service} completion", answer, right, repr(text.strip()))
+
+    def _send_plain(self, document: ServiceDocument) -> None:
+        path = f"/v1/services/{document.service}/lookup"
+        answer = self._send(document, 2, "GET", path, b"")
+        parsed = answer.parse_json()
+        right = answer.status == 200 and isinstance(parsed, dict) and parsed["path"] == "/lookup"
+        self._report.note(f"{document.service} plain call", answer, right, "answered by a target")
+
+    def _send_once(self, document: ServiceDocument) -> None:
+        """Sends a call that may run once twice with one key, to two instances."""
+        for rule in document.calls:
+            key = create_key(int(time.time() * 1000))
+            body = json.dumps({"order": key}).encode("utf-8")
+            path = f"/v1/services/{document.service}{rule.path}"
+            receipts = []
+            for number in (0, 1):
+                headers = {"Idempotency-Key": key}
+                answer = self._send(document, number, rule.method, path, body, headers)
+                parsed = answer.parse_json()
+                receipts.append(parsed.get("receipt", "") if isinstance(parsed, dict) else "")
+                replayed = answer.headers.get("idempotent-replayed", "") == "true"
+                right = answer.status == 200 and replayed == bool(number)
+                right = right and bool(receipts[0]) and receipts[0] == receipts[-1]
+                detail = f"{'replayed' if replayed else 'ran'}, {receipts[-1]}"
+                what = f"{document.service} {rule.method} {rule.path} with key {key}"
+                self._report.note(what, answer, right, detail)
+
+
+def read_chat_stream(body: bytes) -> tuple[str, bool]:
+    """Returns the text of a chat stream and whether it ended completely."""
+    events = [part.removeprefix("data: ") for part in body.decode("utf-8").split("\n\n") if part]
+    parts = []
+    for event in events:
+        if not event.startswith("{"):
+            continue
+        for choice in json.loads(event).get("choices", []):
+            parts.append(choice.get("delta", {}).get("content") or "")
+    return "".join(parts), bool(events) and events[-1] == "[DONE]"
+
+
+def _expect(model: str, version: str, body: dict[str, object]) -> str:
+    return "".join(list_tokens(model, version, digest_text(render_prompt(body)), MAX_TOKENS))
--- a/tests/common/deployment.py
+++ b/tests/common/deployment.py
@@ -5,7 +5,6 @@
 
 import hashlib
 import json
-import os
 import signal
 import subprocess
 import sys
@@ -106,16 +105,6 @@
         time.sleep(POLL_S)
 
 
-def create_key(time_ms: int | None = None) -> str:
-    """Returns a UUIDv7 (RFC 9562) whose time is now or the given one."""
-    milliseconds = int(time.time() * 1000) if time_ms is None else time_ms
-    random = int.from_bytes(os.urandom(10), "big")
-    value = milliseconds << 80 | random
-    value = value & ~(0xF << 76) | 0x7 << 76
-    value = value & ~(0x3 << 62) | 0x2 << 62
-    return str(uuid.UUID(int=value))
-
-
 class Deployment:
     """A site in a temporary folder. ``links`` are (source, destination) pairs that can be cut.
 
