--- a/src/mulberryrill/internal/standins/engine.py
+++ b/src/mulberryrill/internal/standins/engine.py
@@ -119,6 +119,9 @@
         self._stop.set()
         self._wake()
         self._loop.join()
+        self._selector.close()
+        self._wake_in.close()
+        self._wake_out.close()
         self._history.close()
 
     def _record(self, event: str, fields: dict[str, object]) -> None:
