--- /dev/null
+++ b/src/mulberryrill/internal/control/documents.py
@@ -0,0 +1,335 @@
+"""Configuration of this instance: the fold of the log, operators' changes, orders, checkpoints."""
+
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..core.configuration import ConfigurationFold, FoldResult
+from ..core.messages import Record
+from ..core.records import open_record
+from ..events import Event
+from ..history.writer import HistoryWriter
+from ..ids import DataCentre, Executed, ServiceName, create_id
+from ..logs import log_event
+from ..schema.log_pb2 import (
+    AuditEntry,
+    DataCentreOrder,
+    DataCentreState,
+    DocumentChange,
+    LogBatch,
+    LogEntry,
+    QuarantineEntry,
+)
+from ..schema.wire_pb2 import StateReply
+from .messages import AppendRequest, AppendResult, Call, CallAnswer, SubmitDocument, SubmitOrder
+from .metrics import FOLDED_OFFSET, RECORDS_CORRUPT, TASK_FAILURES
+
+STREAM = "configuration"
+# After this time an operator is told that the result of a change is not known.
+READ_BACK_TIMEOUT_S = 10.0
+# A checkpoint is not repeated while its record may still be on its way.
+CHECKPOINT_PAUSE_S = 30.0
+CHECKPOINT_CHECK_S = 5.0
+# An order whose instance failed before appending it is appended by another one after this time.
+UNLOGGED_ORDER_S = 10.0
+# An instance waits this much longer for each live one before it.
+RANK_STEP_S = 5.0
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass
+class _PendingChange:
+    call: Call
+    service: str
+    deadline: float
+    in_doubt: bool = False
+
+
+class Configuration:
+    """Drives the fold; owned by the main task.
+
+    ``append`` queues an append; ``on_quarantine`` is called for entries of the log or a peer.
+    """
+
+    def __init__(
+        self,
+        fold: ConfigurationFold,
+        append: Callable[[AppendRequest], None],
+        on_quarantine: Callable[[QuarantineEntry], None],
+        history: HistoryWriter,
+        clock: Clock,
+    ) -> None:
+        self.fold = fold
+        self._append = append
+        self._on_quarantine = on_quarantine
+        self._history = history
+        self._clock = clock
+        self._pending: dict[str, _PendingChange] = {}
+        self._unlogged: dict[str, tuple[DataCentreOrder, float]] = {}
+        self._logged: set[str] = set()
+        self._checkpointed: dict[tuple[str, int], float] = {}
+        self._checkpoints_due_at = 0.0
+
+    @property
+    def folded_offset(self) -> int:
+        """The last folded offset; -1 before the first."""
+        return int(self.fold.folded_offset)
+
+    @property
+    def provided_offset(self) -> int:
+        """The offset of the state that a peer can get from here; -1 while it is incomplete."""
+        return int(self.fold.folded_offset) if self.fold.is_complete else -1
+
+    def on_records(self, records: Sequence[Record]) -> bool:
+        """Folds records that are new; tells whether what gateways need has changed."""
+        changed = False
+        for record in records:
+            result = self.fold.apply(record)
+            changed = changed or bool(result.changed or result.orders)
+            try:
+                self._follow_up(record, result)
+            except Exception as error:  # The next record must be folded in any case.
+                TASK_FAILURES.labels("main").inc()
+                log_event(
+                    _LOGGER,
+                    logging.ERROR,
+                    Event.CONTROL_MESSAGE_FAILED,
+                    f"record {record.offset}: {error!r}",
+                )
+        FOLDED_OFFSET.set(self.folded_offset)
+        return changed
+
+    def on_append_result(self, result: AppendResult) -> None:
+        """Answers changes that are certainly not in the log; others are read back."""
+        pending = self._pending.get(result.request.key)
+        if pending is None or result.offset is not None:
+            return
+        if result.in_doubt:
+            pending.in_doubt = True
+            return
+        del self._pending[result.request.key]
+        detail = f"The change was not made: {result.problem}. Repeat it when the log is back."
+        _answer(pending.call, 503, "Log unavailable", detail)
+
+    def submit(self, call: Call, request: SubmitDocument) -> None:
+        """Appends a change; the call is answered when the change has been read back."""
+        change = DocumentChange(
+            change_id=create_id("chg"),
+            service=request.service,
+            base_revision=request.base_revision,
+            author=request.author,
+            reason=request.reason,
+            submitted_unix_ms=self._read_wall_ms(),
+            document=request.text,
+        )
+        deadline = self._clock.monotonic() + READ_BACK_TIMEOUT_S
+        self._pending[change.change_id] = _PendingChange(call, request.service, deadline)
+        batch = LogBatch(entries=[LogEntry(document_change=change)])
+        self._append(AppendRequest(STREAM, change.change_id, batch))
+
+    def create_order(self, request: SubmitOrder) -> DataCentreOrder:
+        """Puts a new order in force here and appends it, retrying until the log has it."""
+        order = self.fold.orders.create_next(
+            DataCentre(request.data_centre),
+            request.state,
+            request.author,
+            request.reason,
+            self._read_wall_ms(),
+        )
+        self.apply_order(order)
+        self._append_order(order)
+        return order
+
+    def apply_order(self, order: DataCentreOrder) -> bool:
+        """Applies an order of an operator or a peer; tells whether it is new and in force."""
+        if not self.fold.orders.apply(order):
+            return False
+        self._record_order(order)
+        if order.order_id not in self._logged:
+            self._unlogged[order.order_id] = (order, self._clock.monotonic())
+        return True
+
+    def adopt(self, state: StateReply) -> bool:
+        """Adopts a peer's state if it is newer; orders and quarantine are merged in any case."""
+        changed = False
+        for order in state.orders:
+            changed = self.apply_order(order) or changed
+        for entry in state.quarantine:
+            self._on_quarantine(entry)
+        if self.fold.adopt(state):
+            changed = True
+            FOLDED_OFFSET.set(self.folded_offset)
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.STATE_ADOPTED,
+                f"adopted a peer's configuration at offset {self.folded_offset}",
+            )
+            for change_id, pending in list(self._pending.items()):
+                audit = self.find_audit(pending.service, change_id)
+                if audit is not None:
+                    self._answer_decided(audit)
+        return changed
+
+    def tick(self, rank: int, log_reachable: bool) -> None:
+        """Ends calls whose time is over and writes what is due.
+
+        ``rank`` is this instance's place among the live ones: the first writes, the others only if
+        those before them have not.
+        """
+        now = self._clock.monotonic()
+        for change_id, pending in list(self._pending.items()):
+            if now >= pending.deadline:
+                del self._pending[change_id]
+                detail = f"Look for {change_id} in the document's history before repeating it."
+                _answer(pending.call, 504, "Result not known", detail, change_id)
+        if log_reachable and now >= self._checkpoints_due_at:
+            self._checkpoints_due_at = now + CHECKPOINT_CHECK_S
+            self._append_due(now, rank * RANK_STEP_S)
+
+    def find_audit(self, service: str, change_id: str) -> AuditEntry | None:
+        """Returns the audit entry of a change; the newest entries are searched first."""
+        for entry in reversed(self.fold.list_history(ServiceName(service))):
+            if entry.change_id == change_id:
+                return entry
+        return None
+
+    def find_author(self, service: str) -> str:
+        """Returns the author of the current revision; empty if there is none."""
+        document = self.fold.documents.get(ServiceName(service))
+        for entry in reversed(self.fold.list_history(ServiceName(service))):
+            if entry.accepted and document is not None and entry.offset == document.revision:
+                return entry.author
+        return ""
+
+    def _follow_up(self, record: Record, result: FoldResult) -> None:
+        if result.corrupt:
+            RECORDS_CORRUPT.inc()
+            log_event(
+                _LOGGER, logging.WARNING, Event.RECORD_CORRUPT, "skipped", offset=record.offset
+            )
+            return
+        for audit in result.decided:
+            self._record_decision(audit)
+            self._answer_decided(audit)
+        for entry in open_record(record.data).entries:
+            kind = entry.WhichOneof("kind")
+            if kind == "data_centre_order":
+                self._note_logged(entry.data_centre_order)
+            elif kind == "quarantine":
+                self._on_quarantine(entry.quarantine)
+
+    def _record_decision(self, audit: AuditEntry) -> None:
+        self._history.write(
+            "configuration",
+            offset=audit.offset,
+            service=audit.service,
+            revision=audit.offset if audit.accepted else 0,
+            accepted=audit.accepted,
+            author=audit.author,
+            base_revision=audit.base_revision,
+            change_id=audit.change_id,
+        )
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.DOCUMENT_DECIDED,
+            f"{audit.service}: change {'accepted' if audit.accepted else 'refused'}",
+            offset=audit.offset,
+            author=audit.author,
+            refusal=audit.refusal,
+        )
+
+    def _note_logged(self, order: DataCentreOrder) -> None:
+        if order.order_id not in self._logged:
+            self._logged.add(order.order_id)
+            if self._unlogged.pop(order.order_id, None) is None:
+                self._record_order(order)
+
+    def _record_order(self, order: DataCentreOrder) -> None:
+        state = DataCentreState.Name(order.state).lower()
+        self._history.write(
+            "order",
+            order_id=order.order_id,
+            data_centre=order.data_centre,
+            epoch=order.epoch,
+            state=state,
+            author=order.author,
+            in_force_here=self.fold.orders.is_drained(DataCentre(order.data_centre))
+            == (order.state == DataCentreState.DRAINED),
+        )
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.DATA_CENTRE_ORDERED,
+            f"{order.data_centre} is ordered {state} by {order.author}",
+            epoch=order.epoch,
+            order_id=order.order_id,
+        )
+
+    def _answer_decided(self, audit: AuditEntry) -> None:
+        pending = self._pending.pop(audit.change_id, None)
+        if pending is None:
+            return
+        if not audit.accepted:
+            self._refuse(pending, audit)
+            return
+        body: dict[str, object] = {
+            "service": pending.service,
+            "revision": audit.offset,
+            "change_id": audit.change_id,
+            "accepted": True,
+        }
+        pending.call.future.set_result(CallAnswer(200, body))
+
+    def _refuse(self, pending: _PendingChange, audit: AuditEntry) -> None:
+        document = self.fold.documents.get(ServiceName(pending.service))
+        body: dict[str, object] = {
+            "title": "Change refused",
+            "detail": f"{audit.refusal}. Read the current document and repeat the change on it.",
+            "refusal": audit.refusal,
+            "change_id": audit.change_id,
+            "accepted": False,
+            "current_revision": document.revision if document is not None else 0,
+            "current_author": self.find_author(pending.service),
+        }
+        pending.call.future.set_result(CallAnswer(409, body))
+
+    def _append_order(self, order: DataCentreOrder) -> None:
+        batch = LogBatch(entries=[LogEntry(data_centre_order=order)])
+        self._append(AppendRequest(STREAM, order.order_id, batch, persistent=True))
+
+    def _append_due(self, now: float, delay_s: float) -> None:
+        for order, since in list(self._unlogged.values()):
+            in_force = self.fold.orders.in_force.get(DataCentre(order.data_centre))
+            if in_force is None or in_force.order_id != order.order_id:
+                del self._unlogged[order.order_id]
+            elif now - since >= UNLOGGED_ORDER_S + delay_s:
+                self._unlogged[order.order_id] = (order, now)
+                self._append_order(order)
+        as_of_ms = self._read_wall_ms() - int(delay_s * 1000)
+        for checkpoint in self.fold.list_due_checkpoints(as_of_ms):
+            key = (checkpoint.service, checkpoint.revision)
+            if now < self._checkpointed.get(key, -CHECKPOINT_PAUSE_S) + CHECKPOINT_PAUSE_S:
+                continue
+            self._checkpointed[key] = now
+            batch = LogBatch(entries=[LogEntry(document_checkpoint=checkpoint)])
+            self._append(AppendRequest(STREAM, create_id("chk"), batch))
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.CHECKPOINT_APPENDED,
+                f"checkpoint of {checkpoint.service} at revision {checkpoint.revision}",
+            )
+
+    def _read_wall_ms(self) -> int:
+        return int(self._clock.wall() * 1000)
+
+
+def _answer(call: Call, status: int, title: str, detail: str, change_id: str = "") -> None:
+    executed = Executed.UNKNOWN if status == 504 else Executed.NO
+    body: dict[str, object] = {"title": title, "detail": detail}
+    if change_id:
+        body["change_id"] = change_id
+    call.future.set_result(CallAnswer(status, body, executed))
--- a/src/mulberryrill/internal/control/follower.py
+++ b/src/mulberryrill/internal/control/follower.py
@@ -13,7 +13,8 @@
 from .metrics import RECORDS
 from .task import Task
 
-PAGE_RECORDS = 500
+# A record has up to 1 MiB, so that this also limits memory.
+PAGE_RECORDS = 64
 # Short enough that a stalled connection is noticed and that closing does not take long.
 LONG_POLL_S = 2.0
 RETRY_PAUSE_S = 0.25
@@ -57,7 +58,7 @@
             self._inbox.put(RecordsRead(self._stream, records))
         else:
             self._at_end = True
-            self._inbox.put(CaughtUp(self._stream, asked_at))
+            self._inbox.put(CaughtUp(self._stream, asked_at, page.first))
 
     def release(self) -> None:
         """Closes the connection."""
--- a/src/mulberryrill/internal/control/link.py
+++ b/src/mulberryrill/internal/control/link.py
@@ -5,6 +5,7 @@
 import queue
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import zmq
 
@@ -186,7 +187,7 @@
             self._drain(self._peers, self._receive_from_peer)
         for instance, client in list(self._clients.items()):
             if client in ready:
-                self._drain(client, lambda socket, name=instance: self._receive_reply(socket, name))
+                self._drain(client, partial(self._receive_reply, instance))
 
     def release(self) -> None:
         """Sends what is still queued."""
@@ -277,7 +278,7 @@
         self._accept(instance, frame)
         self._identities[instance] = identity
 
-    def _receive_reply(self, socket: zmq.Socket, instance: str) -> None:
+    def _receive_reply(self, instance: str, socket: zmq.Socket) -> None:
         self._accept(instance, socket.recv(zmq.NOBLOCK))
 
     def _accept(self, instance: str, frame: bytes) -> None:
--- /dev/null
+++ b/src/mulberryrill/internal/control/main.py
@@ -0,0 +1,556 @@
+"""The main task: owns the core's objects and turns messages of all other tasks into actions."""
+
+import logging
+import queue
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..core.claims import ClaimTask
+from ..core.configuration import FIRST_REVISION, ConfigurationFold
+from ..core.membership import Membership
+from ..core.messages import TargetState
+from ..core.quarantine import Quarantine
+from ..core.slots import SlotClient, SlotHolder
+from ..events import Event
+from ..history.writer import HistoryWriter
+from ..ids import TargetId, create_id
+from ..logs import log_event
+from ..schema.log_pb2 import DataCentreOrder, QuarantineEntry
+from ..schema.settings_pb2 import ControlSettings
+from ..schema.wire_pb2 import (
+    Envelope,
+    Heartbeat,
+    Member,
+    MemberKind,
+    MemberState,
+    OrderNotice,
+    QuarantineNotice,
+    SnapshotUpdate,
+    TargetView,
+)
+from . import calls
+from .claims import Claims
+from .documents import STREAM, Configuration
+from .link import ConnectPeers, Outgoing, ToPeer
+from .messages import (
+    AppendRequest,
+    AppendResult,
+    Call,
+    CallAnswer,
+    CallRequest,
+    CaughtUp,
+    GatewayMessage,
+    Inbox,
+    ListFailed,
+    MembersListed,
+    OffsetsExpired,
+    PeerMessage,
+    ReadFailed,
+    RecordsRead,
+    ShowDocument,
+    ShowHistory,
+    ShowInForce,
+    ShowRequest,
+    ShowStatus,
+    SubmitDocument,
+    SubmitOrder,
+    TargetsSeen,
+)
+from .metrics import HANDLING_SECONDS, LOG_REACHABLE, READY, TASK_FAILURES
+from .peers import Peers, trim_state
+from .quarantine import QuarantineRecords
+from .slots import Slots
+from .snapshots import Snapshots
+from .targets import Targets
+from .task import Task
+from .traces import Traces
+
+TICK_S = 0.05
+# Messages handled between two ticks at most, so that timers work under load.
+BURST_MESSAGES = 200
+# The main task counts as stuck when it has not ticked for this time.
+STUCK_S = 5.0
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Core:
+    """The decision core of one instance. ``claims`` has one task for each claim stream."""
+
+    fold: ConfigurationFold
+    membership: Membership
+    slot_client: SlotClient
+    slot_holder: SlotHolder
+    quarantine: Quarantine
+    claims: Sequence[ClaimTask]
+
+
+@dataclass(frozen=True)
+class Ports:
+    """The other tasks as the main task sees them."""
+
+    send: Callable[[Outgoing], None]
+    append: Callable[[AppendRequest], None]
+    append_claims: Callable[[AppendRequest], None]
+    watch: Callable[[tuple[Member, ...]], None]
+
+
+class MainTask(Task):
+    """Handles one message at a time; a failing handler is counted, logged and skipped."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        core: Core,
+        ports: Ports,
+        inbox: Inbox,
+        history: HistoryWriter,
+        clock: Clock,
+    ) -> None:
+        super().__init__("main")
+        self._settings = settings
+        self._core = core
+        self._ports = ports
+        self._inbox = inbox
+        self._history = history
+        self._clock = clock
+        instance, data_centre = settings.instance, settings.data_centre
+        self._configuration = Configuration(
+            core.fold, ports.append, self._adopt_quarantine, history, clock
+        )
+        self._snapshots = Snapshots(create_id("run"), ports.send, clock)
+        self._peers = Peers(instance, data_centre, ports.send, clock)
+        self._targets = Targets(instance)
+        self._traces = Traces()
+        self._quarantine = QuarantineRecords(
+            core.quarantine, ports.append, self._send_quarantine, clock
+        )
+        self._slots = Slots(instance, core.slot_client, core.slot_holder, ports.send, clock)
+        self._claims = Claims(core.claims, ports.append_claims, ports.send, history, clock)
+        self._members: tuple[Member, ...] = ()
+        self._list_reachable = False
+        self._log_reachable = False
+        self._ready = False
+        self._leaving = False
+        self._ticked_at = clock.monotonic()
+        self._connected: tuple[str, ...] = ()
+        self._in_force_offset = 0
+        self._handlers = self._list_handlers()
+        self._gateway_handlers = self._list_gateway_handlers()
+        self._peer_handlers = self._list_peer_handlers()
+        self._call_handlers = self._list_call_handlers()
+
+    def is_ready(self) -> bool:
+        """Tells whether the configuration is complete; may be called on any thread."""
+        return self._ready and not self._leaving
+
+    def is_healthy(self) -> bool:
+        """Tells whether the task makes progress; may be called on any thread."""
+        return self._clock.monotonic() - self._ticked_at < STUCK_S
+
+    def leave(self) -> None:
+        """Announces that this instance stops; may be called on any thread."""
+        self._leaving = True
+
+    def count_unlogged(self) -> int:
+        """Returns how many voids and outcomes are not in the log yet; for any thread."""
+        return self._claims.count_unlogged()
+
+    def wake(self) -> None:
+        """Ends the wait for a message."""
+        self._inbox.put(None)
+
+    def step(self) -> None:
+        """Handles waiting messages, then does what is due."""
+        for _ in range(BURST_MESSAGES):
+            wait_s = max(0.0, self._ticked_at + TICK_S - self._clock.monotonic())
+            try:
+                message = self._inbox.get(timeout=wait_s) if wait_s else self._inbox.get_nowait()
+            except queue.Empty:
+                break
+            self.handle(message)
+        self._ticked_at = self._clock.monotonic()
+        self.tick()
+
+    def handle(self, message: object) -> None:
+        """Handles one message of another task."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return
+        with HANDLING_SECONDS.time():
+            try:
+                handler(message)
+            except Exception as error:  # One bad message must not end the task.
+                TASK_FAILURES.labels("main").inc()
+                log_event(
+                    _LOGGER,
+                    logging.ERROR,
+                    Event.CONTROL_MESSAGE_FAILED,
+                    f"{type(message).__name__} not handled: {error!r}",
+                )
+
+    def tick(self) -> None:
+        """Does what is due; each part on its own, so that one failure does not stop the others."""
+        for part in (
+            self._update_readiness,
+            self._update_configuration,
+            self._update_peers,
+            self._update_targets,
+            self._update_slots,
+            self._update_claims,
+            self._update_snapshots,
+        ):
+            try:
+                part()
+            except Exception as error:  # See above.
+                TASK_FAILURES.labels("main").inc()
+                log_event(
+                    _LOGGER,
+                    logging.ERROR,
+                    Event.CONTROL_MESSAGE_FAILED,
+                    f"{part.__name__} failed: {error!r}",
+                )
+
+    # Handlers by message, body and call.
+
+    def _list_handlers(self) -> dict[type, Callable]:
+        return {
+            RecordsRead: self._on_records,
+            CaughtUp: self._on_caught_up,
+            ReadFailed: self._on_read_failed,
+            OffsetsExpired: self._on_offsets_expired,
+            MembersListed: self._on_members,
+            ListFailed: self._on_list_failed,
+            TargetsSeen: self._on_targets_seen,
+            GatewayMessage: self._on_gateway_message,
+            PeerMessage: self._on_peer_message,
+            AppendResult: self._on_append_result,
+            Call: self._on_call,
+        }
+
+    def _list_gateway_handlers(self) -> dict[str, Callable]:
+        return {
+            "gateway_report": self._slots.on_gateway_report,
+            "claim_request": self._claims.on_request,
+            "outcome_report": lambda gateway, report: self._claims.on_outcome(report.outcome),
+            "claim_abandon": lambda gateway, abandon: self._claims.on_abandon(abandon.claim),
+            "snapshot_ack": lambda gateway, ack: self._snapshots.on_ack(gateway, ack.version),
+            "crash_report": self._on_crash_report,
+            "request_trace": lambda gateway, trace: self._traces.add(trace),
+        }
+
+    def _list_peer_handlers(self) -> dict[str, Callable]:
+        return {
+            "heartbeat": self._on_heartbeat,
+            "slot_promise_request": lambda peer, request: self._slots.on_promise_request(request),
+            "slot_promise": lambda peer, promise: self._slots.on_promise(promise),
+            "slot_report": lambda peer, report: self._slots.on_report(
+                report, self._list_target_states()
+            ),
+            "slot_grant": lambda peer, grant: self._slots.on_grant(grant),
+            "state_request": self._on_state_request,
+            "state_reply": self._on_state_reply,
+            "order_notice": lambda peer, notice: self._adopt_order(notice.order),
+            "quarantine_notice": lambda peer, notice: self._adopt_quarantine(notice.entry),
+            "target_notice": lambda peer, notice: self._adopt_views(peer, notice.targets),
+        }
+
+    def _list_call_handlers(self) -> dict[type, Callable]:
+        return {
+            ShowDocument: lambda r: calls.show_document(self._configuration, r.service),
+            ShowHistory: lambda r: calls.show_history(self._configuration, r.service),
+            ShowInForce: self._show_in_force,
+            ShowStatus: lambda r: CallAnswer(200, self._describe_status()),
+            ShowRequest: self._show_request,
+            SubmitOrder: self._submit_order,
+        }
+
+    # The log and the list.
+
+    def _on_records(self, message: RecordsRead) -> None:
+        if message.stream != STREAM:
+            self._claims.on_records(message.stream, message.records)
+            return
+        self._log_reachable = True
+        if self._configuration.on_records(message.records):
+            self._snapshots.mark_changed()
+
+    def _on_caught_up(self, message: CaughtUp) -> None:
+        if message.stream != STREAM:
+            return
+        self._log_reachable = True
+        # A log that never had a record holds no documents.
+        is_empty = self._configuration.folded_offset < 0 and message.first <= FIRST_REVISION
+        if self._core.fold.is_complete or is_empty:
+            self._set_ready("the log was read to its end")
+
+    def _on_read_failed(self, message: ReadFailed) -> None:
+        if message.stream == STREAM:
+            self._log_reachable = False
+
+    def _on_offsets_expired(self, message: OffsetsExpired) -> None:
+        if message.stream == STREAM:
+            self._peers.request_all(self._configuration.provided_offset)
+
+    def _on_append_result(self, result: AppendResult) -> None:
+        if result.request.stream == STREAM:
+            self._configuration.on_append_result(result)
+        else:
+            self._claims.on_append_result(result)
+
+    def _on_members(self, message: MembersListed) -> None:
+        self._list_reachable = True
+        if message.members != self._members:
+            self._members = message.members
+            self._snapshots.mark_changed()
+        self._core.membership.on_list(message.members, self._clock.monotonic())
+
+    def _on_list_failed(self, message: ListFailed) -> None:
+        self._list_reachable = False
+
+    # Targets.
+
+    def _on_targets_seen(self, message: TargetsSeen) -> None:
+        self._adopt_views(self._settings.instance, message.views)
+
+    def _adopt_views(self, watcher: str, views: Sequence[TargetView]) -> None:
+        service, load = self._targets.on_views(watcher, views, self._clock.monotonic())
+        if service:
+            self._snapshots.mark_changed()
+        elif load:
+            self._snapshots.mark_load_changed()
+
+    def _list_target_states(self) -> dict[TargetId, TargetState]:
+        listed = self._core.membership.list_targets()
+        return self._targets.list_states(listed, self._clock.monotonic())
+
+    # Gateways.
+
+    def _on_gateway_message(self, message: GatewayMessage) -> None:
+        envelope = message.envelope
+        self._snapshots.on_message(message.gateway, envelope.sequence)
+        body = envelope.WhichOneof("body") or ""
+        self._gateway_handlers[body](message.gateway, getattr(envelope, body))
+
+    def _on_crash_report(self, gateway: str, report) -> None:
+        if self._quarantine.on_crash(report):
+            self._snapshots.mark_changed()
+
+    # Peers.
+
+    def _on_peer_message(self, message: PeerMessage) -> None:
+        self._targets.on_sign_of_life(message.instance, self._clock.monotonic())
+        body = message.envelope.WhichOneof("body") or ""
+        self._peer_handlers[body](message.instance, getattr(message.envelope, body))
+
+    def _on_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
+        is_new = self._peers.on_heartbeat(heartbeat)
+        self._core.membership.on_heartbeat(heartbeat, self._clock.monotonic())
+        if peer not in self._connected:
+            self._peers.answer_heartbeat(peer, self._build_heartbeat())
+        if is_new and heartbeat.data_centre == self._settings.data_centre:
+            notice = self._targets.take_notice(self._clock.monotonic(), everything=True)
+            if notice is not None:
+                self._send_peer(peer, Envelope(target_notice=notice))
+
+    def _on_state_request(self, peer: str, request) -> None:
+        reply = self._core.fold.export()
+        del reply.quarantine[:]
+        reply.quarantine.extend(self._quarantine.list_entries())
+        reply = trim_state(reply, request.have_offset)
+        self._send_peer(peer, Envelope(state_reply=reply))
+
+    def _on_state_reply(self, peer: str, state) -> None:
+        if self._configuration.adopt(state):
+            self._snapshots.mark_changed()
+        self._peers.on_state_reply(peer)
+
+    def _adopt_order(self, order: DataCentreOrder) -> None:
+        if self._configuration.apply_order(order):
+            self._snapshots.mark_changed()
+            self._send_all(Envelope(order_notice=OrderNotice(order=order)))
+
+    def _adopt_quarantine(self, entry: QuarantineEntry) -> None:
+        if self._quarantine.adopt(entry):
+            self._snapshots.mark_changed()
+
+    def _send_quarantine(self, entry: QuarantineEntry) -> None:
+        self._send_all(Envelope(quarantine_notice=QuarantineNotice(entry=entry)))
+
+    def _send_all(self, envelope: Envelope) -> None:
+        for instance in self._connected:
+            self._send_peer(instance, envelope)
+
+    def _send_peer(self, instance: str, envelope: Envelope) -> None:
+        self._ports.send(ToPeer(instance, envelope))
+
+    # Operators.
+
+    def _on_call(self, call: Call) -> None:
+        request: CallRequest = call.request
+        try:
+            if isinstance(request, SubmitDocument):
+                self._configuration.submit(call, request)
+                return
+            call.future.set_result(self._call_handlers[type(request)](request))
+        except Exception as error:
+            call.future.set_exception(error)
+            raise
+
+    def _submit_order(self, request: SubmitOrder) -> CallAnswer:
+        order = self._configuration.create_order(request)
+        self._snapshots.mark_changed()
+        self._send_all(Envelope(order_notice=OrderNotice(order=order)))
+        # 202: in force here and sent to the peers, but not in the log yet.
+        return CallAnswer(202, calls.describe_order(order))
+
+    def _show_in_force(self, request: ShowInForce) -> CallAnswer:
+        return calls.show_in_force(
+            request.service,
+            request.revision,
+            self._peers.list_progress(),
+            self._members,
+            self._clock,
+        )
+
+    def _show_request(self, request: ShowRequest) -> CallAnswer:
+        trace = self._traces.describe(request.request_id)
+        if trace is not None:
+            return CallAnswer(200, trace)
+        detail = "This instance has no trace of the request; ask the instance that served it."
+        return CallAnswer(404, {"title": "Unknown request", "detail": detail})
+
+    def _describe_status(self) -> dict[str, object]:
+        progress = self._peers.list_progress()
+        live = set(self._peers.list_live()) | {self._settings.instance}
+        documents = self._core.fold.documents
+        return {
+            "instance": self._settings.instance,
+            "data_centre": self._settings.data_centre,
+            "ready": self.is_ready(),
+            "log_reachable": self._log_reachable,
+            "list_reachable": self._list_reachable,
+            "folded_offset": self._configuration.folded_offset,
+            "in_force_offset": self._snapshots.in_force_offset,
+            "slot_holder": self._slots.holder,
+            "gateways": self._snapshots.list_gateways(),
+            "services": [
+                {"service": name, "revision": documents[name].revision}
+                for name in sorted(documents)
+            ],
+            "orders": [calls.describe_order(o) for o in self._core.fold.orders.in_force.values()],
+            "instances": [
+                {
+                    "instance": name,
+                    "data_centre": item.data_centre,
+                    "live": name in live,
+                    "in_force_offset": item.in_force_offset,
+                }
+                for name, item in sorted(progress.items())
+            ],
+            "members": [calls.describe_member(member) for member in self._members],
+            "targets": [
+                calls.describe_view(view)
+                for view in self._targets.list_views(self._clock.monotonic())
+            ],
+        }
+
+    # Periodic work.
+
+    def _update_readiness(self) -> None:
+        LOG_REACHABLE.set(self._log_reachable)
+        if self._ready or self._log_reachable or not self._core.fold.is_complete:
+            return
+        if self._peers.has_highest_state(self._configuration.folded_offset):
+            self._set_ready("the log is unreachable; no peer has a newer configuration")
+
+    def _set_ready(self, reason: str) -> None:
+        if self._ready:
+            return
+        self._ready = True
+        READY.set(1)
+        self._snapshots.mark_changed()
+        log_event(_LOGGER, logging.INFO, Event.CONTROL_READY, f"ready: {reason}")
+
+    def _update_configuration(self) -> None:
+        live = sorted(
+            member.id
+            for member in self._members
+            if member.kind == MemberKind.entry and member.state == MemberState.live
+        )
+        own = self._settings.instance
+        rank = live.index(own) if own in live else len(live)
+        self._configuration.tick(rank, self._log_reachable)
+
+    def _update_peers(self) -> None:
+        peers = tuple(str(instance) for instance in self._core.membership.list_peers())
+        if peers != self._connected:
+            self._connected = peers
+            self._ports.send(ConnectPeers(peers))
+        if not self._peers.is_due():
+            return
+        data_centres = {peer.instance: peer.data_centre for peer in self._settings.peers}
+        recipients = [(name, data_centres.get(name, "")) for name in self._connected]
+        heartbeat = self._build_heartbeat()
+        # Its own heartbeat keeps the membership's time running while nothing else arrives.
+        self._core.membership.on_heartbeat(heartbeat, self._clock.monotonic())
+        self._peers.send_heartbeats(heartbeat, recipients)
+        self._peers.request_state(
+            self._configuration.provided_offset,
+            self._core.fold.orders.compute_digest(),
+            self._log_reachable,
+        )
+
+    def _build_heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            instance=self._settings.instance,
+            data_centre=self._settings.data_centre,
+            folded_offset=self._configuration.provided_offset,
+            in_force_offset=self._snapshots.in_force_offset,
+            ready=self._ready,
+            leaving=self._leaving,
+            orders_digest=self._core.fold.orders.compute_digest(),
+        )
+
+    def _update_targets(self) -> None:
+        self._ports.watch(tuple(self._core.membership.list_watched()))
+        notice = self._targets.take_notice(self._clock.monotonic())
+        if notice is None:
+            return
+        for instance in self._core.membership.list_data_centre():
+            if instance != self._settings.instance:
+                self._send_peer(str(instance), Envelope(target_notice=notice))
+
+    def _update_slots(self) -> None:
+        listed = self._core.membership.list_data_centre()
+        self._slots.tick(listed, self._list_target_states)
+
+    def _update_claims(self) -> None:
+        self._claims.tick(self._core.membership.count_live_instances())
+
+    def _update_snapshots(self) -> None:
+        self._snapshots.tick(self._build_snapshot)
+        if self._snapshots.in_force_offset != self._in_force_offset:
+            self._in_force_offset = self._snapshots.in_force_offset
+            self._history.write(
+                "in_force",
+                instance=self._settings.instance,
+                data_centre=self._settings.data_centre,
+                offset=self._in_force_offset,
+            )
+
+    def _build_snapshot(self) -> SnapshotUpdate:
+        snapshot = SnapshotUpdate(
+            folded_offset=self._configuration.folded_offset,
+            ready=self.is_ready(),
+            live_instances=self._core.membership.count_live_instances(),
+            max_instances=self._settings.max_instances,
+            orders=self._core.fold.orders.in_force.values(),
+            members=self._members,
+            targets=self._targets.list_views(self._clock.monotonic()),
+            quarantine=self._quarantine.list_entries(),
+        )
+        for name, state in self._core.fold.documents.items():
+            snapshot.services.add(service=name, revision=state.revision, document=state.document)
+        return snapshot
--- a/src/mulberryrill/internal/control/messages.py
+++ b/src/mulberryrill/internal/control/messages.py
@@ -24,6 +24,8 @@
 
     stream: str
     asked_at: float
+    # The oldest offset that the log keeps.
+    first: int
 
 
 @dataclass(frozen=True)
--- a/src/mulberryrill/internal/control/operators.py
+++ b/src/mulberryrill/internal/control/operators.py
@@ -12,10 +12,9 @@
 from ...errors import SettingsError
 from ..httpserver import create_problem
 from ..ids import Executed
-from ..platform.records import MAX_RECORD_BYTES
 from ..schema.log_pb2 import DataCentreState
 from ..schema.settings_pb2 import SiteOperator
-from ..settings.documents import check_document
+from ..settings.documents import MAX_DOCUMENT_BYTES, check_document
 from .messages import (
     Call,
     CallAnswer,
@@ -33,9 +32,8 @@
 
 # Longer than the main task takes to decide or to give up on reading back.
 CALL_TIMEOUT_S = 20.0
-# Leaves room for the other fields of the record.
-MAX_DOCUMENT_BYTES = MAX_RECORD_BYTES - 64 * 1024
-MAX_REASON_CHARACTERS = 1000
+# Four bytes each in UTF-8 at most; a change's fields have 600 bytes at most.
+MAX_REASON_CHARACTERS = 150
 _STATES = {
     "drain": DataCentreState.DRAINED,
     "drained": DataCentreState.DRAINED,
--- /dev/null
+++ b/src/mulberryrill/internal/control/peers.py
@@ -0,0 +1,225 @@
+"""What this instance knows of the other instances: heartbeats, progress, configuration state."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..schema.wire_pb2 import (
+    Envelope,
+    Heartbeat,
+    InstanceProgress,
+    StateReply,
+    StateRequest,
+)
+from .link import ToPeer
+
+HEARTBEAT_S = 1.0
+# An instance that was silent for this time is not asked and not waited for.
+SILENCE_S = 3.0
+# The data centre's progress is sent to others when it changed, but not more often than this.
+PROGRESS_INTERVAL_S = 2.0
+PROGRESS_REFRESH_S = 15.0
+# Progress older than this is not reported any more.
+PROGRESS_EXPIRY_S = 60.0
+# A log that answers, but leaves this instance behind its peers for this time, is not waited for.
+BEHIND_S = 2.0
+# A peer is asked for its state at most this often.
+STATE_REQUEST_S = 1.0
+# While the log cannot be read for this time, a new instance asks its peers instead.
+PEER_START_S = 3.0
+
+
+@dataclass(frozen=True)
+class Progress:
+    """How far an instance's gateways are, and the monotonic time to which this refers."""
+
+    data_centre: str
+    in_force_offset: int
+    at: float
+
+
+@dataclass
+class _Peer:
+    heartbeat: Heartbeat
+    heard_at: float
+    replied_at: float = 0.0
+
+
+class Peers:
+    """Heartbeats and state exchange; owned by the main task."""
+
+    def __init__(
+        self,
+        instance: str,
+        data_centre: str,
+        send: Callable[[ToPeer], None],
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._data_centre = data_centre
+        self._send = send
+        self._clock = clock
+        self._peers: dict[str, _Peer] = {}
+        self._progress: dict[str, Progress] = {}
+        self._asked_at: dict[str, float] = {}
+        self._replied: set[str] = set()
+        self._started_at = clock.monotonic()
+        self._behind_since: float | None = None
+        self._beat_at = 0.0
+        self._progress_sent_at = 0.0
+        self._progress_sent: dict[str, int] = {}
+
+    def on_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Adopts a heartbeat; tells whether the instance was silent or unknown before."""
+        now = self._clock.monotonic()
+        known = self._peers.get(heartbeat.instance)
+        is_new = known is None or now - known.heard_at >= SILENCE_S
+        replied_at = known.replied_at if known is not None else 0.0
+        self._peers[heartbeat.instance] = _Peer(heartbeat, now, replied_at)
+        self._set_progress(
+            heartbeat.instance, Progress(heartbeat.data_centre, heartbeat.in_force_offset, now)
+        )
+        for item in heartbeat.progress:
+            at = now - item.age_ms / 1000
+            self._set_progress(item.instance, Progress(item.data_centre, item.in_force_offset, at))
+        return is_new
+
+    def on_state_reply(self, instance: str) -> None:
+        """Notes that a peer has sent its state since this instance started."""
+        self._replied.add(instance)
+
+    def answer_heartbeat(self, instance: str, heartbeat: Heartbeat) -> None:
+        """Answers an instance that this one does not connect to, at most once per interval."""
+        now = self._clock.monotonic()
+        peer = self._peers[instance]
+        if now - peer.replied_at >= HEARTBEAT_S / 2:
+            peer.replied_at = now
+            self._send(ToPeer(instance, Envelope(heartbeat=heartbeat)))
+
+    def request_state(self, have_offset: int, orders_digest: int, log_reachable: bool) -> None:
+        """Asks peers that are ahead, or that have other orders, for their state.
+
+        ``have_offset`` is -1 while this instance lacks documents. While the log can be read, a
+        short lead only means that the peer has read first.
+        """
+        now = self._clock.monotonic()
+        heard = self._list_heard(now)
+        is_behind = any(peer.heartbeat.folded_offset > have_offset for _, peer in heard)
+        if not is_behind:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        waited = self._behind_since is not None and now - self._behind_since >= BEHIND_S
+        for instance, peer in heard:
+            ahead = peer.heartbeat.folded_offset > have_offset
+            unasked = not log_reachable and instance not in self._replied
+            if (
+                unasked
+                or have_offset < 0
+                or peer.heartbeat.orders_digest != orders_digest
+                or (ahead and (waited or not log_reachable))
+            ):
+                self._ask(instance, have_offset, now)
+
+    def request_all(self, have_offset: int) -> None:
+        """Asks every live peer: the log no longer has all records that this instance needs."""
+        now = self._clock.monotonic()
+        for instance, _ in self._list_heard(now):
+            self._ask(instance, have_offset, now)
+
+    def has_highest_state(self, folded_offset: int) -> bool:
+        """Tells whether no live peer can provide a newer state; needs a ready peer's reply."""
+        now = self._clock.monotonic()
+        if now - self._started_at < PEER_START_S:
+            return False
+        heard = self._list_heard(now)
+        ready = [instance for instance, peer in heard if peer.heartbeat.ready]
+        return (
+            bool(ready)
+            and all(instance in self._replied for instance in ready)
+            and all(peer.heartbeat.folded_offset <= folded_offset for _, peer in heard)
+        )
+
+    def is_due(self) -> bool:
+        """Tells whether the next heartbeat is due, and counts it as sent."""
+        now = self._clock.monotonic()
+        if now - self._beat_at < HEARTBEAT_S:
+            return False
+        self._beat_at = now
+        return True
+
+    def send_heartbeats(self, heartbeat: Heartbeat, recipients: Iterable[tuple[str, str]]) -> None:
+        """Sends a heartbeat to (instance, data centre) pairs, with progress to other centres."""
+        now = self._clock.monotonic()
+        self._set_progress(
+            self._instance, Progress(self._data_centre, heartbeat.in_force_offset, now)
+        )
+        summary = self._take_progress(now)
+        for instance, data_centre in recipients:
+            message = Heartbeat()
+            message.CopyFrom(heartbeat)
+            if data_centre != self._data_centre:
+                message.progress.extend(summary)
+            self._send(ToPeer(instance, Envelope(heartbeat=message)))
+
+    def list_progress(self) -> dict[str, Progress]:
+        """Returns the progress of every instance heard of lately, this one included."""
+        oldest = self._clock.monotonic() - PROGRESS_EXPIRY_S
+        self._progress = {name: p for name, p in self._progress.items() if p.at >= oldest}
+        return dict(self._progress)
+
+    def list_live(self) -> list[str]:
+        """Returns the instances whose heartbeats arrive."""
+        return sorted(name for name, _ in self._list_heard(self._clock.monotonic()))
+
+    def find_heartbeat(self, instance: str) -> Heartbeat | None:
+        """Returns the last heartbeat of an instance."""
+        peer = self._peers.get(instance)
+        return peer.heartbeat if peer is not None else None
+
+    def _ask(self, instance: str, have_offset: int, now: float) -> None:
+        if now - self._asked_at.get(instance, -STATE_REQUEST_S) < STATE_REQUEST_S:
+            return
+        self._asked_at[instance] = now
+        request = StateRequest(have_offset=have_offset)
+        self._send(ToPeer(instance, Envelope(state_request=request)))
+
+    def _list_heard(self, now: float) -> list[tuple[str, _Peer]]:
+        return [
+            (name, peer) for name, peer in self._peers.items() if now - peer.heard_at < SILENCE_S
+        ]
+
+    def _set_progress(self, instance: str, progress: Progress) -> None:
+        known = self._progress.get(instance)
+        if known is None or progress.at >= known.at:
+            self._progress[instance] = progress
+
+    def _take_progress(self, now: float) -> list[InstanceProgress]:
+        current = {
+            name: progress.in_force_offset
+            for name, progress in self._progress.items()
+            if progress.data_centre == self._data_centre and now - progress.at < PROGRESS_EXPIRY_S
+        }
+        age = now - self._progress_sent_at
+        changed = current != self._progress_sent and age >= PROGRESS_INTERVAL_S
+        if not changed and age < PROGRESS_REFRESH_S:
+            return []
+        self._progress_sent, self._progress_sent_at = current, now
+        return [
+            InstanceProgress(
+                instance=name,
+                data_centre=self._data_centre,
+                in_force_offset=offset,
+                age_ms=int((now - self._progress[name].at) * 1000),
+            )
+            for name, offset in current.items()
+        ]
+
+
+def trim_state(state: StateReply, have_offset: int) -> StateReply:
+    """Leaves out documents if the asking peer already has them; orders are always sent."""
+    if have_offset < state.folded_offset:
+        return state
+    return StateReply(
+        folded_offset=state.folded_offset, orders=state.orders, quarantine=state.quarantine
+    )
--- /dev/null
+++ b/src/mulberryrill/internal/control/quarantine.py
@@ -0,0 +1,78 @@
+"""Spreads quarantine entries to peers, the log and the gateways."""
+
+import logging
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..core.quarantine import Quarantine
+from ..events import Event
+from ..ids import TargetId
+from ..logs import log_event
+from ..schema.log_pb2 import LogBatch, LogEntry, QuarantineEntry
+from ..schema.wire_pb2 import CrashReport
+from .documents import STREAM
+from .messages import AppendRequest
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class QuarantineRecords:
+    """Owned by the main task. ``notify`` sends a new entry to the peers."""
+
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        append: Callable[[AppendRequest], None],
+        notify: Callable[[QuarantineEntry], None],
+        clock: Clock,
+    ) -> None:
+        self._quarantine = quarantine
+        self._append = append
+        self._notify = notify
+        self._clock = clock
+        # Crashes and expiry that have been passed on, by fingerprint.
+        self._known: dict[str, tuple[int, int]] = {}
+
+    def on_crash(self, report: CrashReport) -> bool:
+        """Counts a crash; tells whether the fingerprint's entry has changed."""
+        entry = self._quarantine.record_crash(
+            report.fingerprint, TargetId(report.target), self._read_wall_ms()
+        )
+        if entry is None or not self.adopt(entry):
+            return False
+        batch = LogBatch(entries=[LogEntry(quarantine=entry)])
+        self._append(AppendRequest(STREAM, f"qua-{entry.fingerprint}", batch, persistent=True))
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.QUARANTINE_ADDED,
+            f"request fingerprint followed by {entry.crashes} crashes",
+            fingerprint=entry.fingerprint,
+            target=report.target,
+        )
+        return True
+
+    def adopt(self, entry: QuarantineEntry) -> bool:
+        """Adopts an entry of the log or a peer and passes it on if it is new."""
+        crashes, expires_ms = self._known.get(entry.fingerprint, (0, 0))
+        if entry.expires_unix_ms <= self._read_wall_ms():
+            return False
+        if entry.crashes <= crashes and entry.expires_unix_ms <= expires_ms:
+            return False
+        self._quarantine.adopt(entry)
+        self._known[entry.fingerprint] = (
+            max(crashes, entry.crashes),
+            max(expires_ms, entry.expires_unix_ms),
+        )
+        self._notify(entry)
+        return True
+
+    def list_entries(self) -> list[QuarantineEntry]:
+        """Returns the entries that have not expired."""
+        entries = self._quarantine.list_entries(self._read_wall_ms())
+        kept = {entry.fingerprint for entry in entries}
+        self._known = {f: known for f, known in self._known.items() if f in kept}
+        return entries
+
+    def _read_wall_ms(self) -> int:
+        return int(self._clock.wall() * 1000)
--- /dev/null
+++ b/src/mulberryrill/internal/control/slots.py
@@ -0,0 +1,114 @@
+"""Runs the slot protocol of the data centre: promises, reports and grants between instances."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from ..clock import Clock
+from ..core.messages import TargetState
+from ..core.slots import SlotClient, SlotHolder
+from ..ids import InstanceId, TargetId
+from ..schema.wire_pb2 import (
+    Envelope,
+    GatewayReport,
+    SlotGrant,
+    SlotPromise,
+    SlotPromiseRequest,
+    SlotReport,
+)
+from .link import ToGateway, ToPeer
+
+# Grants last 2 s; a lost report or grant must not let them run out.
+REPORT_S = 0.5
+# Waiting requests and failures are reported at once, but not more often than this.
+URGENT_REPORT_S = 0.1
+
+
+class Slots:
+    """Owned by the main task; messages to this instance itself take no network."""
+
+    def __init__(
+        self,
+        instance: str,
+        client: SlotClient,
+        holder: SlotHolder,
+        send: Callable[[ToPeer | ToGateway], None],
+        clock: Clock,
+    ) -> None:
+        self._instance = instance
+        self._client = client
+        self._holder = holder
+        self._send = send
+        self._clock = clock
+        self._identities: dict[str, str] = {}
+        self._reported_at = 0.0
+        self._is_urgent = False
+        # The instance that this one has last promised to, and reports to.
+        self.holder = ""
+
+    def on_gateway_report(self, identity: str, report: GatewayReport) -> None:
+        """Takes a gateway's report; ``identity`` is its connection."""
+        self._identities[report.gateway] = identity
+        self._client.on_gateway_report(report, self._clock.monotonic())
+        if any(use.demand or use.failures for use in report.uses):
+            self._is_urgent = True
+
+    def on_promise_request(self, request: SlotPromiseRequest) -> None:
+        """Answers an instance that wants to be holder."""
+        promise = self._client.on_promise_request(request, self._clock.monotonic())
+        if not promise.refused:
+            self.holder = request.holder
+        if request.holder == self._instance:
+            self._holder.on_promise(promise, self._clock.monotonic())
+        else:
+            self._send(ToPeer(request.holder, Envelope(slot_promise=promise)))
+
+    def on_promise(self, promise: SlotPromise) -> None:
+        """Takes another instance's answer."""
+        self._holder.on_promise(promise, self._clock.monotonic())
+
+    def on_report(self, report: SlotReport, targets: Mapping[TargetId, TargetState]) -> None:
+        """Answers a report if this instance is the holder."""
+        grant = self._holder.on_report(report, targets, self._clock.monotonic())
+        if grant is None:
+            return
+        if report.instance == self._instance:
+            self.on_grant(grant)
+        else:
+            self._send(ToPeer(report.instance, Envelope(slot_grant=grant)))
+
+    def on_grant(self, grant: SlotGrant) -> None:
+        """Takes a grant and passes the gateways their parts."""
+        now = self._clock.monotonic()
+        self._client.on_grant(grant, now)
+        for update in self._client.list_gateway_grants(now):
+            identity = self._identities.get(update.gateway)
+            if identity is not None:
+                self._send(ToGateway(identity, Envelope(grant_update=update)))
+
+    def tick(
+        self,
+        listed: Sequence[InstanceId],
+        list_targets: Callable[[], Mapping[TargetId, TargetState]],
+    ) -> None:
+        """Asks for promises and reports when due."""
+        now = self._clock.monotonic()
+        for recipient, request in self._holder.tick(listed, now):
+            if recipient == self._instance:
+                self.on_promise_request(request)
+            else:
+                self._send(ToPeer(recipient, Envelope(slot_promise_request=request)))
+        age = now - self._reported_at
+        if age >= REPORT_S or (self._is_urgent and age >= URGENT_REPORT_S):
+            self._reported_at = now
+            self._is_urgent = False
+            self._report(now, list_targets)
+
+    def _report(
+        self, now: float, list_targets: Callable[[], Mapping[TargetId, TargetState]]
+    ) -> None:
+        if not self.holder:
+            return
+        report = self._client.build_report(now)
+        if self.holder == self._instance:
+            self.on_report(report, list_targets())
+        else:
+            self._send(ToPeer(self.holder, Envelope(slot_report=report)))
--- /dev/null
+++ b/src/mulberryrill/internal/control/snapshots.py
@@ -0,0 +1,131 @@
+"""Builds versioned snapshots for this instance's gateways and tracks what they have in force."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..schema.wire_pb2 import Envelope, SnapshotUpdate
+from .link import ToGateway
+from .metrics import IN_FORCE_OFFSET, SNAPSHOTS
+
+# Load figures of targets alone are sent this often, other changes at once.
+LOAD_INTERVAL_S = 0.5
+MIN_INTERVAL_S = 0.05
+# An unacknowledged snapshot is sent again after this time.
+RESEND_S = 2.0
+# A gateway that was silent for this time may be a new process under the same name.
+SILENCE_S = 2.0
+# A gateway that was silent for this time is no longer waited for.
+FORGET_S = 10.0
+KEPT_VERSIONS = 1000
+
+
+@dataclass
+class _Gateway:
+    """What is known of one gateway connection."""
+
+    heard_at: float
+    sequence: int = 0
+    sent_version: int = 0
+    sent_at: float = 0.0
+    # -1: no snapshot acknowledged yet.
+    acked_offset: int = -1
+    acked_version: int = 0
+
+
+class Snapshots:
+    """Sends snapshots and folds acknowledgements; owned by the main task."""
+
+    def __init__(self, epoch: str, send: Callable[[ToGateway], None], clock: Clock) -> None:
+        self._epoch = epoch
+        self._send = send
+        self._clock = clock
+        # Versions of two runs never coincide, so that a late acknowledgement of the previous run
+        # is not taken for one of this run.
+        self._version = int(clock.wall() * 1000)
+        self._offsets: dict[int, int] = {}
+        self._gateways: dict[str, _Gateway] = {}
+        self._current: SnapshotUpdate | None = None
+        self._published_at = 0.0
+        self._changed = True
+        self._load_changed = False
+        self.in_force_offset = 0
+
+    def mark_changed(self) -> None:
+        """Asks for a new snapshot soon."""
+        self._changed = True
+
+    def mark_load_changed(self) -> None:
+        """Asks for a new snapshot within the load interval."""
+        self._load_changed = True
+
+    def list_gateways(self) -> list[str]:
+        """Returns the identities of connected gateways."""
+        return sorted(self._gateways)
+
+    def on_message(self, identity: str, sequence: int) -> None:
+        """Notes a sign of life; sends the current snapshot to a new gateway process."""
+        now = self._clock.monotonic()
+        gateway = self._gateways.get(identity)
+        if gateway is None or sequence < gateway.sequence or now - gateway.heard_at >= SILENCE_S:
+            gateway = self._gateways[identity] = _Gateway(now)
+            self._send_current(identity, gateway)
+        gateway.heard_at = now
+        gateway.sequence = sequence
+
+    def on_ack(self, identity: str, version: int) -> None:
+        """Notes that a gateway has a snapshot of this run in force."""
+        gateway = self._gateways.get(identity)
+        offset = self._offsets.get(version)
+        if gateway is None or offset is None:
+            return
+        gateway.acked_offset = max(gateway.acked_offset, offset)
+        gateway.acked_version = max(gateway.acked_version, version)
+        self._update_in_force()
+
+    def tick(self, build: Callable[[], SnapshotUpdate]) -> None:
+        """Publishes a new snapshot if one is due and repeats lost ones."""
+        now = self._clock.monotonic()
+        self._forget_silent(now)
+        age = now - self._published_at
+        due = self._changed and age >= MIN_INTERVAL_S
+        if due or (self._load_changed and age >= LOAD_INTERVAL_S):
+            self._publish(build(), now)
+            return
+        for identity, gateway in self._gateways.items():
+            if gateway.acked_version < gateway.sent_version and now - gateway.sent_at >= RESEND_S:
+                self._send_current(identity, gateway)
+
+    def _publish(self, snapshot: SnapshotUpdate, now: float) -> None:
+        self._changed = self._load_changed = False
+        self._published_at = now
+        self._version += 1
+        snapshot.epoch = self._epoch
+        snapshot.version = self._version
+        self._current = snapshot
+        self._offsets[self._version] = snapshot.folded_offset
+        if len(self._offsets) > KEPT_VERSIONS:
+            del self._offsets[min(self._offsets)]
+        for identity, gateway in self._gateways.items():
+            self._send_current(identity, gateway)
+
+    def _send_current(self, identity: str, gateway: _Gateway) -> None:
+        if self._current is None:
+            return
+        gateway.sent_version = self._current.version
+        gateway.sent_at = self._clock.monotonic()
+        SNAPSHOTS.inc()
+        self._send(ToGateway(identity, Envelope(snapshot_update=self._current)))
+
+    def _forget_silent(self, now: float) -> None:
+        for identity, gateway in list(self._gateways.items()):
+            if now - gateway.heard_at >= FORGET_S:
+                del self._gateways[identity]
+                self._update_in_force()
+
+    def _update_in_force(self) -> None:
+        """Without a gateway the last value stays: nothing newer is in force anywhere here."""
+        if self._gateways:
+            lowest = min(gateway.acked_offset for gateway in self._gateways.values())
+            self.in_force_offset = max(lowest, 0)
+            IN_FORCE_OFFSET.set(self.in_force_offset)
--- /dev/null
+++ b/src/mulberryrill/internal/control/targets.py
@@ -0,0 +1,143 @@
+"""State of the data centre's targets, merged from own polls and the notices of other watchers."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..core.messages import MemberState as CoreState
+from ..core.messages import TargetState
+from ..ids import DataCentre, Incarnation, PoolName, TargetId
+from ..schema.wire_pb2 import Health, Member, MemberState, TargetNotice, TargetView
+
+# A view without news for this time is dropped.
+VIEW_EXPIRY_S = 15.0
+# Views of an instance that was silent for this time count only if there is no other.
+WATCHER_SILENCE_S = 3.0
+# Unchanged views are repeated this often, in case a notice was lost.
+REFRESH_S = 5.0
+# Changed load figures are sent this often; other changes at once.
+LOAD_INTERVAL_S = 1.0
+
+
+@dataclass
+class _Sighting:
+    view: TargetView
+    seen_at: float
+    notified: TargetView | None = None
+    notified_at: float = 0.0
+
+
+def has_same_service(first: TargetView, second: TargetView) -> bool:
+    """Tells whether two views differ in load figures at most."""
+    return (
+        first.incarnation == second.incarnation
+        and first.health == second.health
+        and first.max_concurrency == second.max_concurrency
+        and list(first.models) == list(second.models)
+    )
+
+
+class Targets:
+    """Views by target and watcher; owned by the main task. All times are monotonic seconds."""
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._sightings: dict[str, dict[str, _Sighting]] = {}
+        self._heard: dict[str, float] = {}
+
+    def on_sign_of_life(self, watcher: str, now: float) -> None:
+        """Notes that another instance, which may be a watcher, is alive."""
+        self._heard[watcher] = now
+
+    def on_views(self, watcher: str, views: Sequence[TargetView], now: float) -> tuple[bool, bool]:
+        """Adopts views; tells whether service and whether only load has changed."""
+        service = load = False
+        self._heard[watcher] = now
+        for view in views:
+            before = self.find_view(view.target, now)
+            by_watcher = self._sightings.setdefault(view.target, {})
+            sighting = by_watcher.get(watcher)
+            if sighting is None:
+                by_watcher[watcher] = _Sighting(view, now)
+            else:
+                sighting.view, sighting.seen_at = view, now
+            after = self.find_view(view.target, now)
+            assert after is not None
+            if before is None or not has_same_service(before, after):
+                service = True
+            elif before != after:
+                load = True
+        return service, load
+
+    def find_view(self, target: str, now: float) -> TargetView | None:
+        """Returns the newest view; one watcher that reaches a target outweighs those that do not.
+
+        A path between one watcher and the target may be broken while the others work.
+        """
+        fresh = [
+            (now - self._heard[watcher] < WATCHER_SILENCE_S, sighting)
+            for watcher, sighting in self._sightings.get(target, {}).items()
+            if now - sighting.seen_at < VIEW_EXPIRY_S
+        ]
+        if not fresh:
+            return None
+
+        def rank(item: tuple[bool, _Sighting]) -> tuple[bool, bool, float]:
+            is_alive, sighting = item
+            return is_alive, sighting.view.health == Health.HEALTHY, sighting.seen_at
+
+        return max(fresh, key=rank)[1].view
+
+    def list_views(self, now: float) -> list[TargetView]:
+        """Returns one view for each target with fresh news; expired ones are dropped."""
+        views = []
+        for target in list(self._sightings):
+            view = self.find_view(target, now)
+            if view is None:
+                del self._sightings[target]
+            else:
+                views.append(view)
+        return views
+
+    def take_notice(self, now: float, everything: bool = False) -> TargetNotice | None:
+        """Returns what other instances should learn from this instance's own polls."""
+        notice = TargetNotice(instance=self._instance)
+        for by_watcher in self._sightings.values():
+            own = by_watcher.get(self._instance)
+            if own is not None and (everything or _is_due(own, now)):
+                own.notified, own.notified_at = own.view, now
+                notice.targets.append(own.view)
+        return notice if notice.targets else None
+
+    def list_states(self, members: Sequence[Member], now: float) -> dict[TargetId, TargetState]:
+        """Returns the core's form of those of the listed targets that have been seen."""
+        states = {}
+        for member in members:
+            view = self.find_view(member.id, now)
+            if view is not None:
+                states[TargetId(member.id)] = build_state(member, view)
+        return states
+
+
+def build_state(member: Member, view: TargetView) -> TargetState:
+    """Merges a listed target with its view."""
+    leaving = member.state == MemberState.leaving
+    return TargetState(
+        target=TargetId(member.id),
+        data_centre=DataCentre(member.data_centre),
+        pool=PoolName(member.pool),
+        address=member.address,
+        state=CoreState.LEAVING if leaving else CoreState.LIVE,
+        incarnation=Incarnation(view.incarnation),
+        healthy=view.health == Health.HEALTHY,
+        running=view.running,
+        waiting=view.waiting,
+        max_concurrency=view.max_concurrency,
+        models=frozenset((model.name, model.version) for model in view.models),
+    )
+
+
+def _is_due(sighting: _Sighting, now: float) -> bool:
+    if sighting.notified is None or not has_same_service(sighting.notified, sighting.view):
+        return True
+    age = now - sighting.notified_at
+    return age >= REFRESH_S or (sighting.notified != sighting.view and age >= LOAD_INTERVAL_S)
--- /dev/null
+++ b/src/mulberryrill/internal/control/traces.py
@@ -0,0 +1,33 @@
+"""The last request traces of this instance's gateways, in memory only."""
+
+from collections import OrderedDict
+
+from google.protobuf.json_format import MessageToDict
+
+from ..schema.wire_pb2 import RequestTrace
+
+MAX_TRACES = 10_000
+
+
+class Traces:
+    """A bounded map from request id to trace; the oldest are dropped first."""
+
+    def __init__(self, limit: int = MAX_TRACES) -> None:
+        self._limit = limit
+        self._traces: OrderedDict[str, RequestTrace] = OrderedDict()
+
+    def add(self, trace: RequestTrace) -> None:
+        """Keeps a trace; a newer one of the same request replaces it."""
+        self._traces.pop(trace.request_id, None)
+        self._traces[trace.request_id] = trace
+        if len(self._traces) > self._limit:
+            self._traces.popitem(last=False)
+
+    def describe(self, request_id: str) -> dict[str, object] | None:
+        """Returns a trace as JSON members; None if it is not kept."""
+        trace = self._traces.get(request_id)
+        if trace is None:
+            return None
+        return MessageToDict(
+            trace, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
+        )
--- a/src/mulberryrill/internal/control/writer.py
+++ b/src/mulberryrill/internal/control/writer.py
@@ -7,10 +7,10 @@
 
 from ...errors import AppendInDoubtError, PlatformError
 from ..clock import Clock
+from ..core.records import seal_batch
 from ..events import Event
 from ..logs import log_event
 from ..platform.logclient import LogClient
-from ..platform.records import seal_batch
 from .messages import AppendRequest, AppendResult, Inbox
 from .metrics import APPENDS
 from .task import Task
@@ -45,6 +45,10 @@
         """Asks for an append; may be called on any thread."""
         self._requests.put(request)
 
+    def count_waiting(self) -> int:
+        """Returns the number of requests without a result; may be called on any thread."""
+        return self._requests.qsize() + len(self._waiting)
+
     def wake(self) -> None:
         """Ends the wait for a request."""
         self._requests.put(None)
--- a/src/mulberryrill/internal/platform/logclient.py
+++ b/src/mulberryrill/internal/platform/logclient.py
@@ -12,12 +12,13 @@
     PlatformError,
 )
 from ..core.messages import Record
+from ..core.records import MAX_RECORD_BYTES
 from ..httpclient import HttpClient, HttpResponse
 from ..ids import Offset
 
 APPEND_TIMEOUT_S = 5.0
 # Added to the long poll's wait, so that only a silent server runs into the timeout.
-READ_MARGIN_S = 5.0
+READ_MARGIN_S = 3.0
 _FIRST_CLIENT_ERROR = 400
 _FIRST_SERVER_ERROR = 500
 _GONE = 410
@@ -25,7 +26,7 @@
 
 @dataclass(frozen=True)
 class LogPage:
-    """Records in offset order. ``first`` is the oldest offset kept, ``next`` follows the last."""
+    """Records in offset order; ``first`` is the oldest offset kept, ``next`` that of an append."""
 
     first: Offset
     next: Offset
@@ -48,6 +49,10 @@
 
         Raises AppendInDoubtError if the record may be in the log, PlatformError if it is not.
         """
+        if len(data) > MAX_RECORD_BYTES:
+            raise PlatformError(
+                f"a record of {len(data)} bytes exceeds the log's limit of {MAX_RECORD_BYTES}"
+            )
         headers = {"Content-Type": "application/octet-stream"}
         try:
             answer = self._http.send(
@@ -60,7 +65,7 @@
         if _FIRST_CLIENT_ERROR <= answer.status < _FIRST_SERVER_ERROR:
             raise PlatformError(f"append refused with status {answer.status}")
         try:
-            return Offset(int(_parse_object(answer)["offset"]))
+            return Offset(int(str(_parse_object(answer)["offset"])))
         except (PlatformError, KeyError, TypeError, ValueError) as error:
             raise AppendInDoubtError(
                 f"append with unusable answer, status {answer.status}"
--- a/src/mulberryrill/internal/program.py
+++ b/src/mulberryrill/internal/program.py
@@ -53,12 +53,13 @@
             return EXIT_SETTINGS_INVALID
         try:
             settings = load_settings(_SETTINGS.value, settings_type)
+            level = getattr(settings, "log_level", "") or "info"
+            configure_logging(level, name, list_secrets(settings))
+            program = build(settings)
         except SettingsError as error:
             print(f"{name}: {error}", file=sys.stderr)
             return EXIT_SETTINGS_INVALID
-        level = getattr(settings, "log_level", "") or "info"
-        configure_logging(level, name, list_secrets(settings))
-        return _serve(name, build(settings))
+        return _serve(name, program)
 
     app.run(main)
 
--- /dev/null
+++ b/tests/common/control.py
@@ -0,0 +1,176 @@
+"""A control program in this process with a platform stand-in, and a gateway's side of its link."""
+
+import json
+import time
+import unittest
+from collections.abc import Callable
+from hashlib import sha256
+
+import zmq
+
+from mulberryrill.internal.control.program import ControlProgram
+from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.schema.settings_pb2 import (
+    ControlSettings,
+    KeyPair,
+    Listen,
+    PeerSettings,
+    PlatformSettings,
+    SiteOperator,
+)
+from mulberryrill.internal.schema.wire_pb2 import Envelope, GatewayReport, SnapshotAck
+from mulberryrill.internal.standins.platform import PlatformStandin
+from mulberryrill.internal.transport import decode_envelope, encode_envelope, open_client
+
+WAIT_S = 20.0
+TOKENS = {"asha": "token-asha", "baraka": "token-baraka"}
+DOCUMENT = """service: {service}
+owners: [asha]
+kind: model
+pool: language
+models: [{{name: flavour-7b, version: "3"}}]
+customers:
+  - {{name: kariakoo, token_sha256: ["{digest}"], requests_per_second: 20, concurrent: 16, weight: 1}}
+priority: interactive
+deadline_ms: {deadline_ms}
+"""
+
+
+def create_document(service: str = "flavour-questions", deadline_ms: int = 5000) -> str:
+    digest = sha256(b"customer").hexdigest()
+    return DOCUMENT.format(service=service, digest=digest, deadline_ms=deadline_ms)
+
+
+def create_keys() -> KeyPair:
+    public, secret = zmq.curve_keypair()
+    return KeyPair(public_key=public.decode(), secret_key=secret.decode())
+
+
+def wait_for(condition: Callable[[], bool], what: str) -> None:
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() >= deadline:
+            raise AssertionError(f"not seen within {WAIT_S} s: {what}")
+        time.sleep(0.02)
+
+
+class Gateway:
+    """Speaks for a gateway: acknowledges snapshots and keeps what it receives."""
+
+    def __init__(self, context: zmq.Context, settings: ControlSettings, endpoint: str) -> None:
+        self.name = "gateway-0"
+        self._instance = settings.instance
+        self.snapshots: list = []
+        self.others: list[Envelope] = []
+        self._sequence = 0
+        self.acknowledges = True
+        self._socket = open_client(
+            context, endpoint, settings.keys.public_key, settings.keys, self.name
+        )
+
+    def send(self, **body) -> None:  # type: ignore[no-untyped-def]
+        self._sequence += 1
+        sender = f"{self._instance}/{self.name}"
+        self._socket.send(encode_envelope(Envelope(sender=sender, sequence=self._sequence, **body)))
+
+    def exchange(self) -> None:
+        """Reports once and takes what has arrived."""
+        report = GatewayReport(gateway=self.name, sent_at=time.monotonic())
+        self.send(gateway_report=report)
+        while self._socket.poll(50):
+            envelope = decode_envelope(self._socket.recv())
+            if envelope.WhichOneof("body") != "snapshot_update":
+                self.others.append(envelope)
+                continue
+            self.snapshots.append(envelope.snapshot_update)
+            if self.acknowledges:
+                version = envelope.snapshot_update.version
+                self.send(snapshot_ack=SnapshotAck(gateway=self.name, version=version))
+
+    def wait_for(self, condition: Callable[[], bool], what: str) -> None:
+        def step() -> bool:
+            self.exchange()
+            return condition()
+
+        wait_for(step, what)
+
+
+class ControlTestCase(unittest.TestCase):
+    """Starts a platform; ``start_control`` starts control programs that know each other."""
+
+    def setUp(self) -> None:
+        self.platform = PlatformStandin(PlatformSettings(listen=Listen(host="127.0.0.1")))
+        self.platform.start()
+        self.addCleanup(self.platform.close)
+        self.platform_url = f"http://127.0.0.1:{self.platform.port}"
+        self.client = HttpClient()
+        self.addCleanup(self.client.close)
+        self.context = zmq.Context()
+        self.addCleanup(self.context.destroy, 0)
+
+    def create_settings(self, instance: str = "k-1", data_centre: str = "k") -> ControlSettings:
+        local = Listen(host="127.0.0.1", port=0)
+        return ControlSettings(
+            instance=instance,
+            data_centre=data_centre,
+            peer_endpoint="tcp://127.0.0.1:*",
+            gateway_endpoint="tcp://127.0.0.1:*",
+            operators=local,
+            admin=local,
+            keys=create_keys(),
+            log_url=self.platform_url,
+            list_url=self.platform_url,
+            gateway_url=f"http://127.0.0.1/{instance}",
+            max_instances=2,
+            list_lag_ms=100,
+            site_operators=[
+                SiteOperator(name=name, token_sha256=[sha256(token.encode()).hexdigest()])
+                for name, token in TOKENS.items()
+            ],
+        )
+
+    def start_control(self, settings: ControlSettings) -> ControlProgram:
+        program = ControlProgram(settings)
+        program.start()
+        self.addCleanup(program.close)
+        return program
+
+    def connect_gateway(self, program: ControlProgram, settings: ControlSettings) -> Gateway:
+        return Gateway(self.context, settings, program.link.gateway_endpoint)
+
+    def call(
+        self,
+        program: ControlProgram,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        operator: str = "asha",
+    ) -> HttpResponse:
+        headers = {"Authorization": f"Bearer {TOKENS.get(operator, operator)}"}
+        url = f"http://127.0.0.1:{program.ports[0]}{path}"
+        return self.client.send(method, url, body, headers, timeout_s=30)
+
+    def put_document(
+        self, program: ControlProgram, base: int, deadline_ms: int = 5000, operator: str = "asha"
+    ) -> HttpResponse:
+        path = f"/v1/documents/flavour-questions?base_revision={base}&reason=test"
+        body = create_document(deadline_ms=deadline_ms).encode()
+        return self.call(program, "PUT", path, body, operator)
+
+    def set_faults(self, **faults: object) -> None:
+        body = json.dumps(faults).encode()
+        # The stand-in takes faults by PUT or POST alike.
+        self.client.send("POST", f"{self.platform_url}/v1/faults", body)
+
+    def wait_ready(self, program: ControlProgram) -> None:
+        url = f"http://127.0.0.1:{program.ports[1]}/readyz"
+        wait_for(lambda: self.client.send("GET", url).status == 200, "readiness")
+
+
+def create_peer(settings: ControlSettings, endpoint: str) -> PeerSettings:
+    return PeerSettings(
+        instance=settings.instance,
+        data_centre=settings.data_centre,
+        endpoint=endpoint,
+        public_key=settings.keys.public_key,
+    )
