--- a/src/mulberryrill/internal/control/calls.py
+++ b/src/mulberryrill/internal/control/calls.py
@@ -1,17 +1,21 @@
 """Answers operators' read calls from the main task's state."""
 
 from collections.abc import Iterable, Mapping
+from typing import Any
 
-from google.protobuf.json_format import MessageToDict
+from google.protobuf.message import Message
 
 from ..clock import Clock
 from ..ids import ServiceName
-from ..schema.log_pb2 import AuditEntry, DataCentreOrder, DataCentreState
-from ..schema.wire_pb2 import Health, Member, MemberKind, MemberState, TargetView
+from ..schema.log_pb2 import AuditEntry
+from ..schema.wire_pb2 import Member, MemberKind
 from .documents import Configuration
 from .messages import CallAnswer
 from .peers import Progress
 
+# An instance that left the list is waited for this long after its last news.
+UNLISTED_EXPIRY_S = 10.0
+
 
 def show_document(configuration: Configuration, service: str) -> CallAnswer:
     """Returns the document in force, as its author wrote it."""
@@ -47,10 +51,15 @@
 ) -> CallAnswer:
     """Returns for each instance whether its gateways have the revision in force.
 
-    Listed instances without news count as not in force.
+    Listed instances without news count as not in force. An instance that is not listed counts
+    while there is news of it, because it may be serving.
     """
     now = clock.monotonic()
-    data_centres = {name: item.data_centre for name, item in progress.items()}
+    data_centres = {
+        name: item.data_centre
+        for name, item in progress.items()
+        if now - item.at < UNLISTED_EXPIRY_S
+    }
     for member in listed:
         if member.kind == MemberKind.entry:
             data_centres.setdefault(member.id, member.data_centre)
@@ -82,53 +91,31 @@
     )
 
 
-def describe_order(order: DataCentreOrder) -> dict[str, object]:
-    """Returns an order as JSON members."""
-    return {
-        "order_id": order.order_id,
-        "data_centre": order.data_centre,
-        "epoch": order.epoch,
-        "state": DataCentreState.Name(order.state).lower(),
-        "author": order.author,
-        "reason": order.reason,
-        "submitted_unix_ms": order.submitted_unix_ms,
-    }
-
+def describe(message: Message) -> dict[str, object]:
+    """Returns a message's fields as JSON members: enumerations by name, integers as numbers.
 
-def describe_member(member: Member) -> dict[str, object]:
-    """Returns a listed member as JSON members."""
+    The library's own JSON form writes 64-bit integers as text, which operators do not expect.
+    """
     return {
-        "id": member.id,
-        "kind": MemberKind.Name(member.kind),
-        "data_centre": member.data_centre,
-        "address": member.address,
-        "pool": member.pool,
-        "state": MemberState.Name(member.state),
+        field.name: (
+            [_describe_value(field, item) for item in getattr(message, field.name)]
+            if field.is_repeated
+            else _describe_value(field, getattr(message, field.name))
+        )
+        for field in message.DESCRIPTOR.fields
     }
 
 
-def describe_view(view: TargetView) -> dict[str, object]:
-    """Returns a target's view as JSON members."""
-    return {
-        "target": view.target,
-        "health": Health.Name(view.health).lower(),
-        "incarnation": view.incarnation,
-        "running": view.running,
-        "waiting": view.waiting,
-        "max_concurrency": view.max_concurrency,
-        "models": [{"name": model.name, "version": model.version} for model in view.models],
-    }
+def _describe_value(field: Any, value: Any) -> object:
+    if isinstance(value, Message):
+        return describe(value)
+    if field.enum_type is not None:
+        return field.enum_type.values_by_number[value].name.lower()
+    return value.hex() if isinstance(value, bytes) else value
 
 
 def _describe_audit(entry: AuditEntry) -> dict[str, object]:
-    members = MessageToDict(
-        entry, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
-    )
-    # JSON's form of 64-bit integers in Protocol Buffers is text; operators expect numbers.
-    for name in ("offset", "base_revision", "submitted_unix_ms", "recorded_unix_ms"):
-        members[name] = int(members[name])
-    members["revision"] = entry.offset if entry.accepted else 0
-    return members
+    return {**describe(entry), "revision": entry.offset if entry.accepted else 0}
 
 
 def _refuse_unknown(service: str) -> CallAnswer:
--- a/src/mulberryrill/internal/control/follower.py
+++ b/src/mulberryrill/internal/control/follower.py
@@ -18,6 +18,9 @@
 # Short enough that a stalled connection is noticed and that closing does not take long.
 LONG_POLL_S = 2.0
 RETRY_PAUSE_S = 0.25
+# Pages that the main task has not handled yet use memory.
+MAX_INBOX = 200
+BACKPRESSURE_PAUSE_S = 0.01
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -39,7 +42,10 @@
         self._reachable = True
 
     def step(self) -> None:
-        """Reads one page."""
+        """Reads one page, unless the main task has much to do already."""
+        if self._inbox.qsize() > MAX_INBOX:
+            self._stop.wait(BACKPRESSURE_PAUSE_S)
+            return
         asked_at = self._clock.monotonic()
         wait_s = LONG_POLL_S if self._at_end else 0.0
         try:
--- a/src/mulberryrill/internal/control/link.py
+++ b/src/mulberryrill/internal/control/link.py
@@ -28,6 +28,8 @@
 POLL_MS = 500
 # Messages taken from one socket before the others get their turn.
 BURST_MESSAGES = 100
+MAX_INBOX = 10_000
+BACKPRESSURE_PAUSE_S = 0.01
 _LOGGER = logging.getLogger(__name__)
 
 # What an instance's gateways may send, and what its peers may.
@@ -181,6 +183,10 @@
         if self._wake_fd in ready:
             os.eventfd_read(self._wake_fd)
         self._send_queued()
+        if self._inbox.qsize() > MAX_INBOX:
+            # Senders are slowed down by full sockets instead of growing our memory.
+            self._stop.wait(BACKPRESSURE_PAUSE_S)
+            return
         if self._gateways in ready:
             self._drain(self._gateways, self._receive_from_gateway)
         if self._peers in ready:
--- a/src/mulberryrill/internal/control/lister.py
+++ b/src/mulberryrill/internal/control/lister.py
@@ -34,7 +34,7 @@
             self._note_failure(error)
         else:
             self._note_success()
-            self._inbox.put(MembersListed(tuple(members)))
+            self._inbox.put(MembersListed(members))
         self._stop.wait(POLL_S)
 
     def release(self) -> None:
--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -14,7 +14,7 @@
 from ..core.slots import SlotClient, SlotHolder
 from ..events import Event
 from ..history.writer import HistoryWriter
-from ..ids import TargetId, create_id
+from ..ids import InstanceId, TargetId, create_id
 from ..logs import log_event
 from ..schema.log_pb2 import DataCentreOrder, QuarantineEntry
 from ..schema.settings_pb2 import ControlSettings
@@ -117,7 +117,7 @@
         self._clock = clock
         instance, data_centre = settings.instance, settings.data_centre
         self._configuration = Configuration(
-            core.fold, ports.append, self._adopt_quarantine, history, clock
+            core.fold, ports.append, self._adopt_logged_quarantine, history, clock
         )
         self._snapshots = Snapshots(create_id("run"), ports.send, clock)
         self._peers = Peers(instance, data_centre, ports.send, clock)
@@ -134,7 +134,13 @@
         self._ready = False
         self._leaving = False
         self._ticked_at = clock.monotonic()
+        # Derived from the membership when it may have changed, because ranking is costly.
         self._connected: tuple[str, ...] = ()
+        self._watched: tuple[Member, ...] = ()
+        self._listed_here: list[InstanceId] = []
+        self._live_count = 1
+        self._rank = 0
+        self._peer_data_centres = {peer.instance: peer.data_centre for peer in settings.peers}
         self._in_force_offset = 0
         self._handlers = self._list_handlers()
         self._gateway_handlers = self._list_gateway_handlers()
@@ -301,10 +307,11 @@
 
     def _on_members(self, message: MembersListed) -> None:
         self._list_reachable = True
-        if message.members != self._members:
+        if message.members is not self._members:
             self._members = message.members
             self._snapshots.mark_changed()
         self._core.membership.on_list(message.members, self._clock.monotonic())
+        self._derive_membership()
 
     def _on_list_failed(self, message: ListFailed) -> None:
         self._list_reachable = False
@@ -348,7 +355,7 @@
         is_new = self._peers.on_heartbeat(heartbeat)
         self._core.membership.on_heartbeat(heartbeat, self._clock.monotonic())
         if peer not in self._connected:
-            self._peers.answer_heartbeat(peer, self._build_heartbeat())
+            self._peers.answer_heartbeat(self._build_heartbeat(), peer, heartbeat.data_centre)
         if is_new and heartbeat.data_centre == self._settings.data_centre:
             notice = self._targets.take_notice(self._clock.monotonic(), everything=True)
             if notice is not None:
@@ -375,6 +382,10 @@
         if self._quarantine.adopt(entry):
             self._snapshots.mark_changed()
 
+    def _adopt_logged_quarantine(self, entry: QuarantineEntry) -> None:
+        if self._quarantine.adopt(entry, from_log=True):
+            self._snapshots.mark_changed()
+
     def _send_quarantine(self, entry: QuarantineEntry) -> None:
         self._send_all(Envelope(quarantine_notice=QuarantineNotice(entry=entry)))
 
@@ -403,7 +414,7 @@
         self._snapshots.mark_changed()
         self._send_all(Envelope(order_notice=OrderNotice(order=order)))
         # 202: in force here and sent to the peers, but not in the log yet.
-        return CallAnswer(202, calls.describe_order(order))
+        return CallAnswer(202, calls.describe(order))
 
     def _show_in_force(self, request: ShowInForce) -> CallAnswer:
         return calls.show_in_force(
@@ -439,7 +450,7 @@
                 {"service": name, "revision": documents[name].revision}
                 for name in sorted(documents)
             ],
-            "orders": [calls.describe_order(o) for o in self._core.fold.orders.in_force.values()],
+            "orders": [calls.describe(o) for o in self._core.fold.orders.in_force.values()],
             "instances": [
                 {
                     "instance": name,
@@ -449,10 +460,9 @@
                 }
                 for name, item in sorted(progress.items())
             ],
-            "members": [calls.describe_member(member) for member in self._members],
+            "members": [calls.describe(member) for member in self._members],
             "targets": [
-                calls.describe_view(view)
-                for view in self._targets.list_views(self._clock.monotonic())
+                calls.describe(view) for view in self._targets.list_views(self._clock.monotonic())
             ],
         }
 
@@ -474,27 +484,38 @@
         log_event(_LOGGER, logging.INFO, Event.CONTROL_READY, f"ready: {reason}")
 
     def _update_configuration(self) -> None:
+        self._configuration.tick(self._rank, self._log_reachable)
+
+    def _derive_membership(self) -> None:
+        membership, own = self._core.membership, self._settings.instance
+        peers = tuple(str(instance) for instance in membership.list_peers())
+        if peers != self._connected:
+            self._connected = peers
+            self._ports.send(ConnectPeers(peers))
+        watched = tuple(membership.list_watched())
+        if watched != self._watched:
+            self._watched = watched
+            self._ports.watch(watched)
+        self._listed_here = membership.list_data_centre()
+        live_count = membership.count_live_instances()
+        if live_count != self._live_count:
+            self._live_count = live_count
+            self._snapshots.mark_changed()
         live = sorted(
             member.id
             for member in self._members
             if member.kind == MemberKind.entry and member.state == MemberState.live
         )
-        own = self._settings.instance
-        rank = live.index(own) if own in live else len(live)
-        self._configuration.tick(rank, self._log_reachable)
+        self._rank = live.index(own) if own in live else len(live)
 
     def _update_peers(self) -> None:
-        peers = tuple(str(instance) for instance in self._core.membership.list_peers())
-        if peers != self._connected:
-            self._connected = peers
-            self._ports.send(ConnectPeers(peers))
         if not self._peers.is_due():
             return
-        data_centres = {peer.instance: peer.data_centre for peer in self._settings.peers}
-        recipients = [(name, data_centres.get(name, "")) for name in self._connected]
         heartbeat = self._build_heartbeat()
         # Its own heartbeat keeps the membership's time running while nothing else arrives.
         self._core.membership.on_heartbeat(heartbeat, self._clock.monotonic())
+        self._derive_membership()
+        recipients = [(name, self._peer_data_centres.get(name, "")) for name in self._connected]
         self._peers.send_heartbeats(heartbeat, recipients)
         self._peers.request_state(
             self._configuration.provided_offset,
@@ -514,20 +535,18 @@
         )
 
     def _update_targets(self) -> None:
-        self._ports.watch(tuple(self._core.membership.list_watched()))
         notice = self._targets.take_notice(self._clock.monotonic())
         if notice is None:
             return
-        for instance in self._core.membership.list_data_centre():
-            if instance != self._settings.instance:
-                self._send_peer(str(instance), Envelope(target_notice=notice))
+        for instance in self._connected:
+            if self._peer_data_centres.get(instance) == self._settings.data_centre:
+                self._send_peer(instance, Envelope(target_notice=notice))
 
     def _update_slots(self) -> None:
-        listed = self._core.membership.list_data_centre()
-        self._slots.tick(listed, self._list_target_states)
+        self._slots.tick(self._listed_here, self._list_target_states)
 
     def _update_claims(self) -> None:
-        self._claims.tick(self._core.membership.count_live_instances())
+        self._claims.tick(self._live_count)
 
     def _update_snapshots(self) -> None:
         self._snapshots.tick(self._build_snapshot)
@@ -544,7 +563,7 @@
         snapshot = SnapshotUpdate(
             folded_offset=self._configuration.folded_offset,
             ready=self.is_ready(),
-            live_instances=self._core.membership.count_live_instances(),
+            live_instances=self._live_count,
             max_instances=self._settings.max_instances,
             orders=self._core.fold.orders.in_force.values(),
             members=self._members,
--- a/src/mulberryrill/internal/control/peers.py
+++ b/src/mulberryrill/internal/control/peers.py
@@ -66,8 +66,8 @@
         self._started_at = clock.monotonic()
         self._behind_since: float | None = None
         self._beat_at = 0.0
-        self._progress_sent_at = 0.0
-        self._progress_sent: dict[str, int] = {}
+        # Progress last sent to each recipient in another data centre, and when.
+        self._summaries: dict[str, tuple[dict[str, int], float]] = {}
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Adopts a heartbeat; tells whether the instance was silent or unknown before."""
@@ -88,13 +88,13 @@
         """Notes that a peer has sent its state since this instance started."""
         self._replied.add(instance)
 
-    def answer_heartbeat(self, instance: str, heartbeat: Heartbeat) -> None:
+    def answer_heartbeat(self, heartbeat: Heartbeat, recipient: str, data_centre: str) -> None:
         """Answers an instance that this one does not connect to, at most once per interval."""
         now = self._clock.monotonic()
-        peer = self._peers[instance]
+        peer = self._peers[recipient]
         if now - peer.replied_at >= HEARTBEAT_S / 2:
             peer.replied_at = now
-            self._send(ToPeer(instance, Envelope(heartbeat=heartbeat)))
+            self._send_heartbeat(heartbeat, recipient, data_centre, now)
 
     def request_state(self, have_offset: int, orders_digest: int, log_reachable: bool) -> None:
         """Asks peers that are ahead, or that have other orders, for their state.
@@ -154,13 +154,8 @@
         self._set_progress(
             self._instance, Progress(self._data_centre, heartbeat.in_force_offset, now)
         )
-        summary = self._take_progress(now)
         for instance, data_centre in recipients:
-            message = Heartbeat()
-            message.CopyFrom(heartbeat)
-            if data_centre != self._data_centre:
-                message.progress.extend(summary)
-            self._send(ToPeer(instance, Envelope(heartbeat=message)))
+            self._send_heartbeat(heartbeat, instance, data_centre, now)
 
     def list_progress(self) -> dict[str, Progress]:
         """Returns the progress of every instance heard of lately, this one included."""
@@ -194,17 +189,26 @@
         if known is None or progress.at >= known.at:
             self._progress[instance] = progress
 
-    def _take_progress(self, now: float) -> list[InstanceProgress]:
+    def _send_heartbeat(
+        self, heartbeat: Heartbeat, recipient: str, data_centre: str, now: float
+    ) -> None:
+        message = Heartbeat()
+        message.CopyFrom(heartbeat)
+        if data_centre != self._data_centre:
+            message.progress.extend(self._take_progress(recipient, now))
+        self._send(ToPeer(recipient, Envelope(heartbeat=message)))
+
+    def _take_progress(self, recipient: str, now: float) -> list[InstanceProgress]:
         current = {
             name: progress.in_force_offset
             for name, progress in self._progress.items()
             if progress.data_centre == self._data_centre and now - progress.at < PROGRESS_EXPIRY_S
         }
-        age = now - self._progress_sent_at
-        changed = current != self._progress_sent and age >= PROGRESS_INTERVAL_S
-        if not changed and age < PROGRESS_REFRESH_S:
+        sent, sent_at = self._summaries.get(recipient, ({}, -PROGRESS_REFRESH_S))
+        age = now - sent_at
+        if age < PROGRESS_INTERVAL_S or (current == sent and age < PROGRESS_REFRESH_S):
             return []
-        self._progress_sent, self._progress_sent_at = current, now
+        self._summaries[recipient] = current, now
         return [
             InstanceProgress(
                 instance=name,
--- a/src/mulberryrill/internal/control/program.py
+++ b/src/mulberryrill/internal/control/program.py
@@ -143,7 +143,9 @@
         self._flush()
         for server in self._servers:
             server.close()
-        for task in reversed(self._tasks):
+        for task in self._tasks:
+            task.stop()
+        for task in self._tasks:
             task.close()
         self._link.close()
         self._history.close()
--- a/src/mulberryrill/internal/control/quarantine.py
+++ b/src/mulberryrill/internal/control/quarantine.py
@@ -52,8 +52,8 @@
         )
         return True
 
-    def adopt(self, entry: QuarantineEntry) -> bool:
-        """Adopts an entry of the log or a peer and passes it on if it is new."""
+    def adopt(self, entry: QuarantineEntry, from_log: bool = False) -> bool:
+        """Adopts an entry; tells whether it is new. Entries of the log are not passed on."""
         crashes, expires_ms = self._known.get(entry.fingerprint, (0, 0))
         if entry.expires_unix_ms <= self._read_wall_ms():
             return False
@@ -64,7 +64,8 @@
             max(crashes, entry.crashes),
             max(expires_ms, entry.expires_unix_ms),
         )
-        self._notify(entry)
+        if not from_log:
+            self._notify(entry)
         return True
 
     def list_entries(self) -> list[QuarantineEntry]:
--- a/src/mulberryrill/internal/control/task.py
+++ b/src/mulberryrill/internal/control/task.py
@@ -25,10 +25,14 @@
         """Starts the thread."""
         self._thread.start()
 
-    def close(self) -> None:
-        """Ends the thread after its current step."""
+    def stop(self) -> None:
+        """Asks the thread to end after its current step; does not wait."""
         self._stop.set()
         self.wake()
+
+    def close(self) -> None:
+        """Ends the thread after its current step."""
+        self.stop()
         if self._thread.is_alive():
             self._thread.join(CLOSE_TIMEOUT_S)
 
--- a/src/mulberryrill/internal/control/traces.py
+++ b/src/mulberryrill/internal/control/traces.py
@@ -2,9 +2,8 @@
 
 from collections import OrderedDict
 
-from google.protobuf.json_format import MessageToDict
-
 from ..schema.wire_pb2 import RequestTrace
+from .calls import describe
 
 MAX_TRACES = 10_000
 
@@ -26,8 +25,4 @@
     def describe(self, request_id: str) -> dict[str, object] | None:
         """Returns a trace as JSON members; None if it is not kept."""
         trace = self._traces.get(request_id)
-        if trace is None:
-            return None
-        return MessageToDict(
-            trace, preserving_proto_field_name=True, always_print_fields_with_no_presence=True
-        )
+        return describe(trace) if trace is not None else None
--- a/src/mulberryrill/internal/control/watcher.py
+++ b/src/mulberryrill/internal/control/watcher.py
@@ -17,6 +17,9 @@
 POLL_TIMEOUT_S = 1.0
 MAX_STATE_BYTES = 256 * 1024
 SELECT_S = 0.05
+# One slow answer is no outage; a refused or reset connection counts at once.
+MAX_SLOW_POLLS = 2
+_RESTART_ERRORS = (pycurl.E_COULDNT_CONNECT, pycurl.E_RECV_ERROR, pycurl.E_GOT_NOTHING)
 _LOADED = "loaded"
 
 
@@ -29,6 +32,8 @@
     body: io.BytesIO = field(default_factory=io.BytesIO)
     due_at: float = 0.0
     running: bool = False
+    incarnation: str = ""
+    slow_polls: int = 0
 
 
 class Watcher(Task):
@@ -102,18 +107,33 @@
         for curl in finished:
             poll = by_curl[curl]
             status = curl.getinfo(pycurl.RESPONSE_CODE)
-            views.append(parse_state(poll.member.id, status, poll.body.getvalue()))
-            self._finish(poll, views[-1])
-        for curl, _, _ in failed:
+            view = parse_state(poll.member.id, status, poll.body.getvalue())
+            views.append(self._finish(poll, view, is_restart=False))
+        for curl, error, _ in failed:
             poll = by_curl[curl]
-            views.append(TargetView(target=poll.member.id, health=Health.UNREACHABLE))
-            self._finish(poll, views[-1])
-        return views
+            unreachable = TargetView(target=poll.member.id, health=Health.UNREACHABLE)
+            views.append(self._finish(poll, unreachable, error in _RESTART_ERRORS))
+        return [view for view in views if view is not None]
 
-    def _finish(self, poll: _Poll, view: TargetView) -> None:
+    def _finish(self, poll: _Poll, view: TargetView, is_restart: bool) -> TargetView | None:
+        """Returns the view to post; None while a single slow answer says nothing.
+
+        A target that is only slow keeps its incarnation, and with it its slots; one that refuses
+        or resets connections loses it, because it may restart.
+        """
         self._multi.remove_handle(poll.curl)
         poll.running = False
         POLLS.labels(Health.Name(view.health).lower()).inc()
+        if view.health == Health.HEALTHY:
+            poll.incarnation, poll.slow_polls = view.incarnation, 0
+            return view
+        poll.slow_polls += 1
+        if is_restart:
+            poll.incarnation = ""
+        elif poll.slow_polls < MAX_SLOW_POLLS:
+            return None
+        view.incarnation = poll.incarnation
+        return view
 
     def _drop(self, poll: _Poll) -> None:
         if poll.running:
--- a/src/mulberryrill/internal/platform/listclient.py
+++ b/src/mulberryrill/internal/platform/listclient.py
@@ -16,14 +16,22 @@
     def __init__(self, url: str, ca_file: str = "") -> None:
         self._url = url.rstrip("/")
         self._http = HttpClient(ca_file)
+        # The list is long and seldom changes, so an equal answer is not parsed again.
+        self._last_body = b""
+        self._last_members: tuple[Member, ...] = ()
 
     def close(self) -> None:
         """Closes the connection."""
         self._http.close()
 
-    def read_members(self) -> list[Member]:
-        """Returns all usable members; raises PlatformError. Malformed members are left out."""
+    def read_members(self) -> tuple[Member, ...]:
+        """Returns all usable members; raises PlatformError. Malformed members are left out.
+
+        While the list stays the same, the result is the same object.
+        """
         answer = self._send("GET", f"{self._url}/v1/members")
+        if answer.body == self._last_body:
+            return self._last_members
         try:
             body = answer.parse_json()
         except HttpError as error:
@@ -31,7 +39,9 @@
         if not isinstance(body, dict) or not isinstance(body.get("members"), list):
             raise PlatformError("the list's answer has no members")
         parsed = (parse_member(item) for item in body["members"])
-        return [member for member in parsed if member is not None]
+        self._last_members = tuple(member for member in parsed if member is not None)
+        self._last_body = answer.body
+        return self._last_members
 
     def register(self, member: Member) -> None:
         """Enters or renews a member; raises PlatformError."""
--- a/src/mulberryrill/internal/platform/logclient.py
+++ b/src/mulberryrill/internal/platform/logclient.py
@@ -18,7 +18,7 @@
 
 APPEND_TIMEOUT_S = 5.0
 # Added to the long poll's wait, so that only a silent server runs into the timeout.
-READ_MARGIN_S = 3.0
+READ_MARGIN_S = 5.0
 _FIRST_CLIENT_ERROR = 400
 _FIRST_SERVER_ERROR = 500
 _GONE = 410
--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -30,7 +30,11 @@
 pool: language
 models: [{{name: flavour-7b, version: "3"}}]
 customers:
-  - {{name: kariakoo, token_sha256: ["{digest}"], requests_per_second: 20, concurrent: 16, weight: 1}}
+  - name: kariakoo
+    token_sha256: ["{digest}"]
+    requests_per_second: 20
+    concurrent: 16
+    weight: 1
 priority: interactive
 deadline_ms: {deadline_ms}
 """
@@ -150,6 +154,11 @@
         url = f"http://127.0.0.1:{program.ports[0]}{path}"
         return self.client.send(method, url, body, headers, timeout_s=30)
 
+    def read(self, program: ControlProgram, path: str) -> dict:
+        body = self.call(program, "GET", path).parse_json()
+        assert isinstance(body, dict)
+        return body
+
     def put_document(
         self, program: ControlProgram, base: int, deadline_ms: int = 5000, operator: str = "asha"
     ) -> HttpResponse:
@@ -157,9 +166,15 @@
         body = create_document(deadline_ms=deadline_ms).encode()
         return self.call(program, "PUT", path, body, operator)
 
+    def create_document(self, program: ControlProgram) -> int:
+        answer = self.put_document(program, 0)
+        self.assertEqual(answer.status, 200, answer.body)
+        body = answer.parse_json()
+        assert isinstance(body, dict)
+        return int(body["revision"])
+
     def set_faults(self, **faults: object) -> None:
         body = json.dumps(faults).encode()
-        # The stand-in takes faults by PUT or POST alike.
         self.client.send("POST", f"{self.platform_url}/v1/faults", body)
 
     def wait_ready(self, program: ControlProgram) -> None:
--- a/tests/process/test_control_alone.py
+++ b/tests/process/test_control_alone.py
@@ -1,6 +1,28 @@
-"""One control process with a real platform interface: documents reach the gateway's snapshot."""
+"""One control process with the platform stand-in: documents, orders, claims, faults."""
 
-from tests.common.control import ControlTestCase
+import json
+import random
+import socket
+import time
+import uuid
+
+from mulberryrill.internal.httpclient import HttpClient
+from mulberryrill.internal.schema.log_pb2 import Claim, Outcome
+from mulberryrill.internal.schema.wire_pb2 import (
+    ClaimReply,
+    ClaimRequest,
+    ClaimStatus,
+    OutcomeReport,
+    RequestTrace,
+)
+from mulberryrill.internal.transport import open_client
+from tests.common.control import ControlTestCase, create_document, create_keys, wait_for
+
+
+def create_key() -> str:
+    """Returns a UUIDv7 of the present time."""
+    value = (int(time.time() * 1000) << 80) | uuid.uuid4().int & ((1 << 80) - 1)
+    return str(uuid.UUID(int=value & ~(0xF << 76) | (7 << 76)))
 
 
 class ControlAloneTest(ControlTestCase):
@@ -13,21 +35,191 @@
 
     def test_accepted_document_reaches_the_gateway_and_is_in_force(self) -> None:
         """Guards against an accepted change that gateways never get."""
-        answer = self.put_document(self.program, 0)
-        self.assertEqual(answer.status, 200, answer.body)
-        revision = answer.parse_json()["revision"]
+        revision = self.create_document(self.program)
+        path = f"/v1/in-force?service=flavour-questions&revision={revision}"
+        self.assertEqual(self.read(self.program, path)["missing"], ["k-1"])
 
         def has_document() -> bool:
-            return any(
-                service.revision == revision
-                for snapshot in self.gateway.snapshots
-                for service in snapshot.services
-            )
+            services = [s for snapshot in self.gateway.snapshots for s in snapshot.services]
+            return any(service.revision == revision for service in services)
 
         self.gateway.wait_for(has_document, "the document in a snapshot")
-        path = f"/v1/in-force?service=flavour-questions&revision={revision}"
+        self.gateway.wait_for(
+            lambda: self.read(self.program, path)["in_force"], "the revision in force"
+        )
+        shown = self.read(self.program, "/v1/documents/flavour-questions")
+        self.assertEqual((shown["revision"], shown["author"]), (revision, "asha"))
+        self.assertEqual(shown["document"], create_document())
+
+    def test_change_on_an_old_base_is_refused_with_the_current_one(self) -> None:
+        """Guards against an operator who overwrites another one's change unknowingly."""
+        revision = self.create_document(self.program)
+        answer = self.put_document(self.program, 0, deadline_ms=1000)
+        problem = json.loads(answer.body)
+        self.assertEqual(answer.status, 409)
+        self.assertEqual(
+            (problem["current_revision"], problem["current_author"], problem["executed"]),
+            (revision, "asha", "no"),
+        )
+        self.assertEqual(self.put_document(self.program, revision, 900, "baraka").status, 409)
+        entries = self.read(self.program, "/v1/documents/flavour-questions/history")["entries"]
+        self.assertEqual([entry["accepted"] for entry in entries], [True, False, False])
+
+    def test_invalid_calls_are_refused_with_the_remedy(self) -> None:
+        path = "/v1/documents/flavour-questions?base_revision=0"
+        bad = b"service: Other\nkind: neither\n"
+        answer = self.call(self.program, "PUT", path, bad)
+        self.assertEqual(answer.status, 422)
+        self.assertGreater(len(json.loads(answer.body)["problems"]), 1)
+        for method, address, body, operator, status in (
+            ("GET", "/v1/status", b"", "stranger", 401),
+            ("PUT", "/v1/documents/other?base_revision=0", create_document().encode(), "asha", 422),
+            ("PUT", "/v1/documents/flavour-questions", b"", "asha", 400),
+            ("PUT", path, b"\xff", "asha", 422),
+            ("GET", "/v1/documents/none", b"", "asha", 404),
+            ("GET", "/v1/requests/none", b"", "asha", 404),
+            ("GET", "/v1/in-force?service=a&revision=x", b"", "asha", 400),
+            ("POST", "/v1/datacentres/nowhere/orders", b'{"state": "drained"}', "asha", 404),
+            ("POST", "/v1/datacentres/k/orders", b"[]", "asha", 400),
+            ("DELETE", "/v1/status", b"", "asha", 405),
+            ("GET", "/nothing", b"", "asha", 404),
+        ):
+            with self.subTest(address=address, body=body):
+                answer = self.call(self.program, method, address, body, operator)
+                self.assertEqual(answer.status, status, answer.body)
+
+    def test_change_whose_append_lost_its_answer_is_read_back(self) -> None:
+        """Guards against telling an operator that a change failed when it is in force."""
+        self.set_faults(lose_answers=1)
+        self.create_document(self.program)
+
+    def test_orders_work_while_the_log_is_down_and_reach_it_later(self) -> None:
+        self.set_faults(log="down")
+        body = b'{"state": "drained", "reason": "power"}'
+        answer = self.call(self.program, "POST", "/v1/datacentres/k/orders", body)
+        self.assertEqual(answer.status, 202, answer.body)
+        self.gateway.wait_for(
+            lambda: any(s.orders for s in self.gateway.snapshots), "the order in a snapshot"
+        )
+        self.set_faults(log="up")
+        newcomer = self.start_control(self.create_settings("k-2"))
+        wait_for(
+            lambda: self.read(newcomer, "/v1/status")["orders"] != [], "the order from the log"
+        )
+
+    def test_claim_is_granted_once_and_replayed(self) -> None:
+        """Guards against a second run of a call that may run once."""
+        key = create_key()
+        self.assertEqual(self.claim("c-1", key).status, ClaimStatus.GRANTED)
+        self.assertEqual(self.claim("c-2", key).status, ClaimStatus.IN_PROGRESS)
+        self.assertEqual(self.claim("c-3", key, b"other").status, ClaimStatus.MISMATCH)
+        outcome = Outcome(
+            claim_id="c-1", customer="kariakoo", service="pay", key=key, status=201, body=b"done"
+        )
+        self.gateway.send(outcome_report=OutcomeReport(outcome=outcome))
+        replies: list[ClaimReply] = []
+
+        def is_replayed() -> bool:
+            replies.append(self.claim(f"c-r{len(replies)}", key))
+            return replies[-1].status == ClaimStatus.REPLAY
+
+        self.gateway.wait_for(is_replayed, "the outcome")
+        self.assertEqual(replies[-1].outcome.body, b"done")
+
+    def test_claim_in_doubt_is_unavailable_then_free_again(self) -> None:
+        """Guards against dispatching a claim whose append is in doubt."""
+        key = create_key()
+        self.set_faults(lose_answers=1)
+        self.assertEqual(self.claim("c-1", key).status, ClaimStatus.UNAVAILABLE)
+        counter = iter(range(100))
+
+        def is_granted() -> bool:
+            return self.claim(f"d-{next(counter)}", key).status == ClaimStatus.GRANTED
+
+        self.gateway.wait_for(is_granted, "a grant after the void")
+
+    def test_garbage_never_ends_the_process(self) -> None:
+        """Guards against one bad frame, record or caller that stops an instance."""
+        source = random.Random(7)
+        endpoint = self.program.link.gateway_endpoint
+        raw = open_client(
+            self.context, endpoint, self.settings.keys.public_key, self.settings.keys, "bad"
+        )
+        for size in range(200):
+            raw.send(source.randbytes(size))
+        raw.send_multipart([b"a", b"b", b"c"])
+        host, port = endpoint.removeprefix("tcp://").split(":")
+        with socket.create_connection((host, int(port))) as connection:
+            connection.sendall(source.randbytes(500))
+        client = HttpClient()
+        self.addCleanup(client.close)
+        for stream in ("configuration", "claims"):
+            for size in (0, 1, 100):
+                url = f"{self.platform_url}/v1/streams/{stream}/records"
+                client.send("POST", url, source.randbytes(size))
+        # A well-formed message with values that no handler expects.
+        self.gateway.send(claim_request=ClaimRequest())
+        self.gateway.send(outcome_report=OutcomeReport())
+        self.create_document(self.program)
+        self.assertEqual(self.claim("c-1", create_key()).status, ClaimStatus.GRANTED)
+
+    def test_only_the_own_key_is_a_gateway(self) -> None:
+        """Guards against a peer's or stranger's key that acts as a gateway of this instance."""
+        for keys in (create_keys(), create_keys()):
+            socket_ = open_client(
+                self.context,
+                self.program.link.gateway_endpoint,
+                self.settings.keys.public_key,
+                keys,
+                "gateway-1",
+            )
+            socket_.send(b"hello")
+        time.sleep(0.3)
+        self.assertNotIn("gateway-1", self.read(self.program, "/v1/status")["gateways"])
+
+    def test_request_traces_are_shown(self) -> None:
+        trace = RequestTrace(request_id="req-1", service="pay", status=200, received_unix_ms=5)
+        self.gateway.send(request_trace=trace)
+        path = "/v1/requests/req-1"
+        wait_for(lambda: self.call(self.program, "GET", path).status == 200, "the trace")
+        shown = self.read(self.program, path)
+        self.assertEqual((shown["status"], shown["received_unix_ms"]), (200, 5))
+
+    def claim(self, claim_id: str, key: str, digest: bytes = b"digest") -> ClaimReply:
+        claim = Claim(
+            claim_id=claim_id,
+            customer="kariakoo",
+            service="pay",
+            key=key,
+            request_digest=digest,
+            instance=self.settings.instance,
+        )
+        self.gateway.send(claim_request=ClaimRequest(request_id=f"req-{claim_id}", claim=claim))
+        found: list[ClaimReply] = []
+
+        def is_answered() -> bool:
+            found.extend(
+                envelope.claim_reply
+                for envelope in self.gateway.others
+                if envelope.claim_reply.claim_id == claim_id
+            )
+            return bool(found)
+
+        self.gateway.wait_for(is_answered, f"a reply to {claim_id}")
+        return found[0]
+
 
-        def is_in_force() -> bool:
-            return bool(self.call(self.program, "GET", path).parse_json()["in_force"])
+class ControlTlsTest(ControlTestCase):
+    def test_settings_with_a_key_pair_twice_are_refused(self) -> None:
+        from mulberryrill.errors import SettingsError
+        from mulberryrill.internal.control.program import ControlProgram
+        from mulberryrill.internal.schema.settings_pb2 import PeerSettings
 
-        self.gateway.wait_for(is_in_force, "the revision in force")
+        settings = self.create_settings()
+        settings.peers.append(
+            PeerSettings(instance="k-2", public_key=settings.keys.public_key, endpoint="tcp://a:1")
+        )
+        settings.max_instances = 0
+        with self.assertRaises(SettingsError) as caught:
+            ControlProgram(settings)
+        self.assertEqual(len(caught.exception.problems), 2)
