--- a/src/mulberryrill/internal/control/link.py
+++ b/src/mulberryrill/internal/control/link.py
@@ -5,6 +5,7 @@
 import queue
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import zmq
 
@@ -27,6 +28,8 @@
 POLL_MS = 500
 # Messages taken from one socket before the others get their turn.
 BURST_MESSAGES = 100
+MAX_INBOX = 10_000
+BACKPRESSURE_PAUSE_S = 0.01
 _LOGGER = logging.getLogger(__name__)
 
 # What an instance's gateways may send, and what its peers may.
@@ -180,13 +183,17 @@
         if self._wake_fd in ready:
             os.eventfd_read(self._wake_fd)
         self._send_queued()
+        if self._inbox.qsize() > MAX_INBOX:
+            # Senders are slowed down by full sockets instead of growing our memory.
+            self._stop.wait(BACKPRESSURE_PAUSE_S)
+            return
         if self._gateways in ready:
             self._drain(self._gateways, self._receive_from_gateway)
         if self._peers in ready:
             self._drain(self._peers, self._receive_from_peer)
         for instance, client in list(self._clients.items()):
             if client in ready:
-                self._drain(client, lambda socket, name=instance: self._receive_reply(socket, name))
+                self._drain(client, partial(self._receive_reply, instance))
 
     def release(self) -> None:
         """Sends what is still queued."""
@@ -277,7 +284,7 @@
         self._accept(instance, frame)
         self._identities[instance] = identity
 
-    def _receive_reply(self, socket: zmq.Socket, instance: str) -> None:
+    def _receive_reply(self, instance: str, socket: zmq.Socket) -> None:
         self._accept(instance, socket.recv(zmq.NOBLOCK))
 
     def _accept(self, instance: str, frame: bytes) -> None:
--- a/src/mulberryrill/internal/control/lister.py
+++ b/src/mulberryrill/internal/control/lister.py
@@ -7,8 +7,7 @@
 from ..events import Event
 from ..logs import log_event
 from ..platform.listclient import ListClient
-from ..schema.wire_pb2 import MemberState
-from ..schema.wire_pb2 import Member
+from ..schema.wire_pb2 import Member, MemberState
 from .messages import Inbox, ListFailed, MembersListed
 from .task import Task
 
@@ -35,7 +34,7 @@
             self._note_failure(error)
         else:
             self._note_success()
-            self._inbox.put(MembersListed(tuple(members)))
+            self._inbox.put(MembersListed(members))
         self._stop.wait(POLL_S)
 
     def release(self) -> None:
