--- /dev/null
+++ b/src/mulberryrill/internal/gateway/answerer.py
@@ -0,0 +1,134 @@
+"""Writes answers to callers and records what happened to each request."""
+
+import hashlib
+import logging
+
+from ..clock import Clock
+from ..events import Event
+from ..ids import Executed
+from ..logs import log_event
+from ..schema.wire_pb2 import Envelope, RequestTrace
+from .answers import Failure
+from .attempts import Answer
+from .call import Call
+from .caller import encode_json
+from .history import HistoryWriter
+from .metrics import GatewayMetrics
+from .ports import SendMessage
+
+# Status in records when the caller went away before its answer was complete.
+STATUS_CALLER_GONE = 499
+STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+_LOGGER = logging.getLogger(__name__)
+
+
+class Answerer:
+    """Gives each call exactly one answer. Runs on the relay loop's thread."""
+
+    def __init__(
+        self, clock: Clock, history: HistoryWriter, metrics: GatewayMetrics, send: SendMessage
+    ) -> None:
+        self._clock = clock
+        self._history = history
+        self._metrics = metrics
+        self._send = send
+
+    def give_answer(self, call: Call, answer: Answer) -> None:
+        """Writes a complete answer."""
+        if call.answered:
+            return
+        request_id = call.request.request_id
+        call.caller.send_answer(
+            answer.status, {**answer.headers, "X-Request-Id": request_id}, answer.body
+        )
+        digest = hashlib.sha256(answer.body).hexdigest()
+        self._record(call, answer.status, Executed.YES, digest, True, "answered")
+
+    def give_failure(self, call: Call, failure: Failure) -> None:
+        """Writes an error; a stream that has begun ends with an error event."""
+        if call.answered:
+            return
+        request_id = call.request.request_id
+        if call.caller.started:
+            if call.request.is_stream:
+                call.caller.write(failure.build_event(request_id))
+            call.caller.abort_stream()
+        else:
+            body = failure.build_body(request_id, call.request.is_model)
+            call.caller.send_answer(
+                failure.status, failure.build_headers(request_id), encode_json(body)
+            )
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.GATEWAY_CALL_FAILED,
+            failure.detail,
+            request=request_id,
+            status=failure.status,
+            executed=failure.executed.value,
+        )
+        self._record(call, failure.status, failure.executed, "", False, failure.detail)
+
+    def stream(self, call: Call, data: bytes) -> None:
+        """Writes verified events."""
+        if not call.caller.started:
+            headers = {**STREAM_HEADERS, "X-Request-Id": call.request.request_id}
+            call.caller.start_stream(200, headers)
+        call.caller.write(data)
+
+    def finish_stream(self, call: Call) -> None:
+        """Ends a complete stream."""
+        call.caller.finish_stream()
+        digest = hashlib.sha256(call.progress.text.encode("utf-8")).hexdigest()
+        self._record(call, 200, Executed.YES, digest, True, "streamed")
+
+    def finish_forward(self, call: Call, status: int, executed: Executed) -> None:
+        """Ends an answer that another gateway gave."""
+        call.caller.finish_stream()
+        self._record(call, status, executed, "", True, "forwarded")
+
+    def lose_caller(self, call: Call, executed: Executed) -> None:
+        """The caller closed its connection before the answer was complete."""
+        if not call.answered:
+            call.caller.close()
+            self._record(call, STATUS_CALLER_GONE, executed, "", False, "the caller went away")
+
+    def send_trace(self, call: Call, status: int, executed: Executed, summary: str) -> None:
+        """Sends what happened to the control process, for "explain"."""
+        request = call.request
+        trace = RequestTrace(
+            request_id=request.request_id,
+            service=request.config.name,
+            customer=request.customer.name,
+            revision=request.config.revision,
+            received_unix_ms=round(call.received_wall * 1000),
+            attempts=call.traces,
+            status=status,
+            executed=executed.value,
+            summary=summary,
+        )
+        self._send(Envelope(request_trace=trace))
+
+    def _record(
+        self,
+        call: Call,
+        status: int,
+        executed: Executed,
+        digest: str,
+        complete: bool,
+        summary: str,
+    ) -> None:
+        call.answered = True
+        request = call.request
+        self._metrics.requests.labels(request.config.name, status, executed.value).inc()
+        self._history.write(
+            "answer",
+            request=request.request_id,
+            status=status,
+            executed=executed.value,
+            digest=digest,
+            complete=complete,
+            attempt=call.last_attempt,
+            version=request.version,
+        )
+        self.send_trace(call, status, executed, summary)
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/attempts.py
@@ -0,0 +1,335 @@
+"""One attempt to run a call on a target: sends it, verifies the answer and reports one result."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+from urllib.parse import quote
+
+from ..core.messages import Priority, TargetState
+from ..core.snapshot import normalize_path
+from ..ids import AttemptId, Incarnation
+from .call import Call
+from .caller import encode_json
+from .loop import RelayLoop
+from .streams import BrokenStreamError, EventSplitter, StreamReader
+from .transfer import Transfer, TransferEnd, TransferRequest
+
+# An answer that is not a stream is kept until it is complete; longer ones are refused.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+STATUS_VERSION_MISMATCH = 409
+STATUS_REJECTED = 503
+# The order of service at an engine; a lower value goes first.
+_ENGINE_PRIORITIES = {Priority.INTERACTIVE: 0, Priority.BATCH: 10}
+_DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "date",
+        "server",
+        "x-attempt-id",
+        "x-customer",
+        "x-incarnation",
+        "x-model-version",
+        "x-request-id",
+    }
+)
+
+
+class ResultKind(Enum):
+    """How an attempt ended."""
+
+    # The complete, verified answer; for a stream it has been delivered.
+    COMPLETE = "complete"
+    # The target's documented rejection before running the call.
+    REJECTED = "rejected"
+    # No connection could be opened.
+    REFUSED = "refused"
+    # The connection ended early.
+    BROKEN = "broken"
+    # The target ended the stream with an error, on a working connection.
+    INTERRUPTED = "interrupted"
+    # No progress on an established connection.
+    STALLED = "stalled"
+    # The answer belongs to another attempt, customer or version.
+    MISMATCHED = "mismatched"
+    # The answer contradicts itself or is too long, so it must not be delivered.
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A complete answer that is not a stream."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class AttemptResult:
+    """The result of an attempt. ``sent``: a byte of the call may have reached the target."""
+
+    kind: ResultKind
+    detail: str
+    sent: bool
+    answer: Answer | None = None
+
+
+class AttemptOwner(Protocol):
+    """Receives what an attempt delivers and its one result."""
+
+    def on_stream_data(self, attempt: "Attempt", data: bytes) -> None:
+        """Verified events for the caller."""
+        ...
+
+    def on_result(self, attempt: "Attempt", result: AttemptResult) -> None:
+        """The attempt is over; its transfer has been released."""
+        ...
+
+
+class Attempt:
+    """Sends one call to one target. Runs on the relay loop's thread."""
+
+    def __init__(
+        self,
+        loop: RelayLoop,
+        owner: AttemptOwner,
+        call: Call,
+        target: TargetState,
+        attempt_id: AttemptId,
+        connect_timeout_ms: int,
+    ) -> None:
+        self._loop = loop
+        self._owner = owner
+        self.call = call
+        self.target = target
+        self.attempt_id = attempt_id
+        self.started = loop.now()
+        self.first_byte: float | None = None
+        self.incarnation = target.incarnation
+        self._last_progress = self.started
+        self._is_paused = False
+        self._is_over = False
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+        self._splitter = EventSplitter()
+        self._reader: StreamReader | None = None
+        request = build_request(call, target, attempt_id, connect_timeout_ms)
+        self._transfer = Transfer(request, self)
+
+    def start(self) -> None:
+        """Opens the connection."""
+        self._loop.open_transfer(self._transfer)
+
+    @property
+    def sent(self) -> bool:
+        """Tells whether a byte of the call may have reached the target."""
+        return self._transfer.sent
+
+    def cancel(self) -> None:
+        """Closes the connection, which cancels the run; no result follows."""
+        self._is_over = True
+        self._loop.cancel_transfer(self._transfer)
+
+    def pause(self) -> None:
+        """Stops reading because the caller is slow."""
+        if not self._is_paused and not self._is_over:
+            self._is_paused = True
+            self._transfer.pause()
+
+    def resume(self) -> None:
+        """Reads again."""
+        if self._is_paused and not self._is_over:
+            self._is_paused = False
+            self._last_progress = self._loop.now()
+            self._transfer.resume()
+
+    def is_stalled(self, now: float, limit_s: float) -> bool:
+        """Tells whether an answer that has begun makes no progress."""
+        # A target may send headers at once and the body of an answer much later.
+        has_begun = self._reader is not None or bool(self._body)
+        is_waiting = has_begun and not self._is_paused
+        return is_waiting and now - self._last_progress > limit_s
+
+    def stop(self, kind: ResultKind, detail: str) -> None:
+        """Ends the attempt with a failure."""
+        if not self._is_over:
+            sent = self._transfer.sent
+            self.cancel()
+            self._owner.on_result(self, AttemptResult(kind, detail, sent))
+
+    def on_headers(self, status: int, headers: dict[str, str]) -> None:
+        """Verifies whose answer it is."""
+        now = self._loop.now()
+        self.first_byte = self._last_progress = now
+        self._status, self._headers = status, headers
+        mismatch = find_mismatch(self.call, self.attempt_id, status, headers)
+        if mismatch:
+            self.stop(ResultKind.MISMATCHED, mismatch)
+            return
+        self.incarnation = Incarnation(headers.get("x-incarnation", self.incarnation))
+        is_events = headers.get("content-type", "").startswith("text/event-stream")
+        if status == 200 and self.call.request.is_stream:
+            if not is_events:
+                self.stop(ResultKind.INVALID, "the target did not answer with a stream")
+                return
+            self._reader = StreamReader(self.call.progress, self.call.request.wants_usage)
+
+    def on_data(self, data: bytes) -> None:
+        """Collects an answer or relays a stream's events."""
+        if self._is_over:
+            return
+        self._last_progress = self._loop.now()
+        if self._reader is None:
+            self._body += data
+            if len(self._body) > MAX_ANSWER_BYTES:
+                self.stop(ResultKind.INVALID, f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+            return
+        output = bytearray()
+        try:
+            for event in self._splitter.feed(data):
+                output += self._reader.read(event)
+        except BrokenStreamError as error:
+            self._deliver(output)
+            kind = ResultKind.INTERRUPTED if error.resumable else ResultKind.INVALID
+            self.stop(kind, str(error))
+            return
+        self._deliver(output)
+
+    def on_end(self, end: TransferEnd) -> None:
+        """Turns the end of the transfer into the attempt's result."""
+        if self._is_over:
+            return
+        self._is_over = True
+        self._owner.on_result(self, self._judge(end))
+
+    def _deliver(self, output: bytearray) -> None:
+        if output:
+            self._owner.on_stream_data(self, bytes(output))
+
+    def _judge(self, end: TransferEnd) -> AttemptResult:
+        if end.refused:
+            return AttemptResult(ResultKind.REFUSED, end.error, False)
+        if self._reader is not None and self._reader.is_done:
+            return AttemptResult(ResultKind.COMPLETE, "", True)
+        if end.error:
+            kind = ResultKind.BROKEN if end.sent else ResultKind.REFUSED
+            return AttemptResult(kind, end.error, end.sent)
+        if self._reader is not None:
+            return AttemptResult(ResultKind.BROKEN, "the stream ended early", True)
+        return self._judge_answer()
+
+    def _judge_answer(self) -> AttemptResult:
+        body = bytes(self._body)
+        if is_rejection(self.call, self._status, body):
+            return AttemptResult(ResultKind.REJECTED, f"status {self._status}", True)
+        if self.call.request.is_model and self._status == 200:
+            problem = _find_answer_problem(self.call, body)
+            if problem:
+                return AttemptResult(ResultKind.INVALID, problem, True)
+        headers = {
+            name: value for name, value in self._headers.items() if name not in _DROPPED_HEADERS
+        }
+        return AttemptResult(ResultKind.COMPLETE, "", True, Answer(self._status, headers, body))
+
+
+def find_mismatch(
+    call: Call, attempt_id: AttemptId, status: int, headers: dict[str, str]
+) -> str | None:
+    """Returns which echoed header shows that an answer is not this attempt's, if any."""
+    if headers.get("x-attempt-id") != attempt_id:
+        return f"X-Attempt-Id is {headers.get('x-attempt-id')!r}, not {attempt_id!r}"
+    if headers.get("x-customer") != quote_header(call.request.customer.name):
+        return "X-Customer is not the caller's"
+    # A rejection for the version names the version that the engine has.
+    has_version = call.request.is_model and status != STATUS_VERSION_MISMATCH and status < 400
+    if has_version and headers.get("x-model-version") != call.request.version:
+        return f"X-Model-Version is {headers.get('x-model-version')!r}"
+    return None
+
+
+def is_rejection(call: Call, status: int, body: bytes) -> bool:
+    """Tells whether an answer is the target's documented rejection before running the call."""
+    if status == STATUS_VERSION_MISMATCH and call.request.is_model:
+        return True
+    if status != STATUS_REJECTED:
+        return False
+    try:
+        content = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(content, dict) and content.get("executed") == "no"
+
+
+def _find_answer_problem(call: Call, body: bytes) -> str | None:
+    """Checks that a model's answer is a whole JSON object with its usage."""
+    try:
+        content = json.loads(body)
+    except ValueError:
+        return "the answer is not JSON"
+    usage = content.get("usage") if isinstance(content, dict) else None
+    if not isinstance(usage, dict) or not isinstance(usage.get("completion_tokens"), int):
+        return "the answer has no usage"
+    call.progress.tokens = usage["completion_tokens"]
+    call.progress.prompt_tokens = usage.get("prompt_tokens") or 0
+    details = usage.get("prompt_tokens_details") or {}
+    call.progress.cached_tokens = details.get("cached_tokens") or 0
+    return None
+
+
+def quote_header(value: str) -> str:
+    """Returns a name in the form that is safe in a header."""
+    return quote(value, safe=" !#$&'()*+,/:;=?@[]~")
+
+
+def build_request(
+    call: Call, target: TargetState, attempt_id: AttemptId, connect_timeout_ms: int
+) -> TransferRequest:
+    """Returns the HTTP request of an attempt."""
+    request = call.request
+    headers = [
+        ("X-Request-Id", request.request_id),
+        ("X-Attempt-Id", attempt_id),
+        ("X-Customer", quote_header(request.customer.name)),
+    ]
+    body = request.body
+    if request.is_model:
+        headers += [("X-Model-Version", request.version), ("Content-Type", "application/json")]
+        body = _build_model_body(call)
+    else:
+        headers += request.headers
+    return TransferRequest(
+        method=request.method,
+        url=target.address + request.target_path,
+        headers=tuple(headers),
+        body=body,
+        connect_timeout_ms=connect_timeout_ms,
+    )
+
+
+def _build_model_body(call: Call) -> bytes:
+    request = call.request
+    engine: dict[str, object] = {"priority": _ENGINE_PRIORITIES[request.config.priority]}
+    if call.progress.tokens:
+        engine["continue_text"] = call.progress.text
+        engine["continue_tokens"] = call.progress.tokens
+    content = {**request.content, "engine": engine}
+    if request.is_stream:
+        content["stream_options"] = {"include_usage": True}
+    return encode_json(content)
+
+
+def build_target_path(path: str, query: str) -> str:
+    """Returns the path and query at a target from a decoded path."""
+    normal = normalize_path(path)
+    if path.endswith("/") and normal != "/":
+        normal += "/"
+    return quote(normal, safe="/:@!$&'()*+,;=~-._") + (f"?{query}" if query else "")
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/call.py
@@ -0,0 +1,91 @@
+"""One caller's request while the gateway is responsible for it."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..core.messages import QueueItem, RoutingRequest
+from ..core.retries import AttemptTracker
+from ..core.snapshot import CustomerView, EntryMember, ServiceConfig
+from ..ids import AttemptId, RequestId, TargetId
+from ..schema.log_pb2 import Claim
+from ..schema.wire_pb2 import AttemptTrace
+from .caller import CallerConnection
+from .streams import StreamProgress
+
+
+class CallState(Enum):
+    """Where a call is."""
+
+    NEW = "new"
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    # Waits for a target again after a failed attempt.
+    RETRYING = "retrying"
+    RUNNING = "running"
+    DONE = "done"
+
+
+@dataclass(frozen=True)
+class CallRequest:
+    """What the caller asked for, as read and checked by the front end."""
+
+    request_id: RequestId
+    authorization: str
+    config: ServiceConfig
+    customer: CustomerView
+    method: str
+    # Path and query at this gateway, for forwarding.
+    gateway_path: str
+    # Path and query at the target.
+    target_path: str
+    # Content headers of the caller.
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    hops: int
+    key: str
+    repeatable: bool
+    # The following are for model services only.
+    is_stream: bool = False
+    wants_usage: bool = False
+    model: str = ""
+    version: str = ""
+    prompt: bytes = b""
+    content: dict = field(default_factory=dict)
+
+    @property
+    def is_model(self) -> bool:
+        """Tells whether the call goes to a model engine."""
+        return self.config.is_model
+
+
+@dataclass(eq=False)
+class Call:
+    """A request's mutable state; owned by the relay loop's thread. Times are monotonic seconds."""
+
+    request: CallRequest
+    caller: CallerConnection
+    received: float
+    received_wall: float
+    deadline: float
+    state: CallState = CallState.NEW
+    tracker: AttemptTracker = field(default_factory=AttemptTracker)
+    progress: StreamProgress = field(default_factory=StreamProgress)
+    routing: RoutingRequest | None = None
+    item: QueueItem | None = None
+    claim: Claim | None = None
+    fingerprint: str = ""
+    tried: set[TargetId] = field(default_factory=set)
+    # Attempts that ended with a broken connection before any output.
+    breaks: int = 0
+    attempts: int = 0
+    last_failure: float = 0.0
+    # Latest time to start the next attempt while retrying.
+    retry_until: float = 0.0
+    # Gateways still to be tried when forwarding.
+    entries: list[EntryMember] = field(default_factory=list)
+    last_attempt: AttemptId = AttemptId("")
+    first_token: float | None = None
+    dispatched: float | None = None
+    # Tells whether the caller has its answer; a call that may not be repeated can outlive it.
+    answered: bool = False
+    traces: list[AttemptTrace] = field(default_factory=list)
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/claimdesk.py
@@ -0,0 +1,185 @@
+"""Claims of calls that must run at most once: requests them and matches the replies."""
+
+import hashlib
+import uuid
+from dataclasses import dataclass
+
+from ..core.retries import AttemptTracker
+from ..ids import Executed, create_id
+from ..schema.log_pb2 import Claim, Outcome
+from ..schema.wire_pb2 import (
+    EXPIRED,
+    GRANTED,
+    IN_PROGRESS,
+    MISMATCH,
+    REPLAY,
+    ClaimAbandon,
+    ClaimReply,
+    ClaimRequest,
+    Envelope,
+    OutcomeReport,
+)
+from .answers import Action, Failure
+from .attempts import Answer
+from .call import Call, CallRequest
+from .ports import SendMessage
+
+# Claims without a reply; more are refused, because the log is the bottleneck then.
+MAX_OUTSTANDING = 1000
+# A claim whose reply has not come by now is forgotten; a grant that comes later is never used.
+FORGET_S = 600.0
+MAX_OUTCOME_BYTES = 64 * 1024
+UUID_VERSION = 7
+
+
+@dataclass
+class _Pending:
+    claim: Claim
+    # None: the call gave up, so a grant is abandoned.
+    call: Call | None
+    asked: float
+
+
+class ClaimDesk:
+    """Follows the claims of one gateway. Runs on the relay loop's thread."""
+
+    def __init__(self, instance: str, send: SendMessage) -> None:
+        self._instance = instance
+        self._send = send
+        self._pending: dict[str, _Pending] = {}
+
+    def request(self, call: Call, now: float) -> bool:
+        """Asks for the claim of a call; False if too many are outstanding."""
+        if len(self._pending) >= MAX_OUTSTANDING:
+            return False
+        request = call.request
+        claim = Claim(
+            claim_id=create_id("claim"),
+            customer=request.customer.name,
+            service=request.config.name,
+            key=request.key,
+            request_digest=digest_request(request),
+            instance=self._instance,
+        )
+        self._pending[claim.claim_id] = _Pending(claim, call, now)
+        message = ClaimRequest(request_id=request.request_id, claim=claim)
+        self._send(Envelope(claim_request=message))
+        return True
+
+    def on_reply(self, reply: ClaimReply) -> Call | None:
+        """Returns the call that waits for this reply; a grant nobody waits for is abandoned."""
+        pending = self._pending.pop(reply.claim_id, None)
+        if pending is None:
+            return None
+        if pending.call is None:
+            if reply.status == GRANTED:
+                self.abandon(pending.claim)
+            return None
+        pending.call.claim = pending.claim
+        return pending.call
+
+    def give_up(self, call: Call) -> None:
+        """The call no longer waits for its reply."""
+        for pending in self._pending.values():
+            if pending.call is call:
+                pending.call = None
+
+    def forget_old(self, now: float) -> None:
+        """Drops claims whose reply will not come any more."""
+        for claim_id, pending in list(self._pending.items()):
+            if pending.call is None and now - pending.asked > FORGET_S:
+                del self._pending[claim_id]
+
+    def abandon(self, claim: Claim) -> None:
+        """Withdraws a granted claim; no target has run the call and none will."""
+        self._send(Envelope(claim_abandon=ClaimAbandon(claim=claim)))
+
+    def report(self, claim: Claim, answer: Answer) -> None:
+        """Records the answer of a claimed run for repeats."""
+        truncated = len(answer.body) > MAX_OUTCOME_BYTES
+        outcome = Outcome(
+            claim_id=claim.claim_id,
+            customer=claim.customer,
+            service=claim.service,
+            key=claim.key,
+            status=answer.status,
+            content_type=answer.headers.get("content-type", ""),
+            body=b"" if truncated else answer.body,
+            truncated=truncated,
+        )
+        self._send(Envelope(outcome_report=OutcomeReport(outcome=outcome)))
+
+
+def digest_request(request: CallRequest) -> bytes:
+    """Returns the SHA-256 of method, path and body, separated so that they cannot be confused."""
+    head = f"{request.method} {request.target_path}\n".encode()
+    return hashlib.sha256(head + request.body).digest()
+
+
+def is_valid_key(key: str) -> bool:
+    """Tells whether an Idempotency-Key is a UUIDv7 (RFC 9562)."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return False
+    return parsed.version == UUID_VERSION and str(parsed) == key.lower()
+
+
+def build_refusal(reply: ClaimReply) -> Answer | Failure:
+    """Returns what the caller of a call without a grant gets."""
+    if reply.status == REPLAY:
+        return _build_replay(reply.outcome)
+    if reply.status == IN_PROGRESS:
+        return Failure(
+            409,
+            "Outcome unknown",
+            "A call with this Idempotency-Key was started and its outcome is not known.",
+            Executed.UNKNOWN,
+            Action.RETRY_SAME_KEY,
+        )
+    if reply.status == MISMATCH:
+        return Failure(
+            422,
+            "Key used for another request",
+            "This Idempotency-Key belongs to a call with other content. Use a new key.",
+            Executed.NO,
+            Action.CHANGE_REQUEST,
+        )
+    if reply.status == EXPIRED:
+        return Failure(
+            400,
+            "Key outside its window",
+            "The time in the Idempotency-Key is too old or in the future. Use a new UUIDv7.",
+            Executed.NO,
+            Action.CHANGE_REQUEST,
+        )
+    return create_unavailable()
+
+
+def create_unavailable() -> Failure:
+    """Returns the answer of a call whose claim could not be recorded."""
+    return Failure(
+        503,
+        "Claims unavailable",
+        "The platform's log cannot record that this call starts, so it was not started.",
+        Executed.NO,
+        retry_after_s=1,
+    )
+
+
+def _build_replay(outcome: Outcome) -> Answer | Failure:
+    if outcome.truncated:
+        return Failure(
+            409,
+            "Answer not kept",
+            f"The call ran with status {outcome.status}; its answer was too long to be kept.",
+            Executed.YES,
+            Action.CHECK_OUTCOME,
+        )
+    headers = {"content-type": outcome.content_type} if outcome.content_type else {}
+    return Answer(outcome.status, {**headers, "idempotent-replayed": "true"}, outcome.body)
+
+
+def can_abandon(tracker: AttemptTracker) -> bool:
+    """Tells whether a granted claim may be withdrawn."""
+    return tracker.executed is Executed.NO
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/failures.py
@@ -0,0 +1,143 @@
+"""The errors that the dispatcher gives to callers."""
+
+from typing import Any
+
+from ..ids import Executed
+from .answers import Action, Failure
+from .attempts import AttemptResult, ResultKind
+from .call import Call
+
+RETRY_AFTER_S = 1
+
+
+def create_duplicate() -> Failure:
+    """Two requests with one id are in this gateway."""
+    return Failure(
+        409,
+        "Request id in use",
+        "A request with this X-Request-Id is running.",
+        Executed.NO,
+        Action.CHANGE_REQUEST,
+    )
+
+
+def create_quarantined() -> Failure:
+    """The request may crash every target."""
+    return Failure(
+        422,
+        "Request quarantined",
+        "Targets crashed while they ran this request, so it is not sent to others.",
+        Executed.NO,
+        Action.CHANGE_REQUEST,
+    )
+
+
+def create_drained(executed: Executed = Executed.NO) -> Failure:
+    """This data centre takes no new work and no other can be reached."""
+    return Failure(
+        503,
+        "No data centre available",
+        "This data centre takes no new work and no other one could be reached.",
+        executed,
+        Action.RETRY if executed is Executed.NO else Action.CHECK_OUTCOME,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def create_refused(refusal: Any) -> Failure:
+    """Admission refused the request."""
+    return Failure(
+        refusal.status,
+        refusal.title,
+        refusal.detail,
+        Executed.NO,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def create_expired() -> Failure:
+    """The request waited until its deadline."""
+    return Failure(
+        503,
+        "Deadline passed",
+        "No target could start the request before its deadline, so it was not run.",
+        Executed.NO,
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def create_no_target(call: Call) -> Failure:
+    """No target became free for another attempt."""
+    if call.progress.tokens:
+        return create_stream_incomplete(call, None)
+    executed = call.tracker.executed
+    return Failure(
+        503,
+        "No target available",
+        "No target could take the request before its deadline.",
+        executed,
+        _find_action(call, executed),
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def create_attempt_failed(call: Call, result: AttemptResult) -> Failure:
+    """The last attempt failed and another one is not allowed."""
+    executed = call.tracker.executed
+    if executed is Executed.NO:
+        status, title = 503, "Not run"
+    elif result.kind is ResultKind.STALLED:
+        status, title = 504, "No answer in time"
+    else:
+        status, title = 502, "Target failed"
+    return Failure(
+        status,
+        title,
+        f"The attempt at a target ended as {result.kind.value}.",
+        executed,
+        _find_action(call, executed),
+        retry_after_s=RETRY_AFTER_S if executed is Executed.NO else 0,
+    )
+
+
+def create_stream_incomplete(call: Call, result: AttemptResult | None) -> Failure:
+    """A stream ended early and cannot be continued."""
+    reason = f"ended as {result.kind.value}" if result else "found no target to continue"
+    return Failure(
+        502,
+        "Stream incomplete",
+        f"The stream {reason} after {call.progress.tokens} tokens; it is not complete.",
+        Executed.YES,
+        Action.REPORT,
+    )
+
+
+def create_forward_failed(call: Call) -> Failure:
+    """The other data centre's gateway gave no complete answer."""
+    executed = call.tracker.executed
+    if executed is Executed.YES:
+        executed = Executed.UNKNOWN
+    return Failure(
+        502,
+        "Forwarding failed",
+        "The gateway in another data centre gave no complete answer.",
+        executed,
+        _find_action(call, executed),
+    )
+
+
+def create_still_running(call: Call) -> Failure:
+    """A call that may not be repeated has not answered before its deadline."""
+    return Failure(
+        504,
+        "No answer in time",
+        "The call was sent and has not answered; it may still take effect.",
+        call.tracker.executed,
+        Action.RETRY_SAME_KEY,
+    )
+
+
+def _find_action(call: Call, executed: Executed) -> Action:
+    if executed is Executed.NO or call.request.repeatable:
+        return Action.RETRY
+    return Action.RETRY_SAME_KEY if call.request.key else Action.CHECK_OUTCOME
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/forwarding.py
@@ -0,0 +1,176 @@
+"""Sends a call to a gateway in another data centre and relays its answer unchanged."""
+
+import random
+from typing import Protocol
+
+from ..core.messages import MemberState, TargetState
+from ..core.snapshot import EntryMember, Snapshot
+from ..ids import DataCentre
+from .call import Call
+from .loop import RelayLoop
+from .transfer import Transfer, TransferEnd, TransferRequest
+
+HOPS_HEADER = "X-Forwarded-Hops"
+_DROPPED_HEADERS = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "content-length", "date", "server", "te"}
+)
+
+
+class ForwardOwner(Protocol):
+    """Receives what a forwarded call's answer consists of."""
+
+    def on_forward_start(self, forward: "Forward", status: int, headers: dict[str, str]) -> None:
+        """The other gateway began its answer."""
+        ...
+
+    def on_forward_data(self, forward: "Forward", data: bytes) -> None:
+        """Bytes of the answer's body."""
+        ...
+
+    def on_forward_end(self, forward: "Forward", error: str, sent: bool) -> None:
+        """The exchange is over; ``error`` is empty if the answer is complete."""
+        ...
+
+
+def list_forward_entries(
+    snapshot: Snapshot, own: DataCentre, call: Call, generator: random.Random
+) -> list[EntryMember]:
+    """Returns the gateways that may run a call, in the order to try them.
+
+    Data centres known to have a usable target come first, in random order within each group, so
+    that a drained data centre's load is spread.
+    """
+    candidates = [
+        entry
+        for entry in snapshot.entries
+        if entry.data_centre != own and entry.data_centre not in snapshot.drained
+    ]
+    generator.shuffle(candidates)
+    usable = {
+        centre
+        for centre in {e.data_centre for e in candidates}
+        if has_usable_target(snapshot, centre, call)
+    }
+    return sorted(candidates, key=lambda entry: entry.data_centre not in usable)
+
+
+def has_usable_target(snapshot: Snapshot, data_centre: DataCentre, call: Call) -> bool:
+    """Tells whether a data centre has a target that could run a call, whatever its load."""
+    return any(
+        target.data_centre == data_centre and is_usable(target, call)
+        for target in snapshot.targets.values()
+    )
+
+
+def is_usable(target: TargetState, call: Call) -> bool:
+    """Tells whether a target could run a call, whatever its load."""
+    request = call.request
+    if target.pool != request.config.pool or not target.healthy:
+        return False
+    if target.state is not MemberState.LIVE:
+        return False
+    return not request.is_model or (request.model, request.version) in target.models
+
+
+class Forward:
+    """One exchange with another gateway. Runs on the relay loop's thread."""
+
+    def __init__(
+        self,
+        loop: RelayLoop,
+        owner: ForwardOwner,
+        call: Call,
+        entry: EntryMember,
+        connect_timeout_ms: int,
+        ca_file: str,
+    ) -> None:
+        self._loop = loop
+        self._owner = owner
+        self.call = call
+        self.entry = entry
+        self.has_answer = False
+        self.status = 0
+        self._is_over = False
+        self._is_paused = False
+        self._last_progress = loop.now()
+        request = call.request
+        headers = [
+            ("Authorization", request.authorization),
+            ("X-Request-Id", request.request_id),
+            (HOPS_HEADER, str(request.hops + 1)),
+            *request.headers,
+        ]
+        if request.key:
+            headers.append(("Idempotency-Key", request.key))
+        self._transfer = Transfer(
+            TransferRequest(
+                method=request.method,
+                url=entry.address + request.gateway_path,
+                headers=tuple(headers),
+                body=request.body,
+                connect_timeout_ms=connect_timeout_ms,
+                ca_file=ca_file,
+            ),
+            self,
+        )
+
+    @property
+    def sent(self) -> bool:
+        """Tells whether a byte of the call may have reached the other gateway."""
+        return self._transfer.sent
+
+    def start(self) -> None:
+        """Opens the connection."""
+        self._loop.open_transfer(self._transfer)
+
+    def cancel(self) -> None:
+        """Closes the connection; nothing follows."""
+        self._is_over = True
+        self._loop.cancel_transfer(self._transfer)
+
+    def pause(self) -> None:
+        """Stops reading because the caller is slow."""
+        if not self._is_paused and not self._is_over:
+            self._is_paused = True
+            self._transfer.pause()
+
+    def resume(self) -> None:
+        """Reads again."""
+        if self._is_paused and not self._is_over:
+            self._is_paused = False
+            self._last_progress = self._loop.now()
+            self._transfer.resume()
+
+    def is_stalled(self, now: float, limit_s: float) -> bool:
+        """Tells whether an answer that has begun makes no progress."""
+        is_waiting = self.has_answer and not self._is_paused
+        return is_waiting and now - self._last_progress > limit_s
+
+    def stop(self, error: str) -> None:
+        """Ends the exchange with a failure."""
+        if not self._is_over:
+            sent = self._transfer.sent
+            self.cancel()
+            self._owner.on_forward_end(self, error, sent)
+
+    def on_headers(self, status: int, headers: dict[str, str]) -> None:
+        """Verifies whose answer it is and starts the caller's."""
+        if headers.get("x-request-id") != self.call.request.request_id:
+            self.stop("the other gateway answered for another request")
+            return
+        self.has_answer = True
+        self._last_progress = self._loop.now()
+        kept = {name: value for name, value in headers.items() if name not in _DROPPED_HEADERS}
+        self._owner.on_forward_start(self, status, kept)
+
+    def on_data(self, data: bytes) -> None:
+        """Relays bytes."""
+        if not self._is_over:
+            self._last_progress = self._loop.now()
+            self._owner.on_forward_data(self, data)
+
+    def on_end(self, end: TransferEnd) -> None:
+        """Reports the end."""
+        if not self._is_over:
+            self._is_over = True
+            self._owner.on_forward_end(self, end.error, end.sent)
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/metrics.py
@@ -0,0 +1,128 @@
+"""Metrics of one gateway: Prometheus counters, and HDR histograms for latencies."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client.core import SummaryMetricFamily
+from prometheus_client.registry import Collector
+
+MAX_LATENCY_US = 3600 * 1_000_000
+SIGNIFICANT_DIGITS = 3
+QUANTILES = (0.5, 0.95, 0.99)
+MICROSECONDS = 1_000_000
+
+
+class LatencyHistogram:
+    """Seconds recorded with microsecond resolution; thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        self._sum = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Adds one value; longer ones than an hour count as an hour."""
+        value = min(max(1, round(seconds * MICROSECONDS)), MAX_LATENCY_US)
+        with self._lock:
+            self._histogram.record_value(value)
+            self._sum += seconds
+
+    def summarize(self) -> tuple[int, float, dict[float, float]]:
+        """Returns count, sum and quantiles in seconds."""
+        with self._lock:
+            quantiles = {
+                q: self._histogram.get_value_at_percentile(q * 100) / MICROSECONDS
+                for q in QUANTILES
+            }
+            return self._histogram.get_total_count(), self._sum, quantiles
+
+
+class _LatencyCollector(Collector):
+    """Exports histograms as summaries with quantiles."""
+
+    def __init__(self) -> None:
+        self._entries: list[tuple[str, str, dict[str, LatencyHistogram]]] = []
+
+    def add(self, name: str, text: str) -> Callable[[str], LatencyHistogram]:
+        """Registers a metric and returns a function that gives the histogram of a service."""
+        by_service: dict[str, LatencyHistogram] = {}
+        self._entries.append((name, text, by_service))
+
+        def find(service: str) -> LatencyHistogram:
+            return by_service.setdefault(service, LatencyHistogram())
+
+        return find
+
+    def collect(self) -> Iterable[SummaryMetricFamily]:
+        """Returns all metrics."""
+        for name, text, by_service in self._entries:
+            family = SummaryMetricFamily(name, text, labels=["service", "quantile"])
+            for service, histogram in list(by_service.items()):
+                count, total, quantiles = histogram.summarize()
+                for quantile, value in quantiles.items():
+                    family.add_sample(name, {"service": service, "quantile": str(quantile)}, value)
+                family.add_sample(f"{name}_count", {"service": service}, count)
+                family.add_sample(f"{name}_sum", {"service": service}, total)
+            yield family
+
+
+class GatewayMetrics:
+    """All metrics of a gateway. Labels are names from documents, never secrets."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.requests = Counter(
+            "mulberryrill_requests",
+            "Answered requests",
+            ["service", "status", "executed"],
+            registry=self._registry,
+        )
+        self.attempts = Counter(
+            "mulberryrill_attempts",
+            "Attempts at targets by result",
+            ["service", "result"],
+            registry=self._registry,
+        )
+        self.forwarded = Counter(
+            "mulberryrill_forwarded",
+            "Calls sent to another data centre",
+            ["service", "data_centre"],
+            registry=self._registry,
+        )
+        self.resumed = Counter(
+            "mulberryrill_streams_resumed", "Resumed streams", ["service"], registry=self._registry
+        )
+        self.tokens = Counter(
+            "mulberryrill_token_events",
+            "Token events relayed to callers",
+            ["service"],
+            registry=self._registry,
+        )
+        self.prompt_tokens = Counter(
+            "mulberryrill_prompt_tokens",
+            "Prompt tokens of completed requests",
+            ["service", "kind"],
+            registry=self._registry,
+        )
+        self.running = Gauge(
+            "mulberryrill_running_requests", "Requests in this gateway", registry=self._registry
+        )
+        self.snapshot_version = Gauge(
+            "mulberryrill_snapshot_offset",
+            "Log offset of the configuration in force",
+            registry=self._registry,
+        )
+        latencies = _LatencyCollector()
+        self.first_token = latencies.add(
+            "mulberryrill_time_to_first_token_seconds", "From the request to its first token"
+        )
+        self.added_latency = latencies.add(
+            "mulberryrill_added_latency_seconds", "From the request to its first dispatch"
+        )
+        self._registry.register(latencies)
+
+    def render(self) -> bytes:
+        """Returns the text format of Prometheus."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/program.py
@@ -0,0 +1,169 @@
+"""The gateway program: builds its parts, starts them and shuts down without interrupting calls."""
+
+import logging
+import secrets
+import threading
+from collections.abc import Callable
+
+from prometheus_client import CONTENT_TYPE_LATEST
+from werkzeug.wrappers import Request, Response
+
+from ...errors import GatewayError
+from ..clock import Clock, SystemClock
+from ..core.snapshot import SnapshotHolder
+from ..events import Event
+from ..httpserver import HttpServer, create_problem
+from ..logs import log_event
+from ..schema.settings_pb2 import GatewaySettings
+from ..schema.wire_pb2 import Envelope, SnapshotAck, SnapshotUpdate
+from .dispatcher import DecisionParts, Dispatcher
+from .frontend import FrontEnd
+from .history import HistoryWriter
+from .link import ControlLink
+from .loop import RelayLoop
+from .metrics import GatewayMetrics
+from .options import GatewayOptions, read_options
+
+ADMIN_THREADS = 2
+# The loop turns at least twice a second; one that has not for this long is not healthy.
+LOOP_LIMIT_S = 5.0
+IDLE_POLL_S = 0.05
+_LOGGER = logging.getLogger(__name__)
+
+PartsBuilder = Callable[[GatewayOptions], DecisionParts]
+
+
+class GatewayProgram:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        build_parts: PartsBuilder,
+        clock: Clock | None = None,
+    ) -> None:
+        self._clock = clock or SystemClock()
+        self._options = read_options(settings)
+        options = self._options
+        self._holder = SnapshotHolder()
+        self._metrics = GatewayMetrics()
+        self._history = HistoryWriter(settings.history_file, self._clock, options.gateway)
+        self._loop = RelayLoop(self._clock)
+        self._link = ControlLink(settings, options.gateway, self._receive)
+        self._dispatcher = Dispatcher(
+            self._loop,
+            self._clock,
+            options,
+            build_parts(options),
+            self._history,
+            self._metrics,
+            self._link.send,
+        )
+        self._front_end = FrontEnd(
+            self._loop,
+            self._clock,
+            options.max_body_bytes,
+            lambda: self._holder.current,
+            self._dispatcher.submit,
+        )
+        self._server = HttpServer(settings.callers, self._front_end.handle, options.worker_threads)
+        self._front_end.server = self._server
+        self._admin = HttpServer(settings.admin, self._handle_admin, ADMIN_THREADS)
+        self._is_stopping = threading.Event()
+
+    @property
+    def port(self) -> int:
+        """The bound port for callers."""
+        return self._server.port
+
+    @property
+    def admin_port(self) -> int:
+        """The bound admin port."""
+        return self._admin.port
+
+    def start(self) -> None:
+        """Opens the sockets; the gateway is ready when its control process says so."""
+        self._history.start()
+        self._dispatcher.start()
+        self._loop.start()
+        self._link.start()
+        try:
+            self._admin.start()
+            self._server.start()
+        except OSError as error:
+            raise GatewayError(f"cannot listen: {error}") from error
+
+    def close(self) -> None:
+        """Fails readiness, waits for the balancer, stops accepting, and finishes all calls."""
+        self._is_stopping.set()
+        log_event(_LOGGER, logging.INFO, Event.GATEWAY_DRAINING, "readiness fails from now on")
+        threading.Event().wait(self._options.balancer_lag_s)
+        self._server.close()
+        while self._is_busy():
+            threading.Event().wait(IDLE_POLL_S)
+        self._loop.close()
+        self._link.close()
+        self._admin.close()
+        self._history.close()
+
+    def _is_busy(self) -> bool:
+        """Asks the loop itself, so that calls that were just handed over are counted."""
+        idle = threading.Event()
+        answers: list[int] = []
+
+        def ask() -> None:
+            answers.append(self._dispatcher.running + self._loop.watched)
+            idle.set()
+
+        self._loop.post(ask)
+        return not idle.wait(LOOP_LIMIT_S) or answers[0] > 0
+
+    def _receive(self, envelope: Envelope) -> None:
+        """Passes a message of the control process to the loop; runs on the link's thread."""
+        kind = envelope.WhichOneof("body")
+        if kind == "snapshot_update":
+            self._loop.post(lambda: self._apply(envelope.snapshot_update))
+        elif kind == "grant_update":
+            self._loop.post(lambda: self._dispatcher.on_grant(envelope.grant_update))
+        elif kind == "claim_reply":
+            self._loop.post(lambda: self._dispatcher.on_claim_reply(envelope.claim_reply))
+        else:
+            log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, f"unexpected {kind}")
+
+    def _apply(self, update: SnapshotUpdate) -> None:
+        if not self._holder.apply(update):
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.GATEWAY_SNAPSHOT_REFUSED,
+                f"version {update.version} is older than the one in force",
+            )
+            return
+        snapshot = self._holder.current
+        for problem in snapshot.problems:
+            log_event(_LOGGER, logging.ERROR, Event.GATEWAY_DOCUMENT_UNREADABLE, problem)
+        self._metrics.snapshot_version.set(snapshot.folded_offset)
+        self._dispatcher.on_snapshot(snapshot)
+        ack = SnapshotAck(gateway=self._options.gateway, version=snapshot.version)
+        self._link.send(Envelope(snapshot_ack=ack))
+
+    def _handle_admin(self, request: Request) -> Response:
+        if request.path == "/metrics":
+            return Response(self._metrics.render(), content_type=CONTENT_TYPE_LATEST)
+        if request.path == "/healthz":
+            is_ok = self._clock.monotonic() - self._loop.last_turn < LOOP_LIMIT_S
+            return _create_state(is_ok, "the relay loop does not turn")
+        if request.path == "/readyz":
+            if self._is_stopping.is_set():
+                return _create_state(False, "the gateway is stopping")
+            return _create_state(self._holder.current.ready, "no configuration yet")
+        return create_problem(404, "Not found", "Use /healthz, /readyz or /metrics.")
+
+
+def _create_state(is_ok: bool, problem: str) -> Response:
+    return Response("ok\n" if is_ok else f"{problem}\n", status=200 if is_ok else 503)
+
+
+def create_block_secret() -> bytes:
+    """Returns the key of this process's cache block keys."""
+    return secrets.token_bytes(32)
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/transfer.py
@@ -0,0 +1,161 @@
+"""One HTTP exchange with a target or with another gateway, driven by the relay loop."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import pycurl
+
+# Bytes that a target has not acknowledged for this time end the connection.
+UNACKNOWLEDGED_LIMIT_MS = 5000
+
+
+@dataclass(frozen=True)
+class TransferRequest:
+    """What to send. Header names and values are text; ``ca_file`` is for TLS."""
+
+    method: str
+    url: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    connect_timeout_ms: int
+    ca_file: str = ""
+
+
+@dataclass(frozen=True)
+class TransferEnd:
+    """How a transfer ended. ``error`` is empty if the answer arrived completely."""
+
+    error: str
+    # A byte of the request may have reached the server.
+    sent: bool
+    # No connection could be opened.
+    refused: bool
+
+
+class TransferListener(Protocol):
+    """Receives a transfer's answer on the relay loop's thread."""
+
+    def on_headers(self, status: int, headers: dict[str, str]) -> None:
+        """The status and headers, with names in lower case; called once, before any data."""
+        ...
+
+    def on_data(self, data: bytes) -> None:
+        """Bytes of the body that arrived together."""
+        ...
+
+    def on_end(self, end: TransferEnd) -> None:
+        """The transfer is over; nothing follows."""
+        ...
+
+
+class Transfer:
+    """A libcurl handle and the bytes it has received.
+
+    Each transfer uses a connection of its own. libcurl repeats a request by itself if a reused
+    connection turns out to be closed, which would run a call twice, and a pooled connection may
+    have stalled since its last use.
+    """
+
+    def __init__(self, request: TransferRequest, listener: TransferListener) -> None:
+        self.listener: TransferListener | None = listener
+        self.on_dirty: Callable[[Transfer], None] = lambda transfer: None
+        self.curl = pycurl.Curl()
+        self._lines: list[bytes] = []
+        self._headers_complete = False
+        self._headers_delivered = False
+        self._chunks: list[bytes] = []
+        self._paused = False
+        self._closed = False
+        self._configure(request)
+
+    @property
+    def sent(self) -> bool:
+        """Tells whether a byte of the request may have reached the server."""
+        return not self._closed and self.curl.getinfo(pycurl.REQUEST_SIZE) > 0
+
+    def pause(self) -> None:
+        """Stops reading from the connection."""
+        if not self._paused and not self._closed:
+            self._paused = True
+            self.curl.pause(pycurl.PAUSE_RECV)
+
+    def resume(self) -> None:
+        """Continues reading from the connection."""
+        if self._paused and not self._closed:
+            self._paused = False
+            self.curl.pause(pycurl.PAUSE_CONT)
+
+    def close(self) -> None:
+        """Frees the handle; only after it has been removed from the loop."""
+        self._closed = True
+        self.curl.close()
+
+    def deliver(self) -> None:
+        """Passes collected headers and bytes to the listener."""
+        if self._headers_complete and not self._headers_delivered and self.listener is not None:
+            self._headers_delivered = True
+            self.listener.on_headers(*_parse_headers(self._lines))
+        if self._chunks and self.listener is not None:
+            data, self._chunks = b"".join(self._chunks), []
+            self.listener.on_data(data)
+
+    def build_end(self, code: int, message: str) -> TransferEnd:
+        """Describes the end that libcurl reported."""
+        error = "" if code == 0 else (message or self.curl.errstr() or f"libcurl error {code}")
+        if code == 0 and not self._headers_delivered:
+            error = "the answer has no headers"
+        return TransferEnd(error, self.sent, code == pycurl.E_COULDNT_CONNECT and not self.sent)
+
+    def _configure(self, request: TransferRequest) -> None:
+        curl = self.curl
+        curl.setopt(pycurl.URL, request.url)
+        curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, request.connect_timeout_ms)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, _limit_unacknowledged)
+        if request.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, 1)
+        elif request.body or request.method in ("POST", "PUT", "PATCH"):
+            curl.setopt(pycurl.POSTFIELDS, request.body)
+        lines = [f"{name}: {value}" for name, value in request.headers]
+        curl.setopt(pycurl.HTTPHEADER, [*lines, "Expect:"])
+        curl.setopt(pycurl.HEADERFUNCTION, self._collect_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._collect_data)
+        if request.ca_file:
+            curl.setopt(pycurl.CAINFO, request.ca_file)
+
+    def _collect_header(self, line: bytes) -> None:
+        if line.startswith(b"HTTP/"):
+            self._lines = []
+        self._lines.append(line)
+        is_final = line in (b"\r\n", b"\n") and not self._lines[0].split(b" ")[1].startswith(b"1")
+        if is_final and not self._headers_complete:
+            self._headers_complete = True
+            self.on_dirty(self)
+
+    def _collect_data(self, data: bytes) -> None:
+        self._chunks.append(data)
+        self.on_dirty(self)
+
+
+def _parse_headers(lines: list[bytes]) -> tuple[int, dict[str, str]]:
+    headers: dict[str, str] = {}
+    for line in lines[1:]:
+        name, separator, value = line.decode("latin-1").partition(":")
+        if separator:
+            headers[name.strip().lower()] = value.strip()
+    return int(lines[0].split(b" ")[1]), headers
+
+
+def _limit_unacknowledged(fd: int, purpose: int) -> int:
+    with socket.socket(fileno=fd) as borrowed:
+        borrowed.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
+        borrowed.detach()
+    return pycurl.SOCKOPT_OK
