--- /dev/null
+++ b/src/mulberryrill/bin/gateway.py
@@ -0,0 +1,19 @@
+"""Entry point of ``mulberryrill-gateway``."""
+
+from ..internal.gateway.program import GatewayProgram
+from ..internal.program import run_program
+from ..internal.schema.settings_pb2 import GatewaySettings
+
+
+def list_secrets(settings: GatewaySettings) -> tuple[str, ...]:
+    """Returns what must never appear in a log."""
+    return (settings.keys.secret_key,)
+
+
+def run() -> None:
+    """Runs the gateway until SIGTERM."""
+    run_program("mulberryrill-gateway", GatewaySettings, GatewayProgram, list_secrets)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/mulberryrill/internal/control/lister.py
+++ b/src/mulberryrill/internal/control/lister.py
@@ -7,8 +7,7 @@
 from ..events import Event
 from ..logs import log_event
 from ..platform.listclient import ListClient
-from ..schema.wire_pb2 import MemberState
-from ..schema.wire_pb2 import Member
+from ..schema.wire_pb2 import Member, MemberState
 from .messages import Inbox, ListFailed, MembersListed
 from .task import Task
 
--- a/src/mulberryrill/internal/gateway/answerer.py
+++ b/src/mulberryrill/internal/gateway/answerer.py
@@ -12,9 +12,9 @@
 from .attempts import Answer
 from .call import Call
 from .caller import encode_json
-from .history import HistoryWriter
+from .history import GatewayHistory
+from .messages import SendMessage
 from .metrics import GatewayMetrics
-from .ports import SendMessage
 
 # Status in records when the caller went away before its answer was complete.
 STATUS_CALLER_GONE = 499
@@ -26,7 +26,7 @@
     """Gives each call exactly one answer. Runs on the relay loop's thread."""
 
     def __init__(
-        self, clock: Clock, history: HistoryWriter, metrics: GatewayMetrics, send: SendMessage
+        self, clock: Clock, history: GatewayHistory, metrics: GatewayMetrics, send: SendMessage
     ) -> None:
         self._clock = clock
         self._history = history
--- a/src/mulberryrill/internal/gateway/attempts.py
+++ b/src/mulberryrill/internal/gateway/attempts.py
@@ -3,6 +3,7 @@
 import json
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 from typing import Protocol
 from urllib.parse import quote
 
@@ -118,6 +119,8 @@
         self._is_paused = False
         self._is_over = False
         self._status = 0
+        # The answer does not echo the attempt's id.
+        self._is_unsigned = False
         self._headers: dict[str, str] = {}
         self._body = bytearray()
         self._splitter = EventSplitter()
@@ -172,6 +175,7 @@
         self.first_byte = self._last_progress = now
         self._status, self._headers = status, headers
         mismatch = find_mismatch(self.call, self.attempt_id, status, headers)
+        self._is_unsigned = "x-attempt-id" not in headers
         if mismatch:
             self.stop(ResultKind.MISMATCHED, mismatch)
             return
@@ -231,6 +235,9 @@
         body = bytes(self._body)
         if is_rejection(self.call, self._status, body):
             return AttemptResult(ResultKind.REJECTED, f"status {self._status}", True)
+        if self._is_unsigned and not self._is_request_error():
+            detail = f"status {self._status} without X-Attempt-Id"
+            return AttemptResult(ResultKind.MISMATCHED, detail, True)
         if self.call.request.is_model and self._status == 200:
             problem = _find_answer_problem(self.call, body)
             if problem:
@@ -240,19 +247,26 @@
         }
         return AttemptResult(ResultKind.COMPLETE, "", True, Answer(self._status, headers, body))
 
+    def _is_request_error(self) -> bool:
+        """Tells whether an engine found fault with the request itself."""
+        is_error = self._status in (HTTPStatus.BAD_REQUEST, HTTPStatus.UNPROCESSABLE_ENTITY)
+        return self.call.request.is_model and is_error
+
 
 def find_mismatch(
     call: Call, attempt_id: AttemptId, status: int, headers: dict[str, str]
 ) -> str | None:
     """Returns which echoed header shows that an answer is not this attempt's, if any."""
-    if headers.get("x-attempt-id") != attempt_id:
-        return f"X-Attempt-Id is {headers.get('x-attempt-id')!r}, not {attempt_id!r}"
-    if headers.get("x-customer") != quote_header(call.request.customer.name):
-        return "X-Customer is not the caller's"
+    expected = {"x-attempt-id": attempt_id, "x-customer": quote_header(call.request.customer.name)}
     # A rejection for the version names the version that the engine has.
-    has_version = call.request.is_model and status != STATUS_VERSION_MISMATCH and status < 400
-    if has_version and headers.get("x-model-version") != call.request.version:
-        return f"X-Model-Version is {headers.get('x-model-version')!r}"
+    if call.request.is_model and status != STATUS_VERSION_MISMATCH:
+        expected["x-model-version"] = call.request.version
+    for name, value in expected.items():
+        echoed = headers.get(name)
+        # A target that rejects a call before reading it cannot echo; see _judge_answer.
+        is_missing_allowed = echoed is None and status >= HTTPStatus.BAD_REQUEST
+        if echoed != value and not is_missing_allowed:
+            return f"{name} is {echoed!r}, not {value!r}"
     return None
 
 
--- a/src/mulberryrill/internal/gateway/claimdesk.py
+++ b/src/mulberryrill/internal/gateway/claimdesk.py
@@ -22,7 +22,7 @@
 from .answers import Action, Failure
 from .attempts import Answer
 from .call import Call, CallRequest
-from .ports import SendMessage
+from .messages import SendMessage
 
 # Claims without a reply; more are refused, because the log is the bottleneck then.
 MAX_OUTSTANDING = 1000
--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -7,8 +7,13 @@
 from dataclasses import dataclass, replace
 
 from ..clock import Clock
+from ..core.admission import Admission, CustomerLimits, share_limits
+from ..core.cachekeys import list_block_keys
 from ..core.messages import Choice, QueueItem, RoutingRequest, TargetState
+from ..core.quarantine import Quarantine
 from ..core.retries import RetryBudget
+from ..core.routing import Router
+from ..core.slots import GatewaySlots
 from ..core.snapshot import Snapshot
 from ..events import Event
 from ..ids import AttemptId, Executed, RequestId, ServiceName, TargetId, create_id
@@ -21,11 +26,11 @@
 from .call import Call, CallState
 from .claimdesk import ClaimDesk, build_refusal, can_abandon, create_unavailable
 from .forwarding import Forward, has_usable_target, is_usable, list_forward_entries
-from .history import HistoryWriter
+from .history import GatewayHistory
 from .loop import RelayLoop
+from .messages import SendMessage
 from .metrics import GatewayMetrics
 from .options import GatewayOptions
-from .ports import AdmissionPort, LimitsBuilder, QuarantinePort, RouterPort, SendMessage, SlotsPort
 from .suspects import CrashSuspects
 
 TICK_S = 0.1
@@ -51,23 +56,22 @@
         ResultKind.MISMATCHED,
     }
 )
+# Results after which a target gets less load, because it refused or reset the call or hangs.
+_FAILED_TARGET = frozenset({ResultKind.REJECTED, ResultKind.REFUSED, ResultKind.BROKEN})
 _LOST_TARGET = frozenset({ResultKind.REFUSED, ResultKind.BROKEN})
 _LOGGER = logging.getLogger(__name__)
 
-BuildKeys = Callable[[str, str, str, bytes], tuple[bytes, ...]]
-
 
 @dataclass(frozen=True)
 class DecisionParts:
     """The core's classes that the dispatcher owns."""
 
-    router: RouterPort
-    slots: SlotsPort
-    admission: AdmissionPort
-    quarantine: QuarantinePort
-    build_limits: LimitsBuilder
-    # Customer, model, version and prompt to cache block keys.
-    build_keys: BuildKeys
+    router: Router
+    slots: GatewaySlots
+    admission: Admission
+    quarantine: Quarantine
+    # Key of the cache block keys.
+    block_secret: bytes
 
 
 class Dispatcher:
@@ -79,7 +83,7 @@
         clock: Clock,
         options: GatewayOptions,
         parts: DecisionParts,
-        history: HistoryWriter,
+        history: GatewayHistory,
         metrics: GatewayMetrics,
         send: SendMessage,
     ) -> None:
@@ -98,7 +102,7 @@
         self._calls: dict[RequestId, Call] = {}
         self._runs: dict[Call, Attempt | Forward] = {}
         self._retrying: list[Call] = []
-        self._choices: dict[RequestId, Choice] = {}
+        self._full_groups: set[tuple[str, str, str]] = set()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._is_pump_due = False
         self._is_report_due = False
@@ -268,8 +272,10 @@
         request = call.request
         call.routing = self._build_routing(call)
         call.item = QueueItem(call.routing, call.received, call.deadline)
-        limits = self._parts.build_limits(request.customer, self._snapshot.live_instances)
-        refusal = self._parts.admission.admit(call.item, limits, now)
+        customer = request.customer
+        limits = CustomerLimits(customer.requests_per_second, customer.concurrent, customer.weight)
+        share = share_limits(limits, self._snapshot.live_instances)
+        refusal = self._parts.admission.admit(call.item, share, now)
         if refusal is not None:
             call.item = None
             self._fail(call, failures.create_refused(refusal))
@@ -282,7 +288,9 @@
         keys: tuple[bytes, ...] = ()
         if request.is_model:
             customer = f"{request.config.name}/{request.customer.name}"
-            keys = self._parts.build_keys(customer, request.model, request.version, request.prompt)
+            keys = list_block_keys(
+                self._parts.block_secret, customer, request.model, request.version, request.prompt
+            )
         return RoutingRequest(
             request_id=request.request_id,
             service=request.config.name,
@@ -308,29 +316,41 @@
         self._start_retries(now)
         while (item := self._parts.admission.pop(self._can_start, now)) is not None:
             call = self._calls.get(item.request.request_id)
-            choice = self._choices.pop(item.request.request_id, None)
-            if call is None or call.item is not item or call.state is not CallState.QUEUED:
+            if call is None:
                 self._parts.admission.finish(item)
             elif self._must_leave(call):
                 self._release_item(call)
                 self._leave(call)
-            elif choice is None or choice.target is None or not self._start(call, choice):
+            elif not self._start(call, self._choose(call, frozenset())):
                 self._retry_later(call, call.deadline)
-        self._choices.clear()
+        self._full_groups.clear()
 
     def _can_start(self, item: QueueItem) -> bool:
+        """Tells whether some target could take the call now.
+
+        Starting calls only uses up slots, so a group of calls without a free target stays so until
+        the end of the pump, and a long queue is not compared with every target again and again.
+        """
         call = self._calls.get(item.request.request_id)
-        if call is None or call.state is not CallState.QUEUED or self._must_leave(call):
+        if call is None:
             return True
-        choice = self._choose(call, frozenset())
-        self._choices[item.request.request_id] = choice
-        return choice.target is not None
+        group = _get_group(call)
+        if group in self._full_groups:
+            return False
+        now = self._loop.now()
+        has_free = any(
+            is_usable(target, call) and self._parts.slots.count_free(target, now) > 0
+            for target in self._list_own_targets()
+        )
+        if has_free or self._must_leave(call):
+            return True
+        self._full_groups.add(group)
+        return False
 
     def _choose(self, call: Call, excluded: frozenset[TargetId]) -> Choice:
         assert call.routing is not None
         now = self._loop.now()
-        own = self._options.data_centre
-        targets = [t for t in self._snapshot.targets.values() if t.data_centre == own]
+        targets = self._list_own_targets()
         routing = replace(call.routing, excluded=excluded)
         slots = self._parts.slots
         return self._parts.router.choose(
@@ -426,7 +446,7 @@
         self._runs.pop(call, None)
         self._track(call, attempt, result)
         self._trace(call, attempt, result)
-        self._free(attempt, result.kind is ResultKind.COMPLETE)
+        self._free(attempt, result.kind not in _FAILED_TARGET)
         self._judge_target(call, attempt, result)
         if result.kind is ResultKind.COMPLETE:
             self._complete(call, result)
@@ -468,7 +488,7 @@
         now = self._loop.now()
         self._parts.slots.release(attempt.target.target, succeeded)
         first = attempt.first_byte
-        first_s = first - attempt.started if succeeded and first is not None else None
+        first_s = first - attempt.started if first is not None else None
         self._parts.router.record_end(
             call.routing, attempt.target, call.progress.cached_tokens, first_s, now
         )
@@ -524,8 +544,8 @@
         call.tried.add(TargetId(call.traces[-1].target))
         if call.answered:
             self._end(call)
-        elif call.progress.verified and call.caller.started:
-            # Every token was delivered and counted; only the end marker is missing.
+        elif call.caller.started and _has_all_tokens(call):
+            # Only the end of the stream is missing.
             self._answerer.stream(call, b"data: [DONE]\n\n")
             self._complete(call, replace(result, kind=ResultKind.COMPLETE))
         elif call.progress.tokens:
@@ -544,6 +564,7 @@
         can_resume = (
             result.kind in _RESUMABLE
             and call.progress.resumable
+            and not call.progress.finish_reason
             and call.attempts < MAX_ATTEMPTS
             and self._find_budget(call).try_retry()
         )
@@ -569,7 +590,6 @@
         """Releases everything that belongs to a call."""
         if call.state is CallState.CLAIMING:
             self._claims.give_up(call)
-        was_queued = call.state is CallState.QUEUED
         call.state = CallState.DONE
         if call.claim is not None and can_abandon(call.tracker):
             log_event(
@@ -581,8 +601,7 @@
             )
             self._claims.abandon(call.claim)
             call.claim = None
-        if not was_queued:
-            self._release_item(call)
+        self._release_item(call)
         if self._calls.get(call.request.request_id) is call:
             del self._calls[call.request.request_id]
         self._metrics.running.set(len(self._calls))
@@ -611,7 +630,8 @@
         run.cancel()
         self._runs.pop(call, None)
         if isinstance(run, Attempt):
-            self._free(run, False)
+            # That the caller left says nothing against the target.
+            self._free(run, True)
 
     def _on_drained(self, call: Call) -> None:
         run = self._runs.get(call)
@@ -686,8 +706,7 @@
         examples: dict[tuple[str, str, str], Call] = {}
         for call in self._calls.values():
             if call.state in waiting:
-                request = call.request
-                group = (str(request.config.pool), request.model, request.version)
+                group = _get_group(call)
                 groups[group] += 1
                 examples[group] = call
         demand: Counter[TargetId] = Counter()
@@ -706,3 +725,17 @@
 
     def _unix_ms(self) -> int:
         return round(self._clock.wall() * 1000)
+
+
+def _has_all_tokens(call: Call) -> bool:
+    """Tells whether the caller has the complete output of a stream that ended early."""
+    progress = call.progress
+    is_cut_to_length = progress.finish_reason == "length"
+    return progress.verified or (
+        is_cut_to_length and progress.tokens == call.request.content.get("max_tokens")
+    )
+
+
+def _get_group(call: Call) -> tuple[str, str, str]:
+    """Returns what decides which targets can run a call."""
+    return (call.request.config.pool, call.request.model, call.request.version)
--- a/src/mulberryrill/internal/gateway/failures.py
+++ b/src/mulberryrill/internal/gateway/failures.py
@@ -1,7 +1,8 @@
 """The errors that the dispatcher gives to callers."""
 
-from typing import Any
+import math
 
+from ..core.admission import Refusal, RefusalKind
 from ..ids import Executed
 from .answers import Action, Failure
 from .attempts import AttemptResult, ResultKind
@@ -44,14 +45,23 @@
     )
 
 
-def create_refused(refusal: Any) -> Failure:
+_REFUSALS = {
+    RefusalKind.RATE: (429, "Too many requests"),
+    RefusalKind.CONCURRENCY: (429, "Too many requests at once"),
+    RefusalKind.QUEUE_FULL: (503, "Queue full"),
+    RefusalKind.DEADLINE: (503, "Deadline passed"),
+}
+
+
+def create_refused(refusal: Refusal) -> Failure:
     """Admission refused the request."""
+    status, title = _REFUSALS[refusal.kind]
     return Failure(
-        refusal.status,
-        refusal.title,
-        refusal.detail,
+        status,
+        title,
+        f"Not run: {refusal.reason}.",
         Executed.NO,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=max(RETRY_AFTER_S, math.ceil(refusal.retry_after_s)),
     )
 
 
--- a/src/mulberryrill/internal/gateway/program.py
+++ b/src/mulberryrill/internal/gateway/program.py
@@ -3,13 +3,16 @@
 import logging
 import secrets
 import threading
-from collections.abc import Callable
 
 from prometheus_client import CONTENT_TYPE_LATEST
 from werkzeug.wrappers import Request, Response
 
 from ...errors import GatewayError
 from ..clock import Clock, SystemClock
+from ..core.admission import Admission
+from ..core.quarantine import Quarantine
+from ..core.routing import Router, create_policy
+from ..core.slots import GatewaySlots
 from ..core.snapshot import SnapshotHolder
 from ..events import Event
 from ..httpserver import HttpServer, create_problem
@@ -18,7 +21,7 @@
 from ..schema.wire_pb2 import Envelope, SnapshotAck, SnapshotUpdate
 from .dispatcher import DecisionParts, Dispatcher
 from .frontend import FrontEnd
-from .history import HistoryWriter
+from .history import GatewayHistory
 from .link import ControlLink
 from .loop import RelayLoop
 from .metrics import GatewayMetrics
@@ -28,10 +31,9 @@
 # The loop turns at least twice a second; one that has not for this long is not healthy.
 LOOP_LIMIT_S = 5.0
 IDLE_POLL_S = 0.05
+BLOCK_SECRET_BYTES = 32
 _LOGGER = logging.getLogger(__name__)
 
-PartsBuilder = Callable[[GatewayOptions], DecisionParts]
-
 
 class GatewayProgram:
     """One gateway process."""
@@ -39,7 +41,6 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        build_parts: PartsBuilder,
         clock: Clock | None = None,
     ) -> None:
         self._clock = clock or SystemClock()
@@ -47,14 +48,14 @@
         options = self._options
         self._holder = SnapshotHolder()
         self._metrics = GatewayMetrics()
-        self._history = HistoryWriter(settings.history_file, self._clock, options.gateway)
+        self._history = GatewayHistory(settings.history_file, options.gateway, self._clock)
         self._loop = RelayLoop(self._clock)
         self._link = ControlLink(settings, options.gateway, self._receive)
         self._dispatcher = Dispatcher(
             self._loop,
             self._clock,
             options,
-            build_parts(options),
+            create_parts(options),
             self._history,
             self._metrics,
             self._link.send,
@@ -83,7 +84,6 @@
 
     def start(self) -> None:
         """Opens the sockets; the gateway is ready when its control process says so."""
-        self._history.start()
         self._dispatcher.start()
         self._loop.start()
         self._link.start()
@@ -164,6 +164,12 @@
     return Response("ok\n" if is_ok else f"{problem}\n", status=200 if is_ok else 503)
 
 
-def create_block_secret() -> bytes:
-    """Returns the key of this process's cache block keys."""
-    return secrets.token_bytes(32)
+def create_parts(options: GatewayOptions) -> DecisionParts:
+    """Returns the core's classes for one gateway."""
+    return DecisionParts(
+        router=Router(create_policy(options.policy), options.data_centre, options.settings.seed),
+        slots=GatewaySlots(max_instances=1),
+        admission=Admission(),
+        quarantine=Quarantine(),
+        block_secret=secrets.token_bytes(BLOCK_SECRET_BYTES),
+    )
--- a/src/mulberryrill/internal/gateway/streams.py
+++ b/src/mulberryrill/internal/gateway/streams.py
@@ -44,6 +44,8 @@
     resumable: bool = True
     # The usage event agreed with the count of delivered events.
     verified: bool = False
+    # The last finish_reason that was delivered.
+    finish_reason: str = ""
     prompt_tokens: int = 0
     cached_tokens: int = 0
 
@@ -89,7 +91,10 @@
             self._check(usage)
         if not choices:
             return event + b"\n\n" if self._wants_usage and usage else b""
-        is_repeated_role = self._is_resumed and not has_token and not _is_final(choices)
+        reason = choices[0].get("finish_reason")
+        if reason:
+            self._progress.finish_reason = str(reason)
+        is_repeated_role = self._is_resumed and not has_token and not reason
         return b"" if is_repeated_role else event + b"\n\n"
 
     def _count(self, choices: list) -> bool:
@@ -120,7 +125,3 @@
         progress.prompt_tokens = usage.get("prompt_tokens") or 0
         details = usage.get("prompt_tokens_details") or {}
         progress.cached_tokens = details.get("cached_tokens") or 0
-
-
-def _is_final(choices: list) -> bool:
-    return bool(choices[0].get("finish_reason"))
--- a/src/mulberryrill/internal/gateway/suspects.py
+++ b/src/mulberryrill/internal/gateway/suspects.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass
 
 from ..core.messages import TargetState
+from ..core.quarantine import Quarantine
 from ..ids import Incarnation, TargetId
 from ..schema.wire_pb2 import CrashReport, Envelope
-from .ports import QuarantinePort, SendMessage
+from .messages import SendMessage
 
 # Watchers poll several times in this time, so a crash without evidence by then was a network fault.
 EVIDENCE_S = 10.0
@@ -27,7 +28,7 @@
 class CrashSuspects:
     """Collects suspects and reports crashes. Runs on the relay loop's thread."""
 
-    def __init__(self, quarantine: QuarantinePort, send: SendMessage) -> None:
+    def __init__(self, quarantine: Quarantine, send: SendMessage) -> None:
         self._quarantine = quarantine
         self._send = send
         self._by_target: dict[TargetId, list[_Suspect]] = {}
--- /dev/null
+++ b/tests/common/gateway.py
@@ -0,0 +1,342 @@
+"""A gateway in this process with a control process played by the test."""
+
+import hashlib
+import json
+import threading
+import time
+import unittest
+from collections.abc import Callable
+
+import zmq
+
+from mulberryrill.internal.gateway.program import GatewayProgram
+from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.schema.log_pb2 import DataCentreOrder
+from mulberryrill.internal.schema.settings_pb2 import (
+    EngineSettings,
+    GatewaySettings,
+    KeyPair,
+    Listen,
+    PlainServiceSettings,
+)
+from mulberryrill.internal.schema.wire_pb2 import (
+    GRANTED,
+    HEALTHY,
+    ClaimReply,
+    ClaimRequest,
+    Envelope,
+    GrantUpdate,
+    Member,
+    ModelView,
+    ServiceView,
+    SnapshotUpdate,
+    TargetGrant,
+    TargetView,
+    engine,
+    entry,
+    live,
+    service,
+)
+from mulberryrill.internal.standins.engine import EngineStandin
+from mulberryrill.internal.standins.service import ServiceStandin
+from mulberryrill.internal.transport import (
+    Authenticator,
+    decode_envelope,
+    encode_envelope,
+    open_server,
+)
+
+TOKEN = "secret-of-kariakoo"
+MODEL = "flavour-7b"
+WAIT_S = 20.0
+GRANT_S = 60.0
+LOCAL = "127.0.0.1"
+MODEL_DOCUMENT = """
+service: flavour
+owners: [asha]
+kind: model
+pool: language
+models: [{{name: flavour-7b, version: "3"}}]
+customers:
+  - {{name: kariakoo, token_sha256: ["{token}"], concurrent: {concurrent}, weight: 1}}
+priority: interactive
+deadline_ms: {deadline_ms}
+"""
+PLAIN_DOCUMENT = """
+service: sugar
+owners: [asha]
+kind: plain
+pool: vendor
+customers:
+  - {{name: kariakoo, token_sha256: ["{token}"], concurrent: 0, weight: 1}}
+priority: interactive
+deadline_ms: {deadline_ms}
+calls: [{{method: POST, path: /pay, repeatable: false}}]
+"""
+
+
+def wait_until(condition: Callable[[], object], text: str) -> None:
+    """Fails the test if the condition does not hold in time."""
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not in {WAIT_S:g} s: {text}")
+        time.sleep(0.01)
+
+
+def create_keys() -> KeyPair:
+    """Returns a new CURVE key pair."""
+    public, secret = zmq.curve_keypair()
+    return KeyPair(public_key=public.decode(), secret_key=secret.decode())
+
+
+class ControlDouble:
+    """Plays the control process: sends snapshots and grants, keeps what the gateway sends."""
+
+    def __init__(self, keys: KeyPair) -> None:
+        self.received: list[Envelope] = []
+        self.answer_claim: Callable[[ClaimRequest], ClaimReply | None] = grant_claim
+        self.update = SnapshotUpdate(epoch="run-1", ready=True, live_instances=1, max_instances=1)
+        self.slots = 8
+        self._keys = keys
+        self._context = zmq.Context()
+        self._authenticator = Authenticator(self._context, [keys.public_key])
+        self._authenticator.start()
+        self._socket = open_server(self._context, f"tcp://{LOCAL}:*", keys)
+        self.endpoint = str(self._socket.get_string(zmq.LAST_ENDPOINT))
+        self._lock = threading.Lock()
+        self._outgoing: list[Envelope] = []
+        self._identities: set[bytes] = set()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        self._stop.set()
+        self._thread.join()
+        self._authenticator.close()
+        self._context.destroy(0)
+
+    def send(self, envelope: Envelope) -> None:
+        with self._lock:
+            self._outgoing.append(envelope)
+
+    def publish(self) -> None:
+        """Sends the snapshot with the next version, and slots for all its targets."""
+        self.update.version += 1
+        copy = SnapshotUpdate()
+        copy.CopyFrom(self.update)
+        self.send(Envelope(snapshot_update=copy))
+        grant = GrantUpdate(valid_until=time.monotonic() + GRANT_S)
+        for view in self.update.targets:
+            grant.grants.append(
+                TargetGrant(target=view.target, incarnation=view.incarnation, slots=self.slots)
+            )
+        self.send(Envelope(grant_update=grant))
+
+    def list(self, kind: str) -> list:
+        return [getattr(e, kind) for e in list(self.received) if e.WhichOneof("body") == kind]
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            if self._socket.poll(10):
+                identity, frame = self._socket.recv_multipart()
+                self._identities.add(identity)
+                envelope = decode_envelope(frame)
+                self.received.append(envelope)
+                if envelope.WhichOneof("body") == "claim_request":
+                    reply = self.answer_claim(envelope.claim_request)
+                    if reply is not None:
+                        self.send(Envelope(claim_reply=reply))
+            with self._lock:
+                outgoing = self._outgoing if self._identities else []
+                self._outgoing = self._outgoing[len(outgoing) :]
+            for envelope in outgoing:
+                envelope.sender = "kariakoo-1/control"
+                for identity in self._identities:
+                    self._socket.send_multipart([identity, encode_envelope(envelope)])
+        self._socket.close()
+
+
+def grant_claim(request: ClaimRequest) -> ClaimReply:
+    """Grants every claim."""
+    return ClaimReply(
+        request_id=request.request_id, claim_id=request.claim.claim_id, status=GRANTED
+    )
+
+
+def create_settings(control: ControlDouble, keys: KeyPair, **fields: object) -> GatewaySettings:
+    """Returns a gateway's settings."""
+    defaults: dict = {
+        "instance": "kariakoo-1",
+        "data_centre": "kariakoo",
+        "name": "gateway-0",
+        "callers": Listen(host=LOCAL),
+        "admin": Listen(host=LOCAL),
+        "control_endpoint": control.endpoint,
+        "control_public_key": keys.public_key,
+        "keys": keys,
+        "stream_progress_timeout_ms": 500,
+    }
+    return GatewaySettings(**{**defaults, **fields})
+
+
+class GatewayTestCase(unittest.TestCase):
+    """Starts one gateway; tests add targets and then call ``start_gateway``."""
+
+    deadline_ms = 10_000
+    concurrent = 0
+
+    def setUp(self) -> None:
+        self.keys = create_keys()
+        self.control = ControlDouble(self.keys)
+        self.addCleanup(self.control.close)
+        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+        texts = {"flavour": MODEL_DOCUMENT, "sugar": PLAIN_DOCUMENT}
+        for name, text in texts.items():
+            document = text.format(
+                token=digest, deadline_ms=self.deadline_ms, concurrent=self.concurrent
+            )
+            self.control.update.services.append(
+                ServiceView(service=name, revision=1, document=document)
+            )
+
+    def start_gateway(self, **fields: object) -> GatewayProgram:
+        program = GatewayProgram(create_settings(self.control, self.keys, **fields))
+        program.start()
+        self.addCleanup(program.close)
+        self.control.publish()
+        self.url = f"http://{LOCAL}:{program.port}"
+        self.admin_url = f"http://{LOCAL}:{program.admin_port}"
+        client = HttpClient()
+        self.addCleanup(client.close)
+        wait_until(
+            lambda: client.send("GET", f"{self.admin_url}/readyz").status == 200, "gateway ready"
+        )
+        wait_until(lambda: self.control.list("snapshot_ack"), "snapshot acknowledged")
+        return program
+
+    def start_engine(self, name: str = "engine-1", **fields: object) -> EngineStandin:
+        defaults: dict = {
+            "id": name,
+            "listen": Listen(host=LOCAL),
+            "models": ["flavour-7b@3"],
+            "max_concurrency": 8,
+            "cache_blocks": 8,
+            "decode_ms_per_token": 1,
+            "data_centre": "kariakoo",
+            "pool": "language",
+        }
+        standin = EngineStandin(EngineSettings(**{**defaults, **fields}))
+        standin.start()
+        self.addCleanup(standin.close)
+        self.add_target(name, f"http://{LOCAL}:{standin.port}")
+        return standin
+
+    def start_service(self, name: str = "vendor-1") -> ServiceStandin:
+        standin = ServiceStandin(
+            PlainServiceSettings(id=name, listen=Listen(host=LOCAL), max_concurrency=4)
+        )
+        standin.start()
+        self.addCleanup(standin.close)
+        self.add_target(name, f"http://{LOCAL}:{standin.port}", is_engine=False)
+        return standin
+
+    def add_target(
+        self, name: str, address: str, is_engine: bool = True, data_centre: str = "kariakoo"
+    ) -> None:
+        """Lists a target; its incarnation is read from its state if it has one."""
+        incarnation = "unknown"
+        client = HttpClient()
+        try:
+            state = client.send("GET", f"{address}/v1/state").parse_json()
+            assert isinstance(state, dict)
+            incarnation = str(state["incarnation"])
+        finally:
+            client.close()
+        self.control.update.members.append(
+            Member(
+                id=name,
+                kind=engine if is_engine else service,
+                data_centre=data_centre,
+                address=address,
+                pool="language" if is_engine else "vendor",
+                state=live,
+            )
+        )
+        models = [ModelView(name=MODEL, version="3")] if is_engine else []
+        self.control.update.targets.append(
+            TargetView(
+                target=name,
+                incarnation=incarnation,
+                health=HEALTHY,
+                max_concurrency=8,
+                models=models,
+            )
+        )
+
+    def add_entry(self, name: str, data_centre: str, address: str) -> None:
+        """Lists a gateway of another instance."""
+        self.control.update.members.append(
+            Member(id=name, kind=entry, data_centre=data_centre, address=address, state=live)
+        )
+
+    def order(self, **fields: object) -> None:
+        """Adds a data centre order to the snapshot."""
+        self.control.update.orders.append(DataCentreOrder(**fields))  # type: ignore[arg-type]
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        token: str = TOKEN,
+        **headers: str,
+    ) -> HttpResponse:
+        """Calls the gateway."""
+        client = HttpClient()
+        data = b"" if body is None else json.dumps(body).encode()
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        try:
+            return client.send(
+                method,
+                self.url + path,
+                data,
+                {"Authorization": f"Bearer {token}", **names},
+                timeout_s=WAIT_S,
+            )
+        finally:
+            client.close()
+
+    def complete(self, prompt: str = "hello", **fields: object) -> HttpResponse:
+        """Sends a completion request."""
+        return self.call(
+            "POST",
+            "/v1/completions",
+            {"model": MODEL, "prompt": prompt, "max_tokens": 8, **fields},
+        )
+
+    def set_faults(self, standin: EngineStandin | ServiceStandin, **faults: object) -> None:
+        """Makes a stand-in fail."""
+        client = HttpClient()
+        try:
+            url = f"http://{LOCAL}:{standin.port}/v1/faults"
+            answer = client.send("POST", url, json.dumps(faults).encode())
+        finally:
+            client.close()
+        self.assertEqual(answer.status, 200)
+
+
+def read_stream(answer: HttpResponse) -> tuple[str, bool, list[dict]]:
+    """Returns the text of a stream, whether it ended properly, and its other events."""
+    text, others, done = "", [], False
+    for event in answer.body.decode().split("\n\n"):
+        if event == "data: [DONE]":
+            done = True
+        elif event:
+            content = json.loads(event.removeprefix("data: "))
+            if content.get("choices"):
+                text += content["choices"][0]["text"]
+            else:
+                others.append(content)
+    return text, done, others
