Give the invalid document of a test two structural problems

The document checker reports structural problems before it looks at the meaning of fields, so the old input had only one problem to report. The check for more than one stays.

--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -153,10 +153,23 @@
         batch = LogBatch()
         for number in range(start, start + 20):
             key = create_key(START_MS, number)
-            ids = {"claim_id": uuid.uuid5(uuid.NAMESPACE_OID, key).hex, "key": key}
-            names = {"customer": f"customer-{number % 6200}", "service": "payments"}
-            batch.entries.add(claim=Claim(**ids, **names, request_digest=b"d" * 32))
-            batch.entries.add(outcome=Outcome(**ids, **names, status=200, body=b"b" * 200))
+            claim = Claim(
+                claim_id=uuid.uuid5(uuid.NAMESPACE_OID, key).hex,
+                customer=f"customer-{number % 6200}",
+                service="payments",
+                key=key,
+                request_digest=b"d" * 32,
+            )
+            outcome = Outcome(
+                claim_id=claim.claim_id,
+                customer=claim.customer,
+                service=claim.service,
+                key=key,
+                status=200,
+                body=b"b" * 200,
+            )
+            batch.entries.add(claim=claim)
+            batch.entries.add(outcome=outcome)
         records.append(Record(Offset(start // 20), START_MS, seal_batch(batch)))
 
     def fold() -> ClaimFold:
--- a/tests/process/test_control_alone.py
+++ b/tests/process/test_control_alone.py
@@ -67,7 +67,7 @@
 
     def test_invalid_calls_are_refused_with_the_remedy(self) -> None:
         path = "/v1/documents/flavour-questions?base_revision=0"
-        bad = b"service: Other\nkind: neither\n"
+        bad = b"service: Other\nkind: neither\ndeadline_ms: soon\n"
         answer = self.call(self.program, "PUT", path, bad)
         self.assertEqual(answer.status, 422)
         self.assertGreater(len(json.loads(answer.body)["problems"]), 1)
