--- a/src/mulberryrill/internal/core/configuration.py
+++ b/src/mulberryrill/internal/core/configuration.py
@@ -106,7 +106,7 @@
         self._read_from = Offset(0)
         self._known: set[ServiceName] = set()
         # Services that exist but are not known yet; None until an index tells which exist.
-        self._awaited: set[ServiceName] | None = None
+        self._awaited: set[ServiceName] | None = set()
         self._pending: dict[ServiceName, list[_Change]] = {}
         self._index_ms = 0
         self.corrupt_records = 0
@@ -133,7 +133,10 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether every document is known; an instance is not ready before."""
+        """Whether every document as of ``folded_offset`` is known.
+
+        An instance is ready when this is so and it has folded to the observed end of the log.
+        """
         return self._awaited is not None and not self._awaited
 
     def count_pending(self) -> int:
@@ -316,6 +319,8 @@
         Any instance may append them. To have one writer in the usual case, instances pass a time
         that is reduced by a few seconds for each instance that should write before them.
         """
+        if self._folded == NO_OFFSET:
+            return []
         due = [
             DocumentCheckpoint(
                 service=service,
