--- /dev/null
+++ b/src/mulberryrill/internal/control/calls.py
@@ -0,0 +1,126 @@
+"""Answers operators' read calls from the main task's state."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from google.protobuf.message import Message
+
+from ..clock import Clock
+from ..ids import ServiceName
+from ..schema.log_pb2 import AuditEntry
+from ..schema.wire_pb2 import Member, MemberKind
+from .documents import Configuration
+from .messages import CallAnswer
+from .peers import Progress
+
+# An instance that left the list is waited for this long after its last news.
+UNLISTED_EXPIRY_S = 10.0
+
+
+def show_document(configuration: Configuration, service: str) -> CallAnswer:
+    """Returns the document in force, as its author wrote it."""
+    state = configuration.fold.documents.get(ServiceName(service))
+    if state is None:
+        return _refuse_unknown(service)
+    return CallAnswer(
+        200,
+        {
+            "service": service,
+            "revision": state.revision,
+            "author": configuration.find_author(service),
+            "recorded_unix_ms": state.recorded_unix_ms,
+            "document": state.document,
+        },
+    )
+
+
+def show_history(configuration: Configuration, service: str) -> CallAnswer:
+    """Returns all known changes in log order, refused ones included."""
+    entries = configuration.fold.list_history(ServiceName(service))
+    if not entries and ServiceName(service) not in configuration.fold.documents:
+        return _refuse_unknown(service)
+    return CallAnswer(200, {"service": service, "entries": [_describe_audit(e) for e in entries]})
+
+
+def show_in_force(
+    service: str,
+    revision: int,
+    progress: Mapping[str, Progress],
+    listed: Iterable[Member],
+    clock: Clock,
+) -> CallAnswer:
+    """Returns for each instance whether its gateways have the revision in force.
+
+    Listed instances without news count as not in force. An instance that is not listed counts
+    while there is news of it, because it may be serving.
+    """
+    now = clock.monotonic()
+    data_centres = {
+        name: item.data_centre
+        for name, item in progress.items()
+        if now - item.at < UNLISTED_EXPIRY_S
+    }
+    for member in listed:
+        if member.kind == MemberKind.entry:
+            data_centres.setdefault(member.id, member.data_centre)
+    instances: list[dict[str, object]] = []
+    missing = []
+    for name in sorted(data_centres):
+        item = progress.get(name)
+        in_force = item is not None and item.in_force_offset >= revision
+        instances.append(
+            {
+                "instance": name,
+                "data_centre": data_centres[name],
+                "in_force": in_force,
+                "in_force_offset": item.in_force_offset if item is not None else None,
+                "age_ms": int((now - item.at) * 1000) if item is not None else None,
+            }
+        )
+        if not in_force:
+            missing.append(name)
+    return CallAnswer(
+        200,
+        {
+            "service": service,
+            "revision": revision,
+            "in_force": not missing,
+            "missing": missing,
+            "instances": instances,
+        },
+    )
+
+
+def describe(message: Message) -> dict[str, object]:
+    """Returns a message's fields as JSON members: enumerations by name, integers as numbers.
+
+    The library's own JSON form writes 64-bit integers as text, which operators do not expect.
+    """
+    return {
+        field.name: (
+            [_describe_value(field, item) for item in getattr(message, field.name)]
+            if field.is_repeated
+            else _describe_value(field, getattr(message, field.name))
+        )
+        for field in message.DESCRIPTOR.fields
+    }
+
+
+def _describe_value(field: Any, value: Any) -> object:
+    if isinstance(value, Message):
+        return describe(value)
+    if field.enum_type is not None:
+        return field.enum_type.values_by_number[value].name.lower()
+    return value.hex() if isinstance(value, bytes) else value
+
+
+def _describe_audit(entry: AuditEntry) -> dict[str, object]:
+    return {**describe(entry), "revision": entry.offset if entry.accepted else 0}
+
+
+def _refuse_unknown(service: str) -> CallAnswer:
+    body: dict[str, object] = {
+        "title": "Unknown service",
+        "detail": f"There is no document of {service!r}; create it with base_revision=0.",
+    }
+    return CallAnswer(404, body)
