--- a/src/mulberryrill/internal/control/link.py
+++ b/src/mulberryrill/internal/control/link.py
@@ -10,6 +10,7 @@
 import zmq
 
 from ...errors import TransportError
+from ..clock import Clock
 from ..events import Event
 from ..logs import log_event
 from ..schema.settings_pb2 import ControlSettings, PeerSettings
@@ -29,6 +30,7 @@
 # Messages taken from one socket before the others get their turn.
 BURST_MESSAGES = 100
 MAX_INBOX = 10_000
+REJECT_LOG_S = 1.0
 BACKPRESSURE_PAUSE_S = 0.01
 _LOGGER = logging.getLogger(__name__)
 
@@ -119,7 +121,7 @@
 class Link(Task):
     """Owns all ZeroMQ sockets; checks the sender of each message against its CURVE key."""
 
-    def __init__(self, settings: ControlSettings, inbox: Inbox) -> None:
+    def __init__(self, settings: ControlSettings, inbox: Inbox, clock: Clock) -> None:
         super().__init__("link")
         self._settings = settings
         self._inbox = inbox
@@ -137,6 +139,9 @@
         self._gateways: zmq.Socket
         self._peers: zmq.Socket
         self._sequence = 0
+        self._clock = clock
+        self._rejected = 0
+        self._reject_logged_at = clock.monotonic() - REJECT_LOG_S
 
     @property
     def gateway_endpoint(self) -> str:
@@ -265,7 +270,23 @@
             except zmq.Again:
                 return
             except TransportError as error:
-                _reject(str(error))
+                self._reject(str(error))
+
+    def _reject(self, reason: str) -> None:
+        """Counts each rejection but logs one a second, so that a bad sender can't flood the log."""
+        MESSAGES_REJECTED.inc()
+        self._rejected += 1
+        now = self._clock.monotonic()
+        if now - self._reject_logged_at >= REJECT_LOG_S:
+            log_event(
+                _LOGGER,
+                logging.WARNING,
+                Event.SENDER_REJECTED,
+                f"message rejected: {reason}",
+                rejected=self._rejected,
+            )
+            self._reject_logged_at = now
+            self._rejected = 0
 
     def _receive_from_gateway(self, socket: zmq.Socket) -> None:
         identity, key, frame = _receive(socket)
@@ -308,8 +329,3 @@
 def _raise_refusal(refusal: str | None) -> None:
     if refusal is not None:
         raise TransportError(refusal)
-
-
-def _reject(reason: str) -> None:
-    MESSAGES_REJECTED.inc()
-    log_event(_LOGGER, logging.WARNING, Event.SENDER_REJECTED, f"message rejected: {reason}")
--- a/src/mulberryrill/internal/control/program.py
+++ b/src/mulberryrill/internal/control/program.py
@@ -85,7 +85,7 @@
         self._inbox: Inbox = Inbox()
         process = f"{settings.instance}/control"
         self._history = HistoryWriter(settings.history_file, process, self._clock)
-        self._link = Link(settings, self._inbox)
+        self._link = Link(settings, self._inbox, self._clock)
         self._writer = self._create_writer("writer")
         self._claim_streams = list_claim_streams(settings.claim_streams)
         self._claim_writers = {
