Name the operators' interface alike on both sides

The command line reads 'history' and 'behind' and sends X-Change-Id, as the design page's interface was agreed; the control process answered 'entries' and 'missing' and chose its own change id, so that a lost answer could not be found again in the history.

--- a/src/mulberryrill/internal/control/calls.py
+++ b/src/mulberryrill/internal/control/calls.py
@@ -39,7 +39,7 @@
     entries = configuration.fold.list_history(ServiceName(service))
     if not entries and ServiceName(service) not in configuration.fold.documents:
         return _refuse_unknown(service)
-    return CallAnswer(200, {"service": service, "entries": [_describe_audit(e) for e in entries]})
+    return CallAnswer(200, {"service": service, "history": [_describe_audit(e) for e in entries]})
 
 
 def show_in_force(
@@ -64,7 +64,7 @@
         if member.kind == MemberKind.entry:
             data_centres.setdefault(member.id, member.data_centre)
     instances: list[dict[str, object]] = []
-    missing = []
+    behind = []
     for name in sorted(data_centres):
         item = progress.get(name)
         in_force = item is not None and item.in_force_offset >= revision
@@ -78,14 +78,14 @@
             }
         )
         if not in_force:
-            missing.append(name)
+            behind.append(name)
     return CallAnswer(
         200,
         {
             "service": service,
             "revision": revision,
-            "in_force": not missing,
-            "missing": missing,
+            "in_force": not behind,
+            "behind": behind,
             "instances": instances,
         },
     )
--- a/src/mulberryrill/internal/control/documents.py
+++ b/src/mulberryrill/internal/control/documents.py
@@ -115,7 +115,7 @@
     def submit(self, call: Call, request: SubmitDocument) -> None:
         """Appends a change; the call is answered when the change has been read back."""
         change = DocumentChange(
-            change_id=create_id("chg"),
+            change_id=request.change_id,
             service=request.service,
             base_revision=request.base_revision,
             author=request.author,
--- a/src/mulberryrill/internal/control/messages.py
+++ b/src/mulberryrill/internal/control/messages.py
@@ -107,6 +107,7 @@
     base_revision: int
     author: str
     reason: str
+    change_id: str
 
 
 @dataclass(frozen=True)
--- a/src/mulberryrill/internal/control/operators.py
+++ b/src/mulberryrill/internal/control/operators.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import re
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
@@ -11,7 +12,7 @@
 
 from ...errors import SettingsError
 from ..httpserver import create_problem
-from ..ids import Executed
+from ..ids import Executed, create_id
 from ..schema.log_pb2 import DataCentreState
 from ..schema.settings_pb2 import SiteOperator
 from ..settings.documents import MAX_DOCUMENT_BYTES, check_document
@@ -34,6 +35,7 @@
 CALL_TIMEOUT_S = 20.0
 # Four bytes each in UTF-8 at most; a change's fields have 600 bytes at most.
 MAX_REASON_CHARACTERS = 150
+_CHANGE_ID = re.compile(r"[A-Za-z0-9_-]{8,64}")
 _STATES = {
     "drain": DataCentreState.DRAINED,
     "drained": DataCentreState.DRAINED,
@@ -127,7 +129,8 @@
             detail = f"A document has at most {MAX_DOCUMENT_BYTES} bytes."
             raise _InvalidCallError(create_problem(413, "Document too long", detail))
         text = _check_text(service, request.get_data())
-        return SubmitDocument(service, text, base_revision, author, reason)
+        change_id = _read_change_id(request)
+        return SubmitDocument(service, text, base_revision, author, reason, change_id)
 
     def _read_in_force_call(self, request: Request, author: str) -> CallRequest:
         service = request.args.get("service", "")
@@ -190,3 +193,14 @@
     extra = dict(answer.body)
     title, detail = str(extra.pop("title", "")), str(extra.pop("detail", ""))
     return create_problem(answer.status, title, detail, answer.executed, extra)
+
+
+def _read_change_id(request: Request) -> str:
+    """Returns the caller's id of a change, which finds it in the history if the answer is lost."""
+    change_id = request.headers.get("X-Change-Id") or create_id("chg")
+    if not _CHANGE_ID.fullmatch(change_id):
+        detail = (
+            "X-Change-Id must be 8 to 64 letters, digits, '_' or '-'; leave it out for a new id."
+        )
+        raise _InvalidCallError(create_problem(400, "Invalid change id", detail))
+    return change_id
--- a/tests/process/test_control_alone.py
+++ b/tests/process/test_control_alone.py
@@ -37,7 +37,7 @@
         """Guards against an accepted change that gateways never get."""
         revision = self.create_document(self.program)
         path = f"/v1/in-force?service=flavour-questions&revision={revision}"
-        self.assertEqual(self.read(self.program, path)["missing"], ["k-1"])
+        self.assertEqual(self.read(self.program, path)["behind"], ["k-1"])
 
         def has_document() -> bool:
             services = [s for snapshot in self.gateway.snapshots for s in snapshot.services]
@@ -62,7 +62,7 @@
             (revision, "asha", "no"),
         )
         self.assertEqual(self.put_document(self.program, revision, 900, "baraka").status, 409)
-        entries = self.read(self.program, "/v1/documents/flavour-questions/history")["entries"]
+        entries = self.read(self.program, "/v1/documents/flavour-questions/history")["history"]
         self.assertEqual([entry["accepted"] for entry in entries], [True, False, False])
 
     def test_invalid_calls_are_refused_with_the_remedy(self) -> None:
--- a/tests/process/test_control_peers.py
+++ b/tests/process/test_control_peers.py
@@ -60,7 +60,7 @@
         def list_missing() -> list[str]:
             for gateway in gateways:
                 gateway.exchange()
-            return list(self.read(first, path)["missing"])
+            return list(self.read(first, path)["behind"])
 
         wait_for(lambda: list_missing() == ["m-1"], "only the instance without acknowledgement")
         gateways[1].acknowledges = True
