Report to the slot holder as the new slots need it; record documents for the history checks

The core's slots now date reports by promises and give floor shares without a grant, and the holder subtracts load that no report explains. So the reports go to the promised holder, gateways' parts are renewed on every report, and load figures go to the holder at once. History events of documents have digest, run and whether they were adopted. A control process that stops no longer makes its gateways unready.

Seen before: the slot test against the new core found no grant in 20 s. After: it passes in 9 s.

--- a/src/mulberryrill/internal/control/documents.py
+++ b/src/mulberryrill/internal/control/documents.py
@@ -1,5 +1,6 @@
 """Configuration of this instance: the fold of the log, operators' changes, orders, checkpoints."""
 
+import hashlib
 import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -58,9 +59,12 @@
         append: Callable[[AppendRequest], None],
         on_quarantine: Callable[[QuarantineEntry], None],
         history: HistoryWriter,
+        run: str,
         clock: Clock,
     ) -> None:
+        """``run`` distinguishes this run of the process in the history."""
         self.fold = fold
+        self._run = run
         self._append = append
         self._on_quarantine = on_quarantine
         self._history = history
@@ -157,8 +161,12 @@
             changed = self.apply_order(order) or changed
         for entry in state.quarantine:
             self._on_quarantine(entry)
+        before = {name: document.revision for name, document in self.fold.documents.items()}
         if self.fold.adopt(state):
             changed = True
+            for service, document in self.fold.documents.items():
+                if document.revision != before.get(service):
+                    self._record_document(service, adopted=True)
             FOLDED_OFFSET.set(self.folded_offset)
             log_event(
                 _LOGGER,
@@ -213,6 +221,10 @@
         for audit in result.decided:
             self._record_decision(audit)
             self._answer_decided(audit)
+        accepted = [audit.offset for audit in result.decided if audit.accepted]
+        for service in result.changed:
+            # A document that is not this record's own change skips revisions.
+            self._record_document(service, adopted=accepted != [record.offset])
         for entry in open_record(record.data).entries:
             kind = entry.WhichOneof("kind")
             if kind == "data_centre_order":
@@ -221,16 +233,6 @@
                 self._on_quarantine(entry.quarantine)
 
     def _record_decision(self, audit: AuditEntry) -> None:
-        self._history.write(
-            "configuration",
-            offset=audit.offset,
-            service=audit.service,
-            revision=audit.offset if audit.accepted else 0,
-            accepted=audit.accepted,
-            author=audit.author,
-            base_revision=audit.base_revision,
-            change_id=audit.change_id,
-        )
         log_event(
             _LOGGER,
             logging.INFO,
@@ -240,6 +242,32 @@
             author=audit.author,
             refusal=audit.refusal,
         )
+        if not audit.accepted:
+            self._history.write(
+                "configuration",
+                service=audit.service,
+                offset=audit.offset,
+                revision=audit.offset,
+                accepted=False,
+                author=audit.author,
+                change_id=audit.change_id,
+                run=self._run,
+            )
+
+    def _record_document(self, service: ServiceName, adopted: bool) -> None:
+        """Records the document that is in force from now on."""
+        document = self.fold.documents[service]
+        self._history.write(
+            "configuration",
+            service=service,
+            offset=self.folded_offset,
+            revision=document.revision,
+            accepted=True,
+            adopted=adopted,
+            author=self.find_author(service),
+            digest=hashlib.sha256(document.document.encode()).hexdigest(),
+            run=self._run,
+        )
 
     def _note_logged(self, order: DataCentreOrder) -> None:
         if order.order_id not in self._logged:
--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -62,7 +62,7 @@
 from .quarantine import QuarantineRecords
 from .slots import Slots
 from .snapshots import Snapshots
-from .targets import Targets
+from .targets import Audience, Targets
 from .task import Task
 from .traces import Traces
 
@@ -116,17 +116,20 @@
         self._history = history
         self._clock = clock
         instance, data_centre = settings.instance, settings.data_centre
+        run = create_id("run")
         self._configuration = Configuration(
-            core.fold, ports.append, self._adopt_logged_quarantine, history, clock
+            core.fold, ports.append, self._adopt_logged_quarantine, history, run, clock
         )
-        self._snapshots = Snapshots(create_id("run"), ports.send, clock)
+        self._snapshots = Snapshots(run, ports.send, clock)
         self._peers = Peers(instance, data_centre, ports.send, clock)
         self._targets = Targets(instance)
         self._traces = Traces()
         self._quarantine = QuarantineRecords(
             core.quarantine, ports.append, self._send_quarantine, clock
         )
-        self._slots = Slots(instance, core.slot_client, core.slot_holder, ports.send, clock)
+        self._slots = Slots(
+            instance, data_centre, core.slot_client, core.slot_holder, ports.send, clock
+        )
         self._claims = Claims(core.claims, ports.append_claims, ports.send, history, clock)
         self._members: tuple[Member, ...] = ()
         self._list_reachable = False
@@ -357,8 +360,8 @@
         if peer not in self._connected:
             self._peers.answer_heartbeat(self._build_heartbeat(), peer, heartbeat.data_centre)
         if is_new and heartbeat.data_centre == self._settings.data_centre:
-            notice = self._targets.take_notice(self._clock.monotonic(), everything=True)
-            if notice is not None:
+            notice = self._targets.build_full_notice()
+            if notice.targets:
                 self._send_peer(peer, Envelope(target_notice=notice))
 
     def _on_state_request(self, peer: str, request) -> None:
@@ -444,7 +447,7 @@
             "list_reachable": self._list_reachable,
             "folded_offset": self._configuration.folded_offset,
             "in_force_offset": self._snapshots.in_force_offset,
-            "slot_holder": self._slots.holder,
+            "slot_holder": self._slots.get_holder(),
             "gateways": self._snapshots.list_gateways(),
             "services": [
                 {"service": name, "revision": documents[name].revision}
@@ -535,11 +538,15 @@
         )
 
     def _update_targets(self) -> None:
-        notice = self._targets.take_notice(self._clock.monotonic())
-        if notice is None:
-            return
+        now = self._clock.monotonic()
+        holder = self._slots.get_holder(self._listed_here)
+        for_holder = self._targets.take_notice(now, Audience.HOLDER)
+        for_others = self._targets.take_notice(now, Audience.DATA_CENTRE)
         for instance in self._connected:
-            if self._peer_data_centres.get(instance) == self._settings.data_centre:
+            if self._peer_data_centres.get(instance) != self._settings.data_centre:
+                continue
+            notice = for_holder if instance == holder else for_others
+            if notice is not None:
                 self._send_peer(instance, Envelope(target_notice=notice))
 
     def _update_slots(self) -> None:
@@ -562,7 +569,8 @@
     def _build_snapshot(self) -> SnapshotUpdate:
         snapshot = SnapshotUpdate(
             folded_offset=self._configuration.folded_offset,
-            ready=self.is_ready(),
+            # Not affected by this process's own stop: its gateways serve on without it.
+            ready=self._ready,
             live_instances=self._live_count,
             max_instances=self._settings.max_instances,
             orders=self._core.fold.orders.in_force.values(),
--- a/src/mulberryrill/internal/control/slots.py
+++ b/src/mulberryrill/internal/control/slots.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from ..core.messages import TargetState
+from ..core.rendezvous import choose_member
 from ..core.slots import SlotClient, SlotHolder
 from ..ids import InstanceId, TargetId
 from ..schema.wire_pb2 import (
@@ -16,8 +17,8 @@
 )
 from .link import ToGateway, ToPeer
 
-# Grants last 2 s; a lost report or grant must not let them run out.
-REPORT_S = 0.5
+# Grants last 2 s, a gateway's part 1 s; a lost report or grant must not let them run out.
+REPORT_S = 0.3
 # Waiting requests and failures are reported at once, but not more often than this.
 URGENT_REPORT_S = 0.1
 
@@ -28,12 +29,14 @@
     def __init__(
         self,
         instance: str,
+        data_centre: str,
         client: SlotClient,
         holder: SlotHolder,
         send: Callable[[ToPeer | ToGateway], None],
         clock: Clock,
     ) -> None:
         self._instance = instance
+        self._data_centre = data_centre
         self._client = client
         self._holder = holder
         self._send = send
@@ -41,8 +44,11 @@
         self._identities: dict[str, str] = {}
         self._reported_at = 0.0
         self._is_urgent = False
-        # The instance that this one has last promised to, and reports to.
-        self.holder = ""
+
+    def get_holder(self, listed: Sequence[InstanceId] = ()) -> str:
+        """Returns the instance to report to: the promised one, else the one that is to ask."""
+        promised = self._client.get_holder(self._clock.monotonic())
+        return promised or choose_member(self._data_centre, listed) or ""
 
     def on_gateway_report(self, identity: str, report: GatewayReport) -> None:
         """Takes a gateway's report; ``identity`` is its connection."""
@@ -54,8 +60,6 @@
     def on_promise_request(self, request: SlotPromiseRequest) -> None:
         """Answers an instance that wants to be holder."""
         promise = self._client.on_promise_request(request, self._clock.monotonic())
-        if not promise.refused:
-            self.holder = request.holder
         if request.holder == self._instance:
             self._holder.on_promise(promise, self._clock.monotonic())
         else:
@@ -77,8 +81,12 @@
 
     def on_grant(self, grant: SlotGrant) -> None:
         """Takes a grant and passes the gateways their parts."""
+        self._client.on_grant(grant, self._clock.monotonic())
+        self._update_gateways()
+
+    def _update_gateways(self) -> None:
+        """Renews the gateways' parts, or their floor shares while there is no grant."""
         now = self._clock.monotonic()
-        self._client.on_grant(grant, now)
         for update in self._client.list_gateway_grants(now):
             identity = self._identities.get(update.gateway)
             if identity is not None:
@@ -100,15 +108,20 @@
         if age >= REPORT_S or (self._is_urgent and age >= URGENT_REPORT_S):
             self._reported_at = now
             self._is_urgent = False
-            self._report(now, list_targets)
+            self._report(now, listed, list_targets)
+            self._update_gateways()
 
     def _report(
-        self, now: float, list_targets: Callable[[], Mapping[TargetId, TargetState]]
+        self,
+        now: float,
+        listed: Sequence[InstanceId],
+        list_targets: Callable[[], Mapping[TargetId, TargetState]],
     ) -> None:
-        if not self.holder:
+        holder = self.get_holder(listed)
+        if not holder:
             return
         report = self._client.build_report(now)
-        if self.holder == self._instance:
+        if holder == self._instance:
             self.on_report(report, list_targets())
         else:
-            self._send(ToPeer(self.holder, Envelope(slot_report=report)))
+            self._send(ToPeer(holder, Envelope(slot_report=report)))
--- a/src/mulberryrill/internal/control/targets.py
+++ b/src/mulberryrill/internal/control/targets.py
@@ -1,7 +1,8 @@
 """State of the data centre's targets, merged from own polls and the notices of other watchers."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 
 from ..core.messages import MemberState as CoreState
 from ..core.messages import TargetState
@@ -14,16 +15,25 @@
 WATCHER_SILENCE_S = 3.0
 # Unchanged views are repeated this often, in case a notice was lost.
 REFRESH_S = 5.0
-# Changed load figures are sent this often; other changes at once.
-LOAD_INTERVAL_S = 1.0
+
+
+class Audience(Enum):
+    """Who gets notices; the value is the shortest time between notices of changed load alone.
+
+    The slot holder subtracts load that no report explains, so old figures cost it slots. For the
+    others they are hints, and there are many others.
+    """
+
+    HOLDER = 0.0
+    DATA_CENTRE = 1.0
 
 
 @dataclass
 class _Sighting:
     view: TargetView
     seen_at: float
-    notified: TargetView | None = None
-    notified_at: float = 0.0
+    # What each audience was told last, and when.
+    notified: dict["Audience", tuple[TargetView, float]] = field(default_factory=dict)
 
 
 def has_same_service(first: TargetView, second: TargetView) -> bool:
@@ -98,16 +108,23 @@
                 views.append(view)
         return views
 
-    def take_notice(self, now: float, everything: bool = False) -> TargetNotice | None:
-        """Returns what other instances should learn from this instance's own polls."""
+    def take_notice(self, now: float, audience: Audience) -> TargetNotice | None:
+        """Returns what an audience should learn now from this instance's own polls."""
         notice = TargetNotice(instance=self._instance)
         for by_watcher in self._sightings.values():
             own = by_watcher.get(self._instance)
-            if own is not None and (everything or _is_due(own, now)):
-                own.notified, own.notified_at = own.view, now
+            if own is not None and _is_due(own, audience, now):
+                own.notified[audience] = own.view, now
                 notice.targets.append(own.view)
         return notice if notice.targets else None
 
+    def build_full_notice(self) -> TargetNotice:
+        """Returns all own views, for an instance that has just appeared."""
+        own = (by_watcher.get(self._instance) for by_watcher in self._sightings.values())
+        return TargetNotice(
+            instance=self._instance, targets=[item.view for item in own if item is not None]
+        )
+
     def list_states(self, members: Sequence[Member], now: float) -> dict[TargetId, TargetState]:
         """Returns the core's form of those of the listed targets that have been seen."""
         states = {}
@@ -136,8 +153,9 @@
     )
 
 
-def _is_due(sighting: _Sighting, now: float) -> bool:
-    if sighting.notified is None or not has_same_service(sighting.notified, sighting.view):
+def _is_due(sighting: _Sighting, audience: Audience, now: float) -> bool:
+    view, told_at = sighting.notified.get(audience, (None, 0.0))
+    if view is None or not has_same_service(view, sighting.view):
         return True
-    age = now - sighting.notified_at
-    return age >= REFRESH_S or (sighting.notified != sighting.view and age >= LOAD_INTERVAL_S)
+    age = now - told_at
+    return age >= REFRESH_S or (view != sighting.view and age >= audience.value)
--- a/src/mulberryrill/internal/control/watcher.py
+++ b/src/mulberryrill/internal/control/watcher.py
@@ -12,7 +12,7 @@
 from .metrics import POLLS
 from .task import Task
 
-POLL_S = 0.5
+POLL_S = 0.25
 # A target that does not answer within this time counts as unreachable.
 POLL_TIMEOUT_S = 1.0
 MAX_STATE_BYTES = 256 * 1024
--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -19,7 +19,7 @@
     PlatformSettings,
     SiteOperator,
 )
-from mulberryrill.internal.schema.wire_pb2 import Envelope, GatewayReport, SnapshotAck
+from mulberryrill.internal.schema.wire_pb2 import Envelope, GatewayReport, SnapshotAck, TargetUse
 from mulberryrill.internal.standins.platform import PlatformStandin
 from mulberryrill.internal.transport import decode_envelope, encode_envelope, open_client
 
@@ -69,6 +69,7 @@
         self.others: list[Envelope] = []
         self._sequence = 0
         self.acknowledges = True
+        self.uses: list[TargetUse] = []
         self._socket = open_client(
             context, endpoint, settings.keys.public_key, settings.keys, self.name
         )
@@ -80,7 +81,7 @@
 
     def exchange(self) -> None:
         """Reports once and takes what has arrived."""
-        report = GatewayReport(gateway=self.name, sent_at=time.monotonic())
+        report = GatewayReport(gateway=self.name, sent_at=time.monotonic(), uses=self.uses)
         self.send(gateway_report=report)
         while self._socket.poll(50):
             envelope = decode_envelope(self._socket.recv())
--- a/tests/process/test_control_peers.py
+++ b/tests/process/test_control_peers.py
@@ -1,10 +1,18 @@
 """Several control processes: state from peers, orders, progress, slots, checked senders."""
 
+import time
+
 import zmq
 
 from mulberryrill.internal.schema.log_pb2 import DRAINED, DataCentreOrder
 from mulberryrill.internal.schema.settings_pb2 import ControlSettings, EngineSettings, Listen
-from mulberryrill.internal.schema.wire_pb2 import Envelope, Heartbeat, OrderNotice, StateReply
+from mulberryrill.internal.schema.wire_pb2 import (
+    Envelope,
+    Heartbeat,
+    OrderNotice,
+    StateReply,
+    TargetUse,
+)
 from mulberryrill.internal.standins.engine import EngineStandin
 from mulberryrill.internal.transport import encode_envelope, open_client
 from tests.common.control import ControlTestCase, introduce, wait_for
@@ -87,16 +95,29 @@
             self.connect_gateway(second, self.second),
         ]
 
+        for gateway in gateways:
+            gateway.uses.append(TargetUse(target="engine-0", demand=1))
+        most = 0
+
         def count_slots() -> list[int]:
             slots = []
             for gateway in gateways:
                 gateway.exchange()
                 grants = [e.grant_update for e in gateway.others if e.HasField("grant_update")]
-                slots.append(sum(g.slots for g in grants[-1].grants) if grants else -1)
+                slots.append(sum(g.slots for g in grants[-1].grants) if grants else 0)
             return slots
 
-        # A cold target bears one request, so only one of the two instances gets its slot.
-        wait_for(lambda: sorted(count_slots()) == [0, 1], "one slot for one of two gateways")
+        def is_granted() -> bool:
+            nonlocal most
+            most = max(most, sum(count_slots()))
+            return most > 0
+
+        wait_for(is_granted, "a slot for one of two gateways")
+        end = time.monotonic() + 2.0
+        while time.monotonic() < end:
+            is_granted()
+        # A cold target bears one request, so both instances together never have more.
+        self.assertEqual(most, 1)
 
     def test_messages_in_the_name_of_another_instance_are_rejected(self) -> None:
         """Guards against an instance that acts for another one, or as its gateway."""
