Add the operators' command line and the checks of settings

Cause: operators need check, apply, history, show, drain, return, status and explain, and a program must refuse settings that cannot work when it starts.

Change: the command line tries the next instance only when a change was certainly not recorded, and finds out the result of a change without an answer from the history or the document in force. show writes the revision into the first line, and apply uses it. Settings are checked after loading by rules that follow from message types and field names. A peer's state without the index is not adopted: a late reply without documents to an instance that restarted would otherwise count as a configuration without documents.

Conclusion: not run against a real deployment yet.

--- a/src/mulberryrill/internal/core/configuration.py
+++ b/src/mulberryrill/internal/core/configuration.py
@@ -106,7 +106,7 @@
         self._read_from = Offset(0)
         self._known: set[ServiceName] = set()
         # Services that exist but are not known yet; None until an index tells which exist.
-        self._awaited: set[ServiceName] | None = set()
+        self._awaited: set[ServiceName] | None = None
         self._pending: dict[ServiceName, list[_Change]] = {}
         self._index_ms = 0
         self.corrupt_records = 0
@@ -133,10 +133,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether every document as of ``folded_offset`` is known.
-
-        An instance is ready when this is so and it has folded to the observed end of the log.
-        """
+        """Whether every document as of ``folded_offset`` is known; false before any record."""
         return self._awaited is not None and not self._awaited
 
     def count_pending(self) -> int:
@@ -319,8 +316,6 @@
         Any instance may append them. To have one writer in the usual case, instances pass a time
         that is reduced by a few seconds for each instance that should write before them.
         """
-        if self._folded == NO_OFFSET:
-            return []
         due = [
             DocumentCheckpoint(
                 service=service,
@@ -371,7 +366,11 @@
         if state.folded_offset <= NO_OFFSET or not (newer or same):
             return False
         copies = {ServiceName(s.service): _copy_state(s) for s in state.documents}
-        index = copies.pop(INDEX_SERVICE, DocumentState())
+        index = copies.pop(INDEX_SERVICE, None)
+        if index is None:
+            # A reply to an instance that had all documents carries none; after a restart of the
+            # instance it must not be taken for a configuration without documents.
+            return False
         self._documents = copies
         self._quarantine = {entry.fingerprint: entry for entry in state.quarantine}
         self._folded = Offset(state.folded_offset)
--- /dev/null
+++ b/src/mulberryrill/internal/operator/client.py
@@ -0,0 +1,177 @@
+"""Calls of the operators' HTTP interface, on the first instance that can answer."""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any, Protocol
+from urllib.parse import quote, urlencode
+
+from ...errors import HttpError, OperatorError
+from ..httpclient import HttpClient, HttpResponse
+
+Body = dict[str, Any]
+
+# Longer than a control process takes to decide a change.
+CALL_TIMEOUT_S = 25.0
+
+
+class ExitCode(IntEnum):
+    """The command's exit codes."""
+
+    OK = 0
+    REFUSED = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    NOT_IN_FORCE = 4
+
+
+class Sender(Protocol):
+    """What is used of HttpClient."""
+
+    def send(
+        self,
+        method: str,
+        url: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> HttpResponse:
+        """Sends one request."""
+        ...
+
+    def close(self) -> None:
+        """Closes the connection."""
+        ...
+
+
+class UnsureError(Exception):
+    """A change was sent, but whether it was recorded is not known.
+
+    ``change_id`` is empty unless the instance named the id that it gave the change.
+    """
+
+    def __init__(self, message: str, change_id: str = "") -> None:
+        super().__init__(message)
+        self.change_id = change_id
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A JSON answer of an instance."""
+
+    status: int
+    body: Body
+
+    @property
+    def is_unavailable(self) -> bool:
+        """Whether another instance may be able to answer."""
+        return self.status in (502, 503, 504)
+
+    def describe_problem(self) -> str:
+        """Returns the text of a problem document."""
+        title = self.body.get("title", f"status {self.status}")
+        detail = str(self.body.get("detail") or "")
+        return f"{title}: {detail}" if detail else str(title)
+
+
+class OperatorsClient:
+    """Sends each call to the operators' URLs in turn until one instance answers it."""
+
+    def __init__(
+        self,
+        urls: list[str],
+        token: str,
+        ca_file: str = "",
+        create_sender: Callable[[str], Sender] = HttpClient,
+    ) -> None:
+        self._urls = [url.rstrip("/") for url in urls]
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._sender = create_sender(ca_file)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._sender.close()
+
+    def get(self, *path: str, **query: str | int) -> Answer:
+        """Reads; raises OperatorError if no instance can answer or the call is refused."""
+        return self._call_any("GET", _build_target(path, query), b"")
+
+    def find(self, *path: str) -> Answer:
+        """Reads what only one of the instances may know, asking all of them."""
+        return self._call_any("GET", _build_target(path, {}), b"", next_if_unknown=True)
+
+    def post(self, *path: str, body: Body) -> Answer:
+        """Sends an order. Repeating it on another instance does no harm."""
+        return self._call_any("POST", _build_target(path, {}), json.dumps(body).encode("utf-8"))
+
+    def put_once(
+        self, *path: str, body: bytes, headers: dict[str, str], **query: str | int
+    ) -> Answer:
+        """Sends a change at most once; raises UnsureError if its result is not known.
+
+        Another instance is tried only after an answer or failure that says "not recorded".
+        """
+        target = _build_target(path, query)
+        failures = []
+        for url in self._urls:
+            try:
+                answer = self._send("PUT", url + target, body, headers)
+            except HttpError as error:
+                if error.sent:
+                    raise UnsureError(str(error)) from error
+                failures.append(str(error))
+                continue
+            if answer.status < 500:
+                return _require_success(answer)
+            if answer.status != 503 or answer.body.get("executed") != "no":
+                change_id = str(answer.body.get("change_id", ""))
+                raise UnsureError(answer.describe_problem(), change_id)
+            failures.append(f"{url}: {answer.describe_problem()}")
+        raise _create_unreachable(failures)
+
+    def _call_any(
+        self, method: str, target: str, body: bytes, next_if_unknown: bool = False
+    ) -> Answer:
+        failures = []
+        unknown: Answer | None = None
+        for url in self._urls:
+            try:
+                answer = self._send(method, url + target, body, {})
+            except HttpError as error:
+                failures.append(str(error))
+                continue
+            if answer.is_unavailable:
+                failures.append(f"{url}: {answer.describe_problem()}")
+            elif answer.status == 404 and next_if_unknown:
+                unknown = answer
+            else:
+                return _require_success(answer)
+        if unknown is not None and not failures:
+            return _require_success(unknown)
+        raise _create_unreachable(failures)
+
+    def _send(self, method: str, url: str, body: bytes, headers: dict[str, str]) -> Answer:
+        response = self._sender.send(
+            method, url, body, {**self._headers, **headers}, timeout_s=CALL_TIMEOUT_S
+        )
+        parsed = response.parse_json()
+        if not isinstance(parsed, dict):
+            raise HttpError(f"{url}: the answer is not a JSON object", sent=True)
+        return Answer(response.status, parsed)
+
+
+def _build_target(path: tuple[str, ...], query: Mapping[str, str | int]) -> str:
+    target = "/v1/" + "/".join(quote(part, safe="") for part in path)
+    return f"{target}?{urlencode(query)}" if query else target
+
+
+def _require_success(answer: Answer) -> Answer:
+    if answer.status < 400:
+        return answer
+    raise OperatorError(answer.describe_problem(), ExitCode.REFUSED)
+
+
+def _create_unreachable(failures: list[str]) -> OperatorError:
+    lines = ["no instance could answer; check --operators-url and the network:"]
+    return OperatorError("\n  ".join(lines + failures), ExitCode.UNREACHABLE)
--- /dev/null
+++ b/src/mulberryrill/internal/operator/commands.py
@@ -0,0 +1,186 @@
+"""The operators' commands. Each returns the object to show; failures raise OperatorError."""
+
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ...errors import OperatorError, SettingsError
+from ..clock import Clock
+from ..ids import create_id
+from ..settings.documents import check_document
+from .client import Answer, Body, ExitCode, OperatorsClient, UnsureError
+
+# ``show`` writes the revision in a first line, so that the edited file can be applied as it is.
+_REVISION_LINE = re.compile(r"# revision: (\d+)\n")
+POLL_S = 0.5
+# Longer than a control process waits to read a change back.
+RESOLVE_TIMEOUT_S = 15.0
+
+
+class Commands:
+    """Runs commands over one client. ``sleep`` waits between polls."""
+
+    def __init__(
+        self, client: OperatorsClient, clock: Clock, sleep: Callable[[float], None]
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._sleep = sleep
+
+    def apply(
+        self, path: str, base_revision: int | None, reason: str, wait_s: float | None
+    ) -> Body:
+        """Submits a document and, with ``wait_s``, waits until it is in force everywhere."""
+        text, noted = read_document(path)
+        service = check_text(text, path, skipped_lines=0 if noted is None else 1)
+        base = base_revision if base_revision is not None else noted
+        if base is None:
+            raise OperatorError(
+                "give --base-revision: the revision that you edited, as 'mulberryrill show"
+                f" {service}' prints it, or 0 for a new service",
+                ExitCode.USAGE,
+            )
+        result = self._submit(service, text, base, reason)
+        if wait_s is not None:
+            result["in_force"] = self._wait_in_force(service, int(result["revision"]), wait_s)
+        return result
+
+    def _submit(self, service: str, text: str, base: int, reason: str) -> Body:
+        change_id = create_id("change")
+        try:
+            answer = self._client.put_once(
+                "documents",
+                service,
+                body=text.encode("utf-8"),
+                headers={"X-Change-Id": change_id, "Content-Type": "application/yaml"},
+                base_revision=base,
+                reason=reason,
+            )
+        except UnsureError as error:
+            return self._resolve(service, text, base, error.change_id or change_id, str(error))
+        recorded_id = answer.body.get("change_id", change_id)
+        return {
+            "service": service,
+            "revision": answer.body["revision"],
+            "change_id": recorded_id,
+        }
+
+    def _resolve(self, service: str, text: str, base: int, change_id: str, failure: str) -> Body:
+        """Finds out whether a change was recorded whose answer was lost."""
+        deadline = self._clock.monotonic() + RESOLVE_TIMEOUT_S
+        while self._clock.monotonic() < deadline:
+            revision = self._find_revision(service, text, base, change_id)
+            if revision is not None:
+                return {"service": service, "revision": revision, "change_id": change_id}
+            self._sleep(POLL_S)
+        raise OperatorError(
+            f"it is not known whether the change {change_id} was recorded ({failure});"
+            f" look at 'mulberryrill history {service}' before you repeat it",
+            ExitCode.UNREACHABLE,
+        )
+
+    def _find_revision(self, service: str, text: str, base: int, change_id: str) -> int | None:
+        try:
+            for entry in list_history(self._client.get("documents", service, "history")):
+                if entry["change_id"] != change_id:
+                    continue
+                if not entry["accepted"]:
+                    raise _RefusedError(entry["refusal"])
+                return int(entry["offset"])
+            # An instance that gave the change its own id still shows the text.
+            body = self._client.get("documents", service).body
+        except _RefusedError as error:
+            raise OperatorError(f"Change refused: {error}", ExitCode.REFUSED) from error
+        except OperatorError:
+            return None
+        newer = int(body["revision"]) > base
+        return int(body["revision"]) if newer and body["document"] == text else None
+
+    def _wait_in_force(self, service: str, revision: int, wait_s: float) -> bool:
+        deadline = self._clock.monotonic() + wait_s
+        behind: list[str] = []
+        failure = ""
+        while True:
+            try:
+                body = self._client.get("in-force", service=service, revision=revision).body
+                if body["in_force"]:
+                    return True
+                behind = [str(name) for name in body.get("behind") or body.get("missing") or []]
+                failure = ""
+            except OperatorError as error:
+                failure = f"; {error}"
+            if self._clock.monotonic() >= deadline:
+                break
+            self._sleep(POLL_S)
+        names = ", ".join(behind) or "unknown"
+        raise OperatorError(
+            f"revision {revision} of {service} is accepted, but after {wait_s:g} s not yet in force"
+            f" at: {names}{failure}",
+            ExitCode.NOT_IN_FORCE,
+        )
+
+    def history(self, service: str) -> Body:
+        """Returns the decided changes of a service, oldest first."""
+        answer = self._client.get("documents", service, "history")
+        return {"service": service, "history": list_history(answer)}
+
+    def show(self, service: str) -> Body:
+        """Returns the document in force."""
+        return self._client.get("documents", service).body
+
+    def order(self, data_centre: str, state: str, reason: str) -> Body:
+        """Drains a data centre or returns it to service."""
+        return self._client.post(
+            "datacentres", data_centre, "orders", body={"state": state, "reason": reason}
+        ).body
+
+    def status(self) -> Body:
+        """Returns what an instance knows of the site."""
+        return self._client.get("status").body
+
+    def explain(self, request_id: str) -> Body:
+        """Returns what happened to a request; the instance that served it knows."""
+        return self._client.find("requests", request_id).body
+
+
+class _RefusedError(Exception):
+    """The history shows that a change was refused."""
+
+
+def read_document(path: str) -> tuple[str, int | None]:
+    """Returns a document file's text without the revision line of ``show``, and its revision."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise OperatorError(f"{path}: cannot be read: {error}", ExitCode.USAGE) from error
+    match = _REVISION_LINE.match(text)
+    return (text[match.end() :], int(match[1])) if match else (text, None)
+
+
+def check_text(text: str, path: str, skipped_lines: int = 0) -> str:
+    """Returns the service's name; raises OperatorError with all problems of the document."""
+    try:
+        # The lines before the document keep the line numbers as in the file.
+        return check_document("\n" * skipped_lines + text, path).service
+    except SettingsError as error:
+        raise OperatorError(str(error), ExitCode.REFUSED) from error
+
+
+def check_files(paths: list[str]) -> Body:
+    """Checks documents without sending them."""
+    services, problems = [], []
+    for path in paths:
+        try:
+            text, noted = read_document(path)
+            services.append(check_text(text, path, skipped_lines=0 if noted is None else 1))
+        except OperatorError as error:
+            problems.append(str(error))
+    if problems:
+        raise OperatorError("\n".join(problems), ExitCode.REFUSED)
+    return {"valid": services}
+
+
+def list_history(answer: Answer) -> list[dict[str, Any]]:
+    """Returns the entries of a history answer."""
+    return list(answer.body.get("history") or answer.body.get("entries") or [])
--- a/src/mulberryrill/internal/program.py
+++ b/src/mulberryrill/internal/program.py
@@ -13,6 +13,7 @@
 from ..errors import MulberryrillError, SettingsError
 from .events import Event
 from .logs import configure_logging, log_event
+from .settings.checks import check_settings
 from .settings.files import load_settings
 
 EXIT_SETTINGS_INVALID = 2
@@ -53,6 +54,7 @@
             return EXIT_SETTINGS_INVALID
         try:
             settings = load_settings(_SETTINGS.value, settings_type)
+            check_settings(settings, _SETTINGS.value)
             level = getattr(settings, "log_level", "") or "info"
             configure_logging(level, name, list_secrets(settings))
             program = build(settings)
