--- a/tests/common/deployment.py
+++ b/tests/common/deployment.py
@@ -162,6 +162,9 @@
     def start_process(self, name: str) -> None:
         """Starts one process; its log is appended to a file in the folder."""
         plan = self.find_process(name)
+        # Histories name our processes "instance/control".
+        instance, _, part = name.rpartition("-")
+        self.callers.write("process_started", name=f"{instance}/{part}")
         with open(self.folder / f"{name}.log", "ab") as log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, "-m", plan.module, "--settings", plan.settings],
