Make the sender and record limit tests detect their mechanisms

Before, the sender test passed without the checks, because new connections of the same identity dropped the unread messages, and the record limit was covered by the server's refusal.

--- a/tests/process/test_control_peers.py
+++ b/tests/process/test_control_peers.py
@@ -4,13 +4,14 @@
 
 import zmq
 
+from mulberryrill.internal.control.metrics import REGISTRY
 from mulberryrill.internal.schema.log_pb2 import DRAINED, DataCentreOrder
-from mulberryrill.internal.schema.settings_pb2 import ControlSettings, EngineSettings, Listen
+from mulberryrill.internal.schema.settings_pb2 import EngineSettings, Listen
 from mulberryrill.internal.schema.wire_pb2 import (
     Envelope,
+    GatewayReport,
     Heartbeat,
     OrderNotice,
-    StateReply,
     TargetUse,
 )
 from mulberryrill.internal.standins.engine import EngineStandin
@@ -124,34 +125,30 @@
         first = self.start_control(self.first)
         self.wait_ready(first)
         order = DataCentreOrder(order_id="o", data_centre="k", epoch=9, state=DRAINED, author="x")
-        notice = OrderNotice(order=order)
-        for endpoint, envelope in (
-            (self.first.peer_endpoint, Envelope(sender="k-2/control", order_notice=notice)),
-            (
-                self.first.peer_endpoint,
-                Envelope(sender="m-1/control", heartbeat=Heartbeat(instance="k-2")),
-            ),
-            (first.link.gateway_endpoint, Envelope(sender="k-1/gateway-0", order_notice=notice)),
-        ):
-            self.send_as(self.remote, endpoint, envelope)
-        self.send_as(
-            self.remote,
-            self.first.peer_endpoint,
-            Envelope(sender="m-1/control", state_reply=StateReply(folded_offset=-1)),
-        )
+        report = GatewayReport(gateway="k-1/gateway-0")
         honest = Heartbeat(instance="m-1", data_centre="m", folded_offset=-1)
-        envelope = Envelope(sender="m-1/control", heartbeat=honest)
-        self.send_as(self.remote, self.first.peer_endpoint, envelope)
+        before = count_rejected()
+        peer = self.connect(self.first.peer_endpoint)
+        for envelope in (
+            Envelope(sender="k-2/control", order_notice=OrderNotice(order=order)),
+            Envelope(sender="m-1/control", heartbeat=Heartbeat(instance="k-2")),
+            Envelope(sender="m-1/control", gateway_report=report),
+            Envelope(sender="m-1/control", heartbeat=honest),
+        ):
+            peer.send(encode_envelope(envelope))
+        gateway = self.connect(first.link.gateway_endpoint)
+        gateway.send(encode_envelope(Envelope(sender="k-1/gateway-0", gateway_report=report)))
         wait_for(lambda: "m-1" in self.list_live(first), "the honest heartbeat")
+        wait_for(lambda: count_rejected() - before == 4, "four rejected messages")
         status = self.read(first, "/v1/status")
         self.assertEqual((status["orders"], status["gateways"]), ([], []))
         self.assertNotIn("k-2", self.list_live(first))
 
-    def send_as(self, settings: ControlSettings, endpoint: str, envelope: Envelope) -> None:
-        client = open_client(
-            self.context, endpoint, self.first.keys.public_key, settings.keys, settings.instance
-        )
-        client.send(encode_envelope(envelope))
-        # Closing at once would drop the message.
-        client.setsockopt(zmq.LINGER, 1000)
-        client.close()
+    def connect(self, endpoint: str) -> zmq.Socket:
+        """Connects with the key of the remote instance."""
+        keys = self.remote.keys
+        return open_client(self.context, endpoint, self.first.keys.public_key, keys, "m-1")
+
+
+def count_rejected() -> float:
+    return REGISTRY.get_sample_value("control_messages_rejected_total") or 0.0
--- a/tests/unit/test_platform_clients.py
+++ b/tests/unit/test_platform_clients.py
@@ -48,6 +48,7 @@
         self.answer_json({}, 400)
         with self.assertRaises(PlatformError) as refused:
             self.log.append("claims", b"a")
+        self.answer = None
         with self.assertRaises(PlatformError) as too_long:
             self.log.append("claims", b"a" * (MAX_RECORD_BYTES + 1))
         self.server.close()
