--- a/src/mulberryrill/internal/standins/callers.py
+++ b/src/mulberryrill/internal/standins/callers.py
@@ -17,6 +17,9 @@
 
 MAX_TOKENS = 24
 TIMEOUT_S = 30.0
+OUTCOME_TIMEOUT_S = 10.0
+RETRY_S = 0.2
+STATUS_OUTCOME_UNKNOWN = 409
 _MAX_TIME_BITS = 48
 
 
@@ -134,8 +137,7 @@
             path = f"/v1/services/{document.service}{rule.path}"
             receipts = []
             for number in (0, 1):
-                headers = {"Idempotency-Key": key}
-                answer = self._send(document, number, rule.method, path, body, headers)
+                answer = self._send_until_known(document, number, rule.method, path, body, key)
                 parsed = answer.parse_json()
                 receipts.append(parsed.get("receipt", "") if isinstance(parsed, dict) else "")
                 replayed = answer.headers.get("idempotent-replayed", "") == "true"
@@ -145,6 +147,24 @@
                 what = f"{document.service} {rule.method} {rule.path} with key {key}"
                 self._report.note(what, answer, right, detail)
 
+    def _send_until_known(
+        self,
+        document: ServiceDocument,
+        instance: int,
+        method: str,
+        path: str,
+        body: bytes,
+        key: str,
+    ) -> HttpResponse:
+        """Repeats a call while its outcome is on its way to the instance through the log."""
+        deadline = time.monotonic() + OUTCOME_TIMEOUT_S
+        while True:
+            headers = {"Idempotency-Key": key}
+            answer = self._send(document, instance, method, path, body, headers)
+            if answer.status != STATUS_OUTCOME_UNKNOWN or time.monotonic() > deadline:
+                return answer
+            time.sleep(RETRY_S)
+
 
 def read_chat_stream(body: bytes) -> tuple[str, bool]:
     """Returns the text of a chat stream and whether it ended completely."""
--- a/src/mulberryrill/internal/standins/site.py
+++ b/src/mulberryrill/internal/standins/site.py
@@ -128,8 +128,13 @@
 def write_settings(path: Path, settings: Message) -> None:
     """Writes a settings file that only its owner can read."""
     fields = MessageToDict(settings, preserving_proto_field_name=True)
+    write_private(path, yaml.safe_dump(fields, sort_keys=False))
+
+
+def write_private(path: Path, text: str) -> None:
+    """Writes a file that only its owner can read."""
     path.touch(mode=PRIVATE_MODE)
-    path.write_text(yaml.safe_dump(fields, sort_keys=False), encoding="utf-8")
+    path.write_text(text, encoding="utf-8")
 
 
 def load_site(path: str) -> SiteDescription:
@@ -211,8 +216,26 @@
             customer_tokens,
         )
         write_plan(self._output / "plan.json", plan)
+        self._write_operators(plan)
         return plan
 
+    def _write_operators(self, plan: SitePlan) -> None:
+        """Writes what the operators' command line needs: token files and addresses.
+
+        ``applications`` has one line for each document: its owner's token file and its own path.
+        """
+        folder = self._output / "operators"
+        folder.mkdir(exist_ok=True)
+        for name, token in plan.operator_tokens.items():
+            write_private(folder / f"{name}.token", token + "\n")
+        urls = ",".join(instance.operators_url for instance in plan.instances)
+        (folder / "urls").write_text(urls + "\n", encoding="utf-8")
+        lines = []
+        for path in plan.documents:
+            owner = yaml.safe_load(Path(path).read_text(encoding="utf-8"))["owners"][0]
+            lines.append(f"{folder / owner}.token\t{path}\n")
+        (folder / "applications").write_text("".join(lines), encoding="utf-8")
+
     def _listen(self) -> Listen:
         return Listen(host=HOST, port=next(self._ports))
 
@@ -350,9 +373,7 @@
 
 def write_plan(path: Path, plan: SitePlan) -> None:
     """Writes the plan, which contains tokens, readable by its owner only."""
-    path.touch(mode=PRIVATE_MODE)
-    text = json.dumps(plan, default=vars, indent=1)
-    path.write_text(text + "\n", encoding="utf-8")
+    write_private(path, json.dumps(plan, default=vars, indent=1) + "\n")
 
 
 def read_plan(path: Path) -> SitePlan:
