Verify answers, resume streams, and run claimed calls at most once

Cause: the gateway's fault paths had not been run. Change: pausing a transfer that has ended is no error any more, a stream that ends with an error event ends its transfer properly, and messages that arrive during the shutdown do not write to a closed descriptor.

--- a/src/mulberryrill/internal/gateway/answerer.py
+++ b/src/mulberryrill/internal/gateway/answerer.py
@@ -51,8 +51,11 @@
         request_id = call.request.request_id
         if call.caller.started:
             if call.request.is_stream:
+                # The event says that the output is not complete, so the transfer may end properly.
                 call.caller.write(failure.build_event(request_id))
-            call.caller.abort_stream()
+                call.caller.finish_stream()
+            else:
+                call.caller.abort_stream()
         else:
             body = failure.build_body(request_id, call.request.is_model)
             call.caller.send_answer(
--- a/src/mulberryrill/internal/gateway/link.py
+++ b/src/mulberryrill/internal/gateway/link.py
@@ -35,6 +35,7 @@
         self._queue: deque[Envelope] = deque(maxlen=QUEUE_MESSAGES)
         self._sequence = itertools.count(1)
         self._wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self._wake_lock = threading.Lock()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="control-link", daemon=True)
 
@@ -44,8 +45,9 @@
 
     def close(self) -> None:
         """Sends what is queued and stops the thread."""
-        self._stop.set()
-        os.eventfd_write(self._wake, 1)
+        with self._wake_lock:
+            self._stop.set()
+            os.eventfd_write(self._wake, 1)
         self._thread.join()
         self._context.destroy(linger=200)
         os.close(self._wake)
@@ -53,7 +55,9 @@
     def send(self, envelope: Envelope) -> None:
         """Queues a message; only its body needs to be set."""
         self._queue.append(envelope)
-        os.eventfd_write(self._wake, 1)
+        with self._wake_lock:
+            if not self._stop.is_set():
+                os.eventfd_write(self._wake, 1)
 
     def _run(self) -> None:
         settings = self._settings
--- a/src/mulberryrill/internal/gateway/loop.py
+++ b/src/mulberryrill/internal/gateway/loop.py
@@ -10,6 +10,7 @@
 import os
 import select
 import threading
+import traceback
 from collections import deque
 from collections.abc import Callable
 
@@ -46,6 +47,9 @@
         self._clock = clock
         self._epoll = select.epoll()
         self._wake = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        # Guards the wake descriptor, whose number may belong to another file after the close.
+        self._wake_lock = threading.Lock()
+        self._is_closed = False
         self._posted: deque[Task] = deque()
         self._soon: deque[Task] = deque()
         self._timers: list[tuple[float, int, Timer]] = []
@@ -90,12 +94,19 @@
             self.cancel_transfer(transfer)
         self._multi.close()
         self._epoll.close()
-        os.close(self._wake)
+        with self._wake_lock:
+            self._is_closed = True
+            os.close(self._wake)
 
     def post(self, task: Task) -> None:
-        """Runs a task on the loop's thread soon; may be called from any thread."""
-        self._posted.append(task)
-        os.eventfd_write(self._wake, 1)
+        """Runs a task on the loop's thread soon; may be called from any thread.
+
+        A closed loop drops the task.
+        """
+        with self._wake_lock:
+            if not self._is_closed:
+                self._posted.append(task)
+                os.eventfd_write(self._wake, 1)
 
     def call_soon(self, task: Task) -> None:
         """Runs a task later in this turn."""
@@ -249,7 +260,7 @@
                 logging.ERROR,
                 Event.TASK_FAILED,
                 f"relay task failed: {error!r}",
-                exc_info=True,
+                traceback=traceback.format_exc(),
             )
 
     def _mark_dirty(self, transfer: Transfer) -> None:
--- a/src/mulberryrill/internal/gateway/transfer.py
+++ b/src/mulberryrill/internal/gateway/transfer.py
@@ -79,13 +79,13 @@
         """Stops reading from the connection."""
         if not self._paused and not self._closed:
             self._paused = True
-            self.curl.pause(pycurl.PAUSE_RECV)
+            self._set_pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
         """Continues reading from the connection."""
         if self._paused and not self._closed:
             self._paused = False
-            self.curl.pause(pycurl.PAUSE_CONT)
+            self._set_pause(pycurl.PAUSE_CONT)
 
     def close(self) -> None:
         """Frees the handle; only after it has been removed from the loop."""
@@ -108,6 +108,12 @@
             error = "the answer has no headers"
         return TransferEnd(error, self.sent, code == pycurl.E_COULDNT_CONNECT and not self.sent)
 
+    def _set_pause(self, state: int) -> None:
+        try:
+            self.curl.pause(state)
+        except pycurl.error:
+            pass  # The transfer has ended; its last bytes are being delivered.
+
     def _configure(self, request: TransferRequest) -> None:
         curl = self.curl
         curl.setopt(pycurl.URL, request.url)
--- a/tests/common/gateway.py
+++ b/tests/common/gateway.py
@@ -127,6 +127,10 @@
         copy = SnapshotUpdate()
         copy.CopyFrom(self.update)
         self.send(Envelope(snapshot_update=copy))
+        self.send_grant()
+
+    def send_grant(self) -> None:
+        """Sends slots for all targets; done again after each report, as a holder does."""
         grant = GrantUpdate(valid_until=time.monotonic() + GRANT_S)
         for view in self.update.targets:
             grant.grants.append(
@@ -144,6 +148,8 @@
                 self._identities.add(identity)
                 envelope = decode_envelope(frame)
                 self.received.append(envelope)
+                if envelope.WhichOneof("body") == "gateway_report":
+                    self.send_grant()
                 if envelope.WhichOneof("body") == "claim_request":
                     reply = self.answer_claim(envelope.claim_request)
                     if reply is not None:
--- /dev/null
+++ b/tests/process/test_gateway_claims.py
@@ -0,0 +1,142 @@
+"""Calls that must run at most once run at most once, whatever is lost (I7, I8)."""
+
+import json
+import os
+import time
+import uuid
+
+from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.schema.log_pb2 import Outcome
+from mulberryrill.internal.schema.wire_pb2 import (
+    EXPIRED,
+    IN_PROGRESS,
+    MISMATCH,
+    REPLAY,
+    UNAVAILABLE,
+    ClaimReply,
+    ClaimRequest,
+    Envelope,
+)
+from tests.common.gateway import LOCAL, GatewayTestCase, grant_claim, wait_until
+
+PAY = "/v1/services/sugar/pay"
+
+
+def create_key() -> str:
+    """Returns a UUIDv7 for now."""
+    value = (int(time.time() * 1000) << 80) | int.from_bytes(os.urandom(10), "big")
+    value = value & ~(0xF << 76) | 7 << 76
+    return str(uuid.UUID(int=value & ~(0x3 << 62) | 2 << 62))
+
+
+def read_executed(answer: HttpResponse) -> tuple[int, str]:
+    content = answer.parse_json()
+    assert isinstance(content, dict)
+    return answer.status, content["executed"]
+
+
+class GatewayClaimTest(GatewayTestCase):
+    deadline_ms = 800
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.service = self.start_service()
+
+    def pay(self, key: str) -> HttpResponse:
+        return self.call("POST", PAY, {"batch": 1}, Idempotency_Key=key)
+
+    def count_executions(self) -> int:
+        client = HttpClient()
+        self.addCleanup(client.close)
+        state = client.send("GET", f"http://{LOCAL}:{self.service.port}/v1/state").parse_json()
+        assert isinstance(state, dict)
+        return state["executions"].get("/pay", 0)
+
+    def reply_with(self, kind: int, **outcome: object) -> None:
+        def reply(request: ClaimRequest) -> ClaimReply:
+            answer = grant_claim(request)
+            answer.status = kind  # type: ignore[assignment]
+            answer.outcome.CopyFrom(Outcome(**outcome))  # type: ignore[arg-type]
+            return answer
+
+        self.control.answer_claim = reply
+
+    def test_granted_call_runs_once_and_its_outcome_is_recorded(self) -> None:
+        self.start_gateway()
+        answer = self.pay(create_key())
+        self.assertEqual(answer.status, 200)
+        wait_until(lambda: self.control.list("outcome_report"), "outcome reported")
+        outcome = self.control.list("outcome_report")[0].outcome
+        claim = self.control.list("claim_request")[0].claim
+        self.assertEqual((outcome.claim_id, outcome.body), (claim.claim_id, answer.body))
+        self.assertEqual((self.count_executions(), len(claim.request_digest)), (1, 32))
+        self.assertEqual(self.control.list("claim_abandon"), [])
+
+    def test_key_must_be_a_uuid_of_version_7(self) -> None:
+        self.start_gateway()
+        for key in ("", "abc", str(uuid.uuid4()), create_key().replace("-", "")):
+            with self.subTest(key=key):
+                self.assertEqual(read_executed(self.pay(key)), (400, "no"))
+        self.assertEqual((self.count_executions(), self.control.list("claim_request")), (0, []))
+
+    def test_call_without_grant_is_not_sent(self) -> None:
+        self.start_gateway()
+        expected = {
+            IN_PROGRESS: (409, "unknown"),
+            MISMATCH: (422, "no"),
+            EXPIRED: (400, "no"),
+            UNAVAILABLE: (503, "no"),
+        }
+        for status, answer in expected.items():
+            with self.subTest(status=status):
+                self.reply_with(status)
+                self.assertEqual(read_executed(self.pay(create_key())), answer)
+        self.assertEqual(self.count_executions(), 0)
+
+    def test_recorded_outcome_is_replayed(self) -> None:
+        self.start_gateway()
+        self.reply_with(REPLAY, status=201, content_type="text/plain", body=b"paid")
+        answer = self.pay(create_key())
+        self.assertEqual((answer.status, answer.body), (201, b"paid"))
+        self.assertEqual(answer.headers["idempotent-replayed"], "true")
+        self.reply_with(REPLAY, status=200, truncated=True)
+        self.assertEqual(read_executed(self.pay(create_key())), (409, "yes"))
+        self.assertEqual(self.count_executions(), 0)
+
+    def test_lost_answer_is_unknown_and_not_repeated(self) -> None:
+        self.start_gateway()
+        self.set_faults(self.service, lose_answers=1)
+        self.assertEqual(read_executed(self.pay(create_key())), (502, "unknown"))
+        self.assertEqual(self.count_executions(), 1)
+        self.assertEqual(self.control.list("outcome_report"), [])
+        self.assertEqual(self.control.list("claim_abandon"), [])
+
+    def test_documented_rejection_is_retried_under_the_same_claim(self) -> None:
+        self.start_gateway()
+        self.set_faults(self.service, reject=1)
+        self.assertEqual(self.pay(create_key()).status, 200)
+        self.assertEqual(len(self.control.list("claim_request")), 1)
+        self.assertEqual(self.count_executions(), 1)
+
+    def test_grant_that_comes_too_late_is_abandoned(self) -> None:
+        self.start_gateway()
+        kept: list[ClaimRequest] = []
+        self.control.answer_claim = lambda request: kept.append(request)
+        self.assertEqual(read_executed(self.pay(create_key())), (503, "no"))
+        self.control.send(Envelope(claim_reply=grant_claim(kept[0])))
+        wait_until(lambda: self.control.list("claim_abandon"), "claim abandoned")
+        self.assertEqual(self.count_executions(), 0)
+
+    def test_call_without_free_target_abandons_its_grant(self) -> None:
+        self.control.slots = 0
+        self.start_gateway()
+        self.assertEqual(read_executed(self.pay(create_key())), (503, "no"))
+        wait_until(lambda: self.control.list("claim_abandon"), "claim abandoned")
+
+    def test_run_outlives_its_caller_and_records_its_outcome(self) -> None:
+        self.start_gateway()
+        self.set_faults(self.service, delay_ms=1500)
+        self.assertEqual(read_executed(self.pay(create_key())), (504, "unknown"))
+        wait_until(lambda: self.control.list("outcome_report"), "outcome reported")
+        body = json.loads(self.control.list("outcome_report")[0].outcome.body)
+        self.assertEqual(body["path"], "/pay")
--- /dev/null
+++ b/tests/process/test_gateway_faults.py
@@ -0,0 +1,153 @@
+"""Answers stay complete and truthful while targets fail."""
+
+import json
+import socket
+import time
+from collections.abc import Callable
+
+from werkzeug.wrappers import Request, Response
+
+from mulberryrill.internal.httpclient import HttpResponse
+from mulberryrill.internal.httpserver import HttpServer
+from mulberryrill.internal.schema.settings_pb2 import Listen
+from mulberryrill.internal.schema.wire_pb2 import UNREACHABLE
+from tests.common.gateway import LOCAL, GatewayTestCase, read_stream, wait_until
+from tests.process.test_gateway_calls import expect_text
+
+
+def read_problem(answer: HttpResponse) -> dict:
+    content = answer.parse_json()
+    assert isinstance(content, dict)
+    return content
+
+
+class GatewayFaultTest(GatewayTestCase):
+    """Guards against lost, mixed-up and cut answers (I6) and false "not run" (I7)."""
+
+    def list_results(self) -> list[str]:
+        """Returns the results of the attempts of the last request."""
+        wait_until(lambda: self.control.list("request_trace"), "trace sent")
+        trace = self.control.list("request_trace")[-1]
+        return [attempt.result.split(":")[0] for attempt in trace.attempts]
+
+    def test_cut_stream_is_resumed_from_the_last_token(self) -> None:
+        first, second = self.start_engine("engine-1"), self.start_engine("engine-2")
+        for standin in (first, second):
+            self.set_faults(standin, cut_after_tokens=3)
+        self.start_gateway()
+        text, done, _ = read_stream(self.complete(stream=True))
+        self.assertEqual((text, done), (expect_text("hello"), True))
+        self.assertEqual(self.list_results()[-1], "complete")
+        self.assertIn("broken", self.list_results())
+
+    def test_stalled_stream_is_resumed_on_a_new_connection(self) -> None:
+        self.set_faults(self.start_engine(), stall_after_tokens=4)
+        self.start_gateway()
+        text, done, _ = read_stream(self.complete(stream=True))
+        self.assertEqual((text, done), (expect_text("hello"), True))
+        self.assertEqual(self.list_results(), ["stalled", "complete"])
+
+    def test_answer_of_another_attempt_is_dropped(self) -> None:
+        standin = self.start_engine()
+        self.start_gateway()
+        for stream in (False, True):
+            self.set_faults(standin, wrong_attempt=1)
+            with self.subTest(stream=stream):
+                answer = self.complete(stream=stream)
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(self.list_results(), ["mismatched", "complete"])
+
+    def test_rejection_is_retried_and_finally_reported_as_not_run(self) -> None:
+        standin = self.start_engine()
+        self.start_gateway()
+        self.set_faults(standin, reject=1)
+        self.assertEqual(self.complete().status, 200)
+        self.set_faults(standin, reject=50)
+        answer = self.complete()
+        self.assertEqual((answer.status, read_problem(answer)["executed"]), (503, "no"))
+
+    def test_stream_that_cannot_be_resumed_ends_with_an_error(self) -> None:
+        self.add_scripted(short_stream)
+        self.start_gateway()
+        answer = self.complete(stream=True)
+        _, done, others = read_stream(answer)
+        self.assertFalse(done)
+        self.assertEqual(others[-1]["executed"], "yes")
+        self.assertIn("not complete", others[-1]["error"]["message"])
+
+    def test_refused_connection_is_not_run(self) -> None:
+        with socket.create_server((LOCAL, 0)) as closed:
+            port = closed.getsockname()[1]
+        standin = self.start_engine()
+        self.control.update.members[0].address = f"http://{LOCAL}:{port}"
+        self.start_gateway()
+        answer = self.complete()
+        self.assertEqual(read_problem(answer)["executed"], "no")
+        standin.close()
+
+    def test_request_that_crashes_targets_is_stopped_after_two(self) -> None:
+        standins = [self.start_engine(f"engine-{n}") for n in range(3)]
+        for standin in standins:
+            self.set_faults(standin, poison="boom")
+        self.start_gateway()
+        self.assertEqual(self.complete("boom").status, 502)
+        wait_until(lambda: self.control.list("request_trace"), "trace sent")
+        crashed = {a.target for a in self.control.list("request_trace")[0].attempts}
+        self.assertEqual(len(crashed), 2)
+        self.assertEqual(self.complete("boom").status, 422)
+        for view in self.control.update.targets:
+            if view.target in crashed:
+                view.health = UNREACHABLE
+        self.control.publish()
+        wait_until(lambda: len(self.control.list("crash_report")) == 2, "crashes reported")
+        self.assertEqual(self.complete("boom").status, 422)
+        self.assertEqual(self.complete("other").status, 200)
+
+    def add_scripted(self, handler: "Handler") -> None:
+        server = HttpServer(Listen(host=LOCAL), lambda request: answer_state(request, handler))
+        server.start()
+        self.addCleanup(server.close)
+        self.add_target("scripted", f"http://{LOCAL}:{server.port}")
+
+
+Handler = Callable[[Request], Response]
+
+
+def answer_state(request: Request, handler: "Handler") -> Response:
+    if request.path == "/v1/state":
+        return Response(json.dumps({"incarnation": "i"}))
+    return handler(request)
+
+
+def short_stream(request: Request) -> Response:
+    """One token less than the usage says."""
+    token = {"choices": [{"index": 0, "text": "a"}]}
+    usage = {"choices": [], "usage": {"completion_tokens": 2}}
+    events = "".join(f"data: {json.dumps(event)}\n\n" for event in (token, usage))
+    names = ("X-Attempt-Id", "X-Customer", "X-Model-Version")
+    headers = {name: request.headers[name] for name in names}
+    return Response(events + "data: [DONE]\n\n", content_type="text/event-stream", headers=headers)
+
+
+class SlowCallerTest(GatewayTestCase):
+    """Guards against a slow caller that fills the gateway's memory or loses its answer."""
+
+    def test_slow_caller_gets_everything(self) -> None:
+        self.start_engine(decode_ms_per_token=0)
+        self.start_gateway(relay_buffer_bytes=2000)
+        body = json.dumps(
+            {"model": "flavour-7b", "prompt": "x", "max_tokens": 40_000, "stream": True}
+        ).encode()
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
+            f"secret-of-kariakoo\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        received = bytearray()
+        with socket.create_connection((LOCAL, int(self.url.rsplit(":", 1)[1]))) as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 300_000)
+            connection.sendall(head.encode() + body)
+            time.sleep(1.0)
+            while data := connection.recv(1 << 20):
+                received += data
+        self.assertEqual(received.count(b'"text"'), 40_000)
+        self.assertIn(b"data: [DONE]", received)
--- /dev/null
+++ b/tests/unit/test_gateway_streams.py
@@ -0,0 +1,74 @@
+"""Streams are split, counted and checked before a caller takes them for complete."""
+
+import json
+import unittest
+
+from mulberryrill.internal.gateway.streams import (
+    BrokenStreamError,
+    EventSplitter,
+    StreamProgress,
+    StreamReader,
+)
+
+DONE = b"data: [DONE]"
+
+
+def create_token(text: str, **choice: object) -> bytes:
+    return b"data: " + json.dumps({"choices": [{"index": 0, "text": text, **choice}]}).encode()
+
+
+def create_usage(count: int) -> bytes:
+    body = {"choices": [], "usage": {"completion_tokens": count, "prompt_tokens": 3}}
+    return b"data: " + json.dumps(body).encode()
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_events_survive_any_split(self) -> None:
+        """Guards against events that are lost or doubled at the edges of reads."""
+        data = b"data: a\n\ndata: b\r\n\r\ndata: c\n\n"
+        for size in range(1, len(data)):
+            splitter = EventSplitter()
+            events = []
+            for start in range(0, len(data), size):
+                events += splitter.feed(data[start : start + size])
+            with self.subTest(size=size):
+                self.assertEqual(events, [b"data: a", b"data: b", b"data: c"])
+
+
+class StreamReaderTest(unittest.TestCase):
+    """Guards against incomplete output that is presented as complete (I6)."""
+
+    def setUp(self) -> None:
+        self.progress = StreamProgress()
+        self.reader = StreamReader(self.progress, wants_usage=False)
+
+    def test_complete_stream_is_verified(self) -> None:
+        for event in (create_token("a"), create_token("b"), create_usage(2), DONE):
+            self.reader.read(event)
+        self.assertTrue(self.reader.is_done)
+        self.assertEqual((self.progress.text, self.progress.tokens), ("ab", 2))
+
+    def test_missing_token_is_noticed_and_not_resumed(self) -> None:
+        self.reader.read(create_token("a"))
+        with self.assertRaises(BrokenStreamError) as caught:
+            self.reader.read(create_usage(2))
+        self.assertFalse(caught.exception.resumable)
+
+    def test_end_without_usage_is_not_complete(self) -> None:
+        self.reader.read(create_token("a"))
+        with self.assertRaises(BrokenStreamError):
+            self.reader.read(DONE)
+        self.assertFalse(self.reader.is_done)
+
+    def test_resumed_stream_counts_on_and_repeats_no_role(self) -> None:
+        self.reader.read(create_token("a"))
+        resumed = StreamReader(self.progress, wants_usage=False)
+        role = b'data: {"choices":[{"index":0,"delta":{"role":"assistant","content":""}}]}'
+        self.assertEqual(resumed.read(role), b"")
+        self.assertNotEqual(resumed.read(create_token("b")), b"")
+        resumed.read(create_usage(2))
+        self.assertTrue(self.progress.verified)
+
+    def test_output_that_text_cannot_express_is_not_resumed(self) -> None:
+        self.reader.read(create_token("a", index=1))
+        self.assertFalse(self.progress.resumable)
--- /dev/null
+++ b/tests/unit/test_retries.py
@@ -0,0 +1,68 @@
+"""Retries stay within their budget, and "not run" is said only when it is true."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulberryrill.internal.core.retries import AttemptTracker, RetryBudget
+from mulberryrill.internal.ids import AttemptId, Executed
+
+FIRST, SECOND = AttemptId("att-1"), AttemptId("att-2")
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guards against retries that multiply the load of a failing system."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(0, 5), min_size=100, max_size=400))
+    def test_any_window_sends_at_most_1_2_for_each_request(self, wishes: list[int]) -> None:
+        budget = RetryBudget()
+        retries = []
+        for wish in wishes:
+            budget.record_request()
+            retries.append(sum(budget.try_retry() for _ in range(wish)))
+        for length in (100, len(wishes)):
+            for start in range(len(wishes) - length + 1):
+                window = sum(retries[start : start + length])
+                self.assertLessEqual(window, 0.2 * length + 1e-9)
+
+    def test_reserve_then_one_retry_for_ten_requests(self) -> None:
+        budget = RetryBudget()
+        self.assertEqual(sum(budget.try_retry() for _ in range(20)), 10)
+        for _ in range(9):
+            budget.record_request()
+        self.assertFalse(budget.try_retry())
+        budget.record_request()
+        self.assertTrue(budget.try_retry())
+
+
+class AttemptTrackerTest(unittest.TestCase):
+    """Guards against a caller that is told "not run" although its call may have run."""
+
+    def setUp(self) -> None:
+        self.tracker = AttemptTracker()
+        self.tracker.on_start(FIRST)
+
+    def test_not_run_until_a_byte_is_sent(self) -> None:
+        self.assertIs(self.tracker.executed, Executed.NO)
+        self.tracker.on_bytes_sent(FIRST)
+        self.assertIs(self.tracker.executed, Executed.UNKNOWN)
+
+    def test_documented_rejection_is_not_run(self) -> None:
+        self.tracker.on_bytes_sent(FIRST)
+        self.tracker.on_rejected(FIRST)
+        self.assertIs(self.tracker.executed, Executed.NO)
+
+    def test_rejection_of_one_attempt_says_nothing_of_another(self) -> None:
+        self.tracker.on_bytes_sent(FIRST)
+        self.tracker.on_start(SECOND)
+        self.tracker.on_rejected(SECOND)
+        self.assertIs(self.tracker.executed, Executed.UNKNOWN)
+
+    def test_answer_is_final(self) -> None:
+        self.tracker.on_answer(FIRST)
+        self.tracker.on_rejected(FIRST)
+        self.tracker.on_start(SECOND)
+        self.tracker.on_bytes_sent(SECOND)
+        self.assertIs(self.tracker.executed, Executed.YES)
