--- a/src/mulberryrill/internal/control/messages.py
+++ b/src/mulberryrill/internal/control/messages.py
@@ -24,6 +24,8 @@
 
     stream: str
     asked_at: float
+    # The oldest offset that the log keeps.
+    first: int
 
 
 @dataclass(frozen=True)
@@ -105,6 +107,7 @@
     base_revision: int
     author: str
     reason: str
+    change_id: str
 
 
 @dataclass(frozen=True)
--- a/src/mulberryrill/internal/core/configuration.py
+++ b/src/mulberryrill/internal/core/configuration.py
@@ -133,7 +133,7 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether every document is known; an instance is not ready before."""
+        """Whether every document as of ``folded_offset`` is known; false before any record."""
         return self._awaited is not None and not self._awaited
 
     def count_pending(self) -> int:
@@ -366,7 +366,11 @@
         if state.folded_offset <= NO_OFFSET or not (newer or same):
             return False
         copies = {ServiceName(s.service): _copy_state(s) for s in state.documents}
-        index = copies.pop(INDEX_SERVICE, DocumentState())
+        index = copies.pop(INDEX_SERVICE, None)
+        if index is None:
+            # A reply to an instance that had all documents carries none; after a restart of the
+            # instance it must not be taken for a configuration without documents.
+            return False
         self._documents = copies
         self._quarantine = {entry.fingerprint: entry for entry in state.quarantine}
         self._folded = Offset(state.folded_offset)
