--- a/src/mulberryrill/internal/core/snapshot.py
+++ b/src/mulberryrill/internal/core/snapshot.py
@@ -166,11 +166,7 @@
         live_instances=max(1, update.live_instances),
         max_instances=max(1, update.max_instances),
         services=services,
-        drained=frozenset(
-            DataCentre(order.data_centre)
-            for order in update.orders
-            if order.state == log_pb2.DRAINED
-        ),
+        drained=_list_drained(update),
         targets=_join_targets(update),
         entries=_list_entries(update),
         quarantine=tuple(update.quarantine),
@@ -211,6 +207,16 @@
     )
 
 
+def _list_drained(update: wire_pb2.SnapshotUpdate) -> frozenset[DataCentre]:
+    """Returns the data centres whose order in force is to drain."""
+    in_force: dict[str, log_pb2.DataCentreOrder] = {}
+    for order in sorted(update.orders, key=lambda o: (o.epoch, o.author, o.order_id)):
+        in_force[order.data_centre] = order
+    return frozenset(
+        DataCentre(name) for name, order in in_force.items() if order.state == log_pb2.DRAINED
+    )
+
+
 def _join_targets(update: wire_pb2.SnapshotUpdate) -> dict[TargetId, TargetState]:
     """Joins the list's members with what their watchers saw; unwatched members are left out."""
     views = {view.target: view for view in update.targets}
--- a/src/mulberryrill/internal/gateway/program.py
+++ b/src/mulberryrill/internal/gateway/program.py
@@ -94,7 +94,12 @@
             raise GatewayError(f"cannot listen: {error}") from error
 
     def close(self) -> None:
-        """Fails readiness, waits for the balancer, stops accepting, and finishes all calls."""
+        """Fails readiness, waits for the balancer, stops accepting, and finishes all calls.
+
+        Calling it again has no effect.
+        """
+        if self._is_stopping.is_set():
+            return
         self._is_stopping.set()
         log_event(_LOGGER, logging.INFO, Event.GATEWAY_DRAINING, "readiness fails from now on")
         threading.Event().wait(self._options.balancer_lag_s)
--- a/tests/common/gateway.py
+++ b/tests/common/gateway.py
@@ -195,22 +195,22 @@
 
     def setUp(self) -> None:
         self.keys = create_keys()
-        self.control = ControlDouble(self.keys)
-        self.addCleanup(self.control.close)
+        self.control = self.create_control()
+
+    def create_control(self) -> ControlDouble:
+        control = ControlDouble(self.keys)
+        self.addCleanup(control.close)
         digest = hashlib.sha256(TOKEN.encode()).hexdigest()
         texts = {"flavour": MODEL_DOCUMENT, "sugar": PLAIN_DOCUMENT}
         for name, text in texts.items():
             document = text.format(
                 token=digest, deadline_ms=self.deadline_ms, concurrent=self.concurrent
             )
-            self.control.update.services.append(
-                ServiceView(service=name, revision=1, document=document)
-            )
+            control.update.services.append(ServiceView(service=name, revision=1, document=document))
+        return control
 
     def start_gateway(self, **fields: object) -> GatewayProgram:
-        program = GatewayProgram(create_settings(self.control, self.keys, **fields))
-        program.start()
-        self.addCleanup(program.close)
+        program = self.start_silent_gateway(self.control, **fields)
         self.control.publish()
         self.url = f"http://{LOCAL}:{program.port}"
         self.admin_url = f"http://{LOCAL}:{program.admin_port}"
@@ -222,6 +222,13 @@
         wait_until(lambda: self.control.list("snapshot_ack"), "snapshot acknowledged")
         return program
 
+    def start_silent_gateway(self, control: ControlDouble, **fields: object) -> GatewayProgram:
+        """Starts a gateway without a snapshot."""
+        program = GatewayProgram(create_settings(control, self.keys, **fields))
+        program.start()
+        self.addCleanup(program.close)
+        return program
+
     def start_engine(self, name: str = "engine-1", **fields: object) -> EngineStandin:
         defaults: dict = {
             "id": name,
--- /dev/null
+++ b/tests/process/test_gateway_load.py
@@ -0,0 +1,183 @@
+"""Limits, deadlines and slots hold while many calls arrive."""
+
+import json
+import socket
+import tempfile
+import threading
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.schema.wire_pb2 import HEALTHY, UNREACHABLE
+from tests.common.gateway import LOCAL, GatewayTestCase, wait_until
+
+
+def read_problem(answer: HttpResponse) -> dict:
+    content = answer.parse_json()
+    assert isinstance(content, dict)
+    return content
+
+
+class GatewayLoadTest(GatewayTestCase):
+    def call_together(self, count: int, **fields: object) -> list[Future[HttpResponse]]:
+        pool = ThreadPoolExecutor(count)
+        self.addCleanup(pool.shutdown)
+        return [pool.submit(self.complete, f"prompt {n}", **fields) for n in range(count)]
+
+    def test_calls_wait_for_slots_and_never_exceed_them(self) -> None:
+        """Guards against more load than a cold target can handle (I4)."""
+        self.start_engine(cold_concurrency=2, cold_ms=60_000, decode_ms_per_token=5)
+        self.control.slots = 2
+        self.start_gateway()
+        answers = [future.result() for future in self.call_together(12)]
+        self.assertEqual([answer.status for answer in answers], [200] * 12)
+        uses = [use for report in self.control.list("gateway_report") for use in report.uses]
+        self.assertLessEqual(max(use.in_flight for use in uses), 2)
+        self.assertGreater(max(use.demand for use in uses), 0)
+        wait_until(
+            lambda: sum(u.completions for r in self.control.list("gateway_report") for u in r.uses)
+            == 12,
+            "all completions reported",
+        )
+
+    def test_call_that_cannot_start_by_its_deadline_is_not_run(self) -> None:
+        self.control.update.services[0].document = self.control.update.services[0].document.replace(
+            "deadline_ms: 10000", "deadline_ms: 300"
+        )
+        self.start_engine()
+        self.control.slots = 0
+        self.start_gateway()
+        answer = self.complete()
+        self.assertEqual((answer.status, read_problem(answer)["executed"]), (503, "no"))
+        self.assertEqual(answer.headers["x-should-retry"], "true")
+
+    def test_call_after_its_deadline_is_unknown(self) -> None:
+        """Guards against "not run" for a call that a target has received (I7)."""
+        self.control.update.services[0].document = self.control.update.services[0].document.replace(
+            "deadline_ms: 10000", "deadline_ms: 300"
+        )
+        self.start_engine(decode_ms_per_token=200)
+        self.start_gateway()
+        answer = self.complete()
+        self.assertEqual((answer.status, read_problem(answer)["executed"]), (504, "unknown"))
+
+    def test_caller_that_leaves_frees_its_slot(self) -> None:
+        self.start_engine(decode_ms_per_token=100)
+        self.control.slots = 1
+        self.start_gateway()
+        body = json.dumps({"model": "flavour-7b", "prompt": "x", "max_tokens": 10_000}).encode()
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
+            f"secret-of-kariakoo\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        port = int(self.url.rsplit(":", 1)[1])
+        with socket.create_connection((LOCAL, port)) as connection:
+            connection.sendall(head.encode() + body)
+            wait_until(self.has_running, "call started")
+        self.assertEqual(self.complete(max_tokens=1).status, 200)
+
+    def has_running(self) -> bool:
+        reports = self.control.list("gateway_report")
+        return bool(reports) and any(use.in_flight for use in reports[-1].uses)
+
+    def test_refused_connection_gives_up_the_slots_at_once(self) -> None:
+        """Guards against a burst of calls on a target that restarts (I4)."""
+        self.start_engine("engine-1")
+        standin = self.start_engine("engine-2")
+        self.control.update.targets[0].health = UNREACHABLE
+        self.start_gateway()
+        self.assertEqual(self.complete().status, 200)
+        standin.close()
+        before = len(self.control.list("gateway_report"))
+        future = self.call_together(1)[0]
+        wait_until(
+            lambda: any(
+                use.failures
+                for report in self.control.list("gateway_report")[before:]
+                for use in report.uses
+            ),
+            "failure reported",
+        )
+        self.control.update.targets[0].health = HEALTHY
+        self.control.publish()
+        self.assertEqual(future.result().status, 200)
+
+
+class CustomerLimitTest(GatewayTestCase):
+    concurrent = 2
+
+    def test_calls_above_the_concurrent_limit_are_refused(self) -> None:
+        """Guards against one customer that takes all targets."""
+        self.start_engine(decode_ms_per_token=100)
+        self.start_gateway()
+        threads = [threading.Thread(target=self.complete) for _ in range(2)]
+        for thread in threads:
+            thread.start()
+        wait_until(
+            lambda: any(
+                use.in_flight == 2 for r in self.control.list("gateway_report") for use in r.uses
+            ),
+            "both calls started",
+        )
+        answer = self.complete()
+        problem = read_problem(answer)
+        self.assertEqual((answer.status, problem["executed"]), (429, "no"))
+        self.assertEqual(problem["error"]["type"], "rate_limit_error")
+        self.assertIn("retry-after", answer.headers)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(self.complete().status, 200)
+
+
+class GatewayOperationTest(GatewayTestCase):
+    def test_shutdown_fails_readiness_first_and_interrupts_no_call(self) -> None:
+        """Guards against calls that a graceful shutdown cuts (I10)."""
+        self.start_engine(decode_ms_per_token=50)
+        program = self.start_gateway(balancer_lag_ms=500)
+        with ThreadPoolExecutor(3) as pool:
+            running = pool.submit(self.complete, stream=True, max_tokens=40)
+            wait_until(
+                lambda: any(
+                    u.in_flight for r in self.control.list("gateway_report")[-1:] for u in r.uses
+                ),
+                "call started",
+            )
+            closing = pool.submit(program.close)
+            client = HttpClient()
+            self.addCleanup(client.close)
+            wait_until(
+                lambda: client.send("GET", f"{self.admin_url}/readyz").status == 503, "not ready"
+            )
+            self.assertEqual(self.complete(max_tokens=1).status, 200)
+            self.assertFalse(closing.done())
+            self.assertIn(b"data: [DONE]", running.result().body)
+            closing.result()
+        with self.assertRaises(OSError):
+            socket.create_connection((LOCAL, program.port))
+
+    def test_admin_port_and_records(self) -> None:
+        """Guards against a request that nobody can explain afterwards."""
+        self.start_engine()
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        path = f"{directory}/history.jsonl"
+        self.start_gateway(history_file=path)
+        answer = self.complete(stream=True)
+        request_id = answer.headers["x-request-id"]
+        client = HttpClient()
+        self.addCleanup(client.close)
+        metrics = client.send("GET", f"{self.admin_url}/metrics").body.decode()
+        self.assertIn('mulberryrill_token_events_total{service="flavour"} 8.0', metrics)
+        self.assertIn(
+            'mulberryrill_time_to_first_token_seconds_count{service="flavour"} 1', metrics
+        )
+        self.assertNotIn("secret-of-kariakoo", metrics)
+        self.assertEqual(client.send("GET", f"{self.admin_url}/healthz").status, 200)
+        wait_until(lambda: self.control.list("request_trace"), "trace sent")
+        trace = self.control.list("request_trace")[0]
+        self.assertEqual((trace.request_id, trace.status, trace.executed), (request_id, 200, "yes"))
+        self.assertEqual((trace.revision, trace.attempts[0].target), (1, "engine-1"))
+        with open(path, encoding="utf-8") as file:
+            events = [json.loads(line) for line in file]
+        self.assertEqual([event["event"] for event in events], ["call", "dispatch", "answer"])
+        self.assertEqual({event["request"] for event in events}, {request_id})
+        self.assertEqual(events[1]["attempt"], events[2]["attempt"])
+        self.assertTrue(all("monotonic" in event and "time" in event for event in events))
