--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -129,6 +129,7 @@
             customer=request.customer.name,
             service=request.config.name,
             key=request.key,
+            repeatable=request.repeatable,
         )
         if request.request_id in self._calls:
             self._answerer.give_failure(call, failures.create_duplicate())
