Count load that no report explains after a change of holder

Cause: an instance that a new holder's list does not show may still run requests of the old holder's grants. Conclusion: requests of an instance that no list shows are covered only by the target's own count. To cover them exactly, promise requests and promises need the list of participants (schema).

--- a/src/mulberryrill/internal/core/membership.py
+++ b/src/mulberryrill/internal/core/membership.py
@@ -56,14 +56,12 @@
         return sorted(peers)
 
     def list_data_centre(self) -> list[InstanceId]:
-        """Returns the listed live entry instances of this data centre, silent ones included."""
-        return sorted(
-            InstanceId(m.id)
-            for m in self._members.values()
-            if m.kind == MemberKind.entry
-            and m.state == MemberState.live
-            and m.data_centre == self._data_centre
-        )
+        """Returns the entry instances of this data centre that may use its targets.
+
+        These are all listed ones, silent or leaving ones included because they may still run
+        requests, and unlisted ones that have sent a heartbeat recently, because the list lags.
+        """
+        return [i for i, d in self._list_entry_instances() if d == self._data_centre]
 
     def list_watched(self) -> list[Member]:
         """Returns the targets of this data centre that this instance polls."""
--- a/src/mulberryrill/internal/core/slots.py
+++ b/src/mulberryrill/internal/core/slots.py
@@ -347,8 +347,10 @@
         self._slow_starts: dict[TargetId, SlowStart] = {}
         # Another instance may have been the holder since the caps were last used.
         self._caps_are_stale = True
+        self._held_since = float("-inf")
         # Sums over all instances.
         self._committed: dict[SlotKey, int] = {}
+        self._in_flight: dict[SlotKey, int] = {}
         self._wanted: dict[TargetId, int] = {}
 
     def tick(
@@ -457,10 +459,12 @@
 
     def _subtract(self, record: _Instance) -> None:
         _add_counts(self._committed, record.account.committed, -1)
+        _add_counts(self._in_flight, record.account.in_flight, -1)
         _add_counts(self._wanted, record.account.wanted, -1)
 
     def _add(self, record: _Instance) -> None:
         _add_counts(self._committed, record.account.committed, 1)
+        _add_counts(self._in_flight, record.account.in_flight, 1)
         _add_counts(self._wanted, record.account.wanted, 1)
 
     def _restore_caps(self, targets: Mapping[TargetId, TargetState], now: float) -> None:
@@ -473,6 +477,7 @@
             if reported:
                 self._slow_starts[target] = SlowStart(state.incarnation, min(reported))
         self._caps_are_stale = False
+        self._held_since = now
 
     def _count_results(self, report: SlotReport, targets: Mapping[TargetId, TargetState]) -> None:
         for use in report.uses:
@@ -501,8 +506,7 @@
         key = (state.target, state.incarnation)
         committed = self._committed.get(key, 0)
         reserved = self._count_reserved(key, cap // self._max_instances, now)
-        # Load that no report explains, for example of an instance this one does not know.
-        reserved += max(0, state.running + state.waiting - committed)
+        reserved += self._count_unexplained(state, now)
         fair = compute_fair_share(
             cap - reserved,
             record.account.wanted.get(state.target, 0),
@@ -512,6 +516,17 @@
         others = committed - record.account.committed.get(key, 0)
         return max(0, min(cap - reserved - others, fair))
 
+    def _count_unexplained(self, state: TargetState, now: float) -> int:
+        """Returns the load that no report explains, for example of an instance not known here.
+
+        The target's own count lags, so it is compared with what may be in flight. A new holder
+        compares it with what is known to be in flight, until earlier requests have mostly ended.
+        """
+        key = (state.target, state.incarnation)
+        is_new = now - self._held_since < SILENCE_S
+        explained = (self._in_flight if is_new else self._committed).get(key, 0)
+        return max(0, state.running + state.waiting - explained)
+
     def _count_reserved(self, key: SlotKey, floor: int, now: float) -> int:
         """Returns the floor shares of the instances that have not promised."""
         if floor == 0:
