--- a/tests/process/test_control_program.py
+++ b/tests/process/test_control_program.py
@@ -73,6 +73,9 @@
         settings = self.create_settings()
         settings.history_file = str(self.directory / "history.jsonl")
         settings.operators.port = find_port()
+        settings.peer_endpoint = f"tcp://127.0.0.1:{find_port()}"
+        settings.gateway_endpoint = f"tcp://127.0.0.1:{find_port()}"
+        settings.gateway_url = f"http://127.0.0.1:{find_port()}"
         settings.operators.tls_certificate = str(self.directory / "cert.pem")
         settings.operators.tls_key = str(self.directory / "key.pem")
         process = self.start_process(settings)
