Keep operators able to act while the log is slow or forgets

A repeated X-Change-Id gets the first decision. At most 8 changes wait for the log, so that they do not occupy the threads that drain orders need. Checkpoints are looked for more often when the retention is short. Messages to a disconnected peer are dropped instead of delivered late, and a peer's state requests are answered at most twice a second. The program can be closed twice.

Seen before: closing twice raised OSError. After: documents and orders outlive a retention of 4 s in a process test.

--- a/src/mulberryrill/internal/control/documents.py
+++ b/src/mulberryrill/internal/control/documents.py
@@ -29,9 +29,13 @@
 STREAM = "configuration"
 # After this time an operator is told that the result of a change is not known.
 READ_BACK_TIMEOUT_S = 10.0
-# A checkpoint is not repeated while its record may still be on its way.
-CHECKPOINT_PAUSE_S = 30.0
-CHECKPOINT_CHECK_S = 5.0
+# Calls that wait for the log occupy threads that drain orders need.
+MAX_PENDING_CHANGES = 8
+# A checkpoint is not repeated while its record may still be on its way, and what is due is looked
+# for seldom; both are shorter if the retention is.
+MAX_CHECKPOINT_PAUSE_S = 30.0
+MAX_CHECK_S = 5.0
+CHECKS_PER_RETENTION = 32
 # An order whose instance failed before appending it is appended by another one after this time.
 UNLOGGED_ORDER_S = 10.0
 # An instance waits this much longer for each live one before it.
@@ -60,9 +64,11 @@
         on_quarantine: Callable[[QuarantineEntry], None],
         history: HistoryWriter,
         run: str,
+        retention_s: float,
         clock: Clock,
     ) -> None:
         """``run`` distinguishes this run of the process in the history."""
+        self._pause_s = min(MAX_CHECKPOINT_PAUSE_S, retention_s / CHECKS_PER_RETENTION)
         self.fold = fold
         self._run = run
         self._append = append
@@ -114,10 +120,22 @@
             return
         del self._pending[result.request.key]
         detail = f"The change was not made: {result.problem}. Repeat it when the log is back."
-        _answer(pending.call, 503, "Log unavailable", detail)
+        _answer_problem(pending.call, 503, "Log unavailable", detail)
 
     def submit(self, call: Call, request: SubmitDocument) -> None:
         """Appends a change; the call is answered when the change has been read back."""
+        known = self.find_audit(request.service, request.change_id)
+        if known is not None:
+            self._answer(_PendingChange(call, request.service, 0.0), known)
+            return
+        if request.change_id in self._pending:
+            detail = "The change with this X-Change-Id waits for its answer already."
+            _answer_problem(call, 409, "Change already submitted", detail)
+            return
+        if len(self._pending) >= MAX_PENDING_CHANGES:
+            detail = "Too many changes wait for the log. Repeat this one later."
+            _answer_problem(call, 503, "Log too slow", detail)
+            return
         change = DocumentChange(
             change_id=request.change_id,
             service=request.service,
@@ -191,9 +209,9 @@
             if now >= pending.deadline:
                 del self._pending[change_id]
                 detail = f"Look for {change_id} in the document's history before repeating it."
-                _answer(pending.call, 504, "Result not known", detail, change_id)
+                _answer_problem(pending.call, 504, "Result not known", detail, change_id)
         if log_reachable and now >= self._checkpoints_due_at:
-            self._checkpoints_due_at = now + CHECKPOINT_CHECK_S
+            self._checkpoints_due_at = now + min(MAX_CHECK_S, self._pause_s)
             self._append_due(now, rank * RANK_STEP_S)
 
     def find_audit(self, service: str, change_id: str) -> AuditEntry | None:
@@ -298,8 +316,10 @@
 
     def _answer_decided(self, audit: AuditEntry) -> None:
         pending = self._pending.pop(audit.change_id, None)
-        if pending is None:
-            return
+        if pending is not None:
+            self._answer(pending, audit)
+
+    def _answer(self, pending: _PendingChange, audit: AuditEntry) -> None:
         if not audit.accepted:
             self._refuse(pending, audit)
             return
@@ -339,7 +359,7 @@
         as_of_ms = self._read_wall_ms() - int(delay_s * 1000)
         for checkpoint in self.fold.list_due_checkpoints(as_of_ms):
             key = (checkpoint.service, checkpoint.revision)
-            if now < self._checkpointed.get(key, -CHECKPOINT_PAUSE_S) + CHECKPOINT_PAUSE_S:
+            if now < self._checkpointed.get(key, -self._pause_s) + self._pause_s:
                 continue
             self._checkpointed[key] = now
             batch = LogBatch(entries=[LogEntry(document_checkpoint=checkpoint)])
@@ -355,7 +375,7 @@
         return int(self._clock.wall() * 1000)
 
 
-def _answer(call: Call, status: int, title: str, detail: str, change_id: str = "") -> None:
+def _answer_problem(call: Call, status: int, title: str, detail: str, change_id: str = "") -> None:
     executed = Executed.UNKNOWN if status == 504 else Executed.NO
     body: dict[str, object] = {"title": title, "detail": detail}
     if change_id:
--- a/src/mulberryrill/internal/control/link.py
+++ b/src/mulberryrill/internal/control/link.py
@@ -259,6 +259,7 @@
             peer.public_key,
             self._settings.keys,
             self._settings.instance,
+            only_connected=True,
         )
         self._poller.register(client, zmq.POLLIN)
         return client
--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -79,6 +79,7 @@
     """The decision core of one instance. ``claims`` has one task for each claim stream."""
 
     fold: ConfigurationFold
+    retention_s: float
     membership: Membership
     slot_client: SlotClient
     slot_holder: SlotHolder
@@ -118,7 +119,13 @@
         instance, data_centre = settings.instance, settings.data_centre
         run = create_id("run")
         self._configuration = Configuration(
-            core.fold, ports.append, self._adopt_logged_quarantine, history, run, clock
+            core.fold,
+            ports.append,
+            self._adopt_logged_quarantine,
+            history,
+            run,
+            core.retention_s,
+            clock,
         )
         self._snapshots = Snapshots(run, ports.send, clock)
         self._peers = Peers(instance, data_centre, ports.send, clock)
@@ -365,6 +372,8 @@
                 self._send_peer(peer, Envelope(target_notice=notice))
 
     def _on_state_request(self, peer: str, request) -> None:
+        if not self._peers.may_reply(peer):
+            return
         reply = self._core.fold.export()
         del reply.quarantine[:]
         reply.quarantine.extend(self._quarantine.list_entries())
--- a/src/mulberryrill/internal/control/peers.py
+++ b/src/mulberryrill/internal/control/peers.py
@@ -26,6 +26,7 @@
 BEHIND_S = 2.0
 # A peer is asked for its state at most this often.
 STATE_REQUEST_S = 1.0
+STATE_REPLY_S = 0.5
 # While the log cannot be read for this time, a new instance asks its peers instead.
 PEER_START_S = 3.0
 
@@ -63,6 +64,7 @@
         self._peers: dict[str, _Peer] = {}
         self._progress: dict[str, Progress] = {}
         self._asked_at: dict[str, float] = {}
+        self._state_sent_at: dict[str, float] = {}
         self._replied: set[str] = set()
         self._started_at = clock.monotonic()
         self._behind_since: float | None = None
@@ -86,6 +88,14 @@
             self._set_progress(item.instance, Progress(item.data_centre, item.in_force_offset, at))
         return is_new
 
+    def may_reply(self, instance: str) -> bool:
+        """Tells whether a state request is answered; a state is long, and requests may pile up."""
+        now = self._clock.monotonic()
+        if now - self._state_sent_at.get(instance, -STATE_REPLY_S) < STATE_REPLY_S:
+            return False
+        self._state_sent_at[instance] = now
+        return True
+
     def on_state_reply(self, instance: str) -> None:
         """Notes that a peer has sent its state since this instance started."""
         self._replied.add(instance)
--- a/src/mulberryrill/internal/control/program.py
+++ b/src/mulberryrill/internal/control/program.py
@@ -83,6 +83,7 @@
         self._settings = settings
         self._clock = clock or SystemClock()
         self._inbox: Inbox = Inbox()
+        self._closed = False
         process = f"{settings.instance}/control"
         self._history = HistoryWriter(settings.history_file, process, self._clock)
         self._link = Link(settings, self._inbox, self._clock)
@@ -91,7 +92,7 @@
         self._claim_writers = {
             stream: self._create_writer(f"writer-{stream}") for stream in self._claim_streams
         }
-        self._watcher = Watcher(self._inbox, self._clock)
+        self._watcher = Watcher(self._inbox, self._clock, settings.site_ca_file)
         self._lister = Lister(self._describe_member(), self._open_list, self._inbox)
         self._main = MainTask(
             settings,
@@ -138,6 +139,9 @@
 
     def close(self) -> None:
         """Announces the stop, writes what must not be lost, then ends all tasks."""
+        if self._closed:
+            return
+        self._closed = True
         self._main.leave()
         self._lister.leave()
         self._flush()
@@ -164,8 +168,10 @@
         lag_s = (settings.list_lag_ms or DEFAULT_LIST_LAG_MS) / 1000
         window_ms = settings.key_window_ms or DEFAULT_KEY_WINDOW_MS
         operators = frozenset(operator.name for operator in settings.site_operators)
+        retention_ms = settings.retention_ms or DEFAULT_RETENTION_MS
         return Core(
-            fold=ConfigurationFold(operators, settings.retention_ms or DEFAULT_RETENTION_MS),
+            fold=ConfigurationFold(operators, retention_ms),
+            retention_s=retention_ms / 1000,
             membership=Membership(instance, data_centre),
             slot_client=SlotClient(instance, settings.max_instances, now),
             slot_holder=SlotHolder(instance, data_centre, settings.max_instances, lag_s, now),
--- a/src/mulberryrill/internal/control/watcher.py
+++ b/src/mulberryrill/internal/control/watcher.py
@@ -42,10 +42,11 @@
 class Watcher(Task):
     """Polls all targets at once, so that a silent one delays no other."""
 
-    def __init__(self, inbox: Inbox, clock: Clock) -> None:
+    def __init__(self, inbox: Inbox, clock: Clock, ca_file: str = "") -> None:
         super().__init__("watcher")
         self._inbox = inbox
         self._clock = clock
+        self._ca_file = ca_file
         self._multi = pycurl.CurlMulti()
         self._polls: dict[str, _Poll] = {}
         self._wanted: tuple[Member, ...] = ()
@@ -100,6 +101,8 @@
         curl.setopt(pycurl.TIMEOUT_MS, int(POLL_TIMEOUT_S * 1000))
         curl.setopt(pycurl.MAXFILESIZE, MAX_STATE_BYTES)
         curl.setopt(pycurl.WRITEFUNCTION, poll.body.write)
+        if self._ca_file:
+            curl.setopt(pycurl.CAINFO, self._ca_file)
         self._multi.add_handle(curl)
         poll.running = True
         poll.due_at = due_at
--- a/src/mulberryrill/internal/transport.py
+++ b/src/mulberryrill/internal/transport.py
@@ -82,10 +82,20 @@
 
 
 def open_client(
-    context: zmq.Context, endpoint: str, server_public_key: str, keys: KeyPair, identity: str
+    context: zmq.Context,
+    endpoint: str,
+    server_public_key: str,
+    keys: KeyPair,
+    identity: str,
+    only_connected: bool = False,
 ) -> zmq.Socket:
-    """Connects a DEALER socket to a server whose public key is known."""
+    """Connects a DEALER socket to a server whose public key is known.
+
+    With ``only_connected``, sending fails while there is no connection, instead of queueing
+    messages that are out of date when they arrive.
+    """
     socket = context.socket(zmq.DEALER)
+    socket.setsockopt(zmq.IMMEDIATE, only_connected)
     _configure(socket)
     socket.setsockopt(zmq.IDENTITY, identity.encode("utf-8"))
     socket.curve_serverkey = server_public_key.encode("ascii")
--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -111,8 +111,10 @@
 class ControlTestCase(unittest.TestCase):
     """Starts a platform; ``start_control`` starts control programs that know each other."""
 
+    platform_settings = PlatformSettings(listen=Listen(host="127.0.0.1"))
+
     def setUp(self) -> None:
-        self.platform = PlatformStandin(PlatformSettings(listen=Listen(host="127.0.0.1")))
+        self.platform = PlatformStandin(self.platform_settings)
         self.platform.start()
         self.addCleanup(self.platform.close)
         self.platform_url = f"http://127.0.0.1:{self.platform.port}"
@@ -158,10 +160,15 @@
         path: str,
         body: bytes = b"",
         operator: str = "asha",
+        headers: dict[str, str] | None = None,
     ) -> HttpResponse:
-        headers = {"Authorization": f"Bearer {TOKENS.get(operator, operator)}"}
+        token = {"Authorization": f"Bearer {TOKENS.get(operator, operator)}"}
         url = f"http://127.0.0.1:{program.ports[0]}{path}"
-        return self.client.send(method, url, body, headers, timeout_s=30)
+        client = HttpClient()
+        try:
+            return client.send(method, url, body, {**token, **(headers or {})}, timeout_s=30)
+        finally:
+            client.close()
 
     def read(self, program: ControlProgram, path: str) -> dict:
         body = self.call(program, "GET", path).parse_json()
@@ -169,11 +176,16 @@
         return body
 
     def put_document(
-        self, program: ControlProgram, base: int, deadline_ms: int = 5000, operator: str = "asha"
+        self,
+        program: ControlProgram,
+        base: int,
+        deadline_ms: int = 5000,
+        operator: str = "asha",
+        headers: dict[str, str] | None = None,
     ) -> HttpResponse:
         path = f"/v1/documents/flavour-questions?base_revision={base}&reason=test"
         body = create_document(deadline_ms=deadline_ms).encode()
-        return self.call(program, "PUT", path, body, operator)
+        return self.call(program, "PUT", path, body, operator, headers)
 
     def create_document(self, program: ControlProgram) -> int:
         answer = self.put_document(program, 0)
--- a/tests/process/test_control_alone.py
+++ b/tests/process/test_control_alone.py
@@ -3,9 +3,12 @@
 import json
 import random
 import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 from mulberryrill.internal.httpclient import HttpClient
 from mulberryrill.internal.schema.log_pb2 import Claim, Outcome
+from mulberryrill.internal.schema.settings_pb2 import Listen, PlatformSettings
 from mulberryrill.internal.schema.wire_pb2 import (
     ClaimReply,
     ClaimRequest,
@@ -85,6 +88,27 @@
         self.set_faults(lose_answers=1)
         self.create_document(self.program)
 
+    def test_repeated_change_gets_its_first_answer(self) -> None:
+        """Guards against a change that its own repeat refuses because the base has changed."""
+        headers = {"X-Change-Id": "change-1"}
+        first = self.put_document(self.program, 0, headers=headers)
+        again = self.put_document(self.program, 0, headers=headers)
+        self.assertEqual((first.status, again.status), (200, 200))
+        self.assertEqual(first.body, again.body)
+
+    def test_many_changes_in_an_outage_do_not_block_orders(self) -> None:
+        """Guards against operators who can't drain because changes wait for the log."""
+        self.set_faults(log="down")
+        with ThreadPoolExecutor(20) as pool:
+            changes = [pool.submit(self.put_document, self.program, 0) for _ in range(20)]
+            wait_for(lambda: sum(change.done() for change in changes) >= 12, "refused changes")
+            body = b'{"state": "drained"}'
+            answer = self.call(self.program, "POST", "/v1/datacentres/k/orders", body)
+            self.assertEqual(answer.status, 202)
+            self.assertLess(sum(change.done() for change in changes), 20)
+            statuses = sorted(change.result().status for change in changes)
+        self.assertEqual(statuses, [503] * 12 + [504] * 8)
+
     def test_orders_work_while_the_log_is_down_and_reach_it_later(self) -> None:
         self.set_faults(log="down")
         body = b'{"state": "drained", "reason": "power"}'
@@ -185,3 +209,27 @@
 
         self.gateway.wait_for(is_answered, f"a reply to {claim_id}")
         return found[0]
+
+
+class ControlRetentionTest(ControlTestCase):
+    """A log that keeps records for 4 s."""
+
+    platform_settings = PlatformSettings(listen=Listen(host="127.0.0.1"), retention_ms=4000)
+
+    def test_documents_and_orders_outlive_the_retention_of_the_log(self) -> None:
+        """Guards against a configuration that is lost when its last record leaves the log."""
+        settings = self.create_settings()
+        settings.retention_ms, settings.key_window_ms = 4000, 3000
+        first = self.start_control(settings)
+        revision = self.create_document(first)
+        self.call(first, "POST", "/v1/datacentres/k/orders", b'{"state": "drained"}')
+        time.sleep(6)
+        first.close()
+        settings.instance = "k-2"
+        second = self.start_control(settings)
+        self.wait_ready(second)
+        status = self.read(second, "/v1/status")
+        self.assertEqual([service["revision"] for service in status["services"]], [revision])
+        self.assertEqual([order["state"] for order in status["orders"]], ["drained"])
+        answer = self.put_document(second, revision, deadline_ms=900)
+        self.assertEqual(answer.status, 200, answer.body)
