Send calls to a sibling gateway while the control process is silent

Cause: test_gateway_goes_on_while_its_control_process_is_dead failed. Slots are granted on demand and end 2 s after the last grant, so a gateway whose control process is dead held repeatable calls until their deadline, although the other instance of its data centre had slots. Floor shares do not help: a target with a cap below the number of instances has none.

Change: after 2 s without a grant, repeatable calls go to the data centre's other instances first, then to other data centres, with one hop at most. Calls that must run once are refused as not run, as before.

Before: the call ended at its deadline with 503. After: answered, the test passes.

--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -14,9 +14,9 @@
 from ..core.retries import RetryBudget
 from ..core.routing import Router
 from ..core.slots import GatewaySlots
-from ..core.snapshot import Snapshot
+from ..core.snapshot import EntryMember, Snapshot
 from ..events import Event
-from ..ids import AttemptId, Executed, RequestId, ServiceName, TargetId, create_id
+from ..ids import AttemptId, Executed, InstanceId, RequestId, ServiceName, TargetId, create_id
 from ..logs import log_event
 from ..schema.wire_pb2 import GRANTED, AttemptTrace, ClaimReply, Envelope, GrantUpdate
 from . import failures
@@ -35,6 +35,9 @@
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 0.2
+# Slots end 2 s after the last grant. A gateway without its control process then sends repeatable
+# calls to a sibling, instead of letting them wait until their deadline.
+CONTROL_SILENCE_S = 2.0
 MAX_ATTEMPTS = 5
 # Attempts that broke a connection before any output; the request may be what crashes targets.
 MAX_BREAKS = 2
@@ -99,6 +102,7 @@
         self._suspects = CrashSuspects(parts.quarantine, send)
         self._random = random.Random(options.settings.seed)
         self._snapshot = Snapshot()
+        self._control_heard = loop.now()
         self._calls: dict[RequestId, Call] = {}
         self._runs: dict[Call, Attempt | Forward] = {}
         self._retrying: list[Call] = []
@@ -151,6 +155,7 @@
 
     def on_grant(self, grant: GrantUpdate) -> None:
         """Uses new slots."""
+        self._control_heard = self._loop.now()
         self._parts.slots.update(grant)
         self._request_pump()
 
@@ -189,18 +194,30 @@
         own = self._options.data_centre
         if own in self._snapshot.drained:
             return True
-        if call.request.hops or has_usable_target(self._snapshot, own, call):
+        if call.request.hops:
             return False
-        return bool(list_forward_entries(self._snapshot, own, call, self._random))
+        has_slots = call.claim is not None or not self._has_lost_control()
+        if has_slots and has_usable_target(self._snapshot, own, call):
+            return False
+        return bool(self._list_entries(call))
+
+    def _has_lost_control(self) -> bool:
+        """Tells whether the control process is silent, so that the slots have ended."""
+        return self._loop.now() - self._control_heard > CONTROL_SILENCE_S
+
+    def _list_entries(self, call: Call) -> list[EntryMember]:
+        options = self._options
+        sibling_of = InstanceId(options.settings.instance) if self._has_lost_control() else None
+        return list_forward_entries(
+            self._snapshot, options.data_centre, call, self._random, sibling_of
+        )
 
     def _leave(self, call: Call) -> None:
         """Forwards a call that has not been sent anywhere, or refuses it as not run."""
-        own = self._options.data_centre
         if call.claim is not None or call.request.hops:
             self._fail(call, failures.create_drained())
             return
-        call.entries = list_forward_entries(self._snapshot, own, call, self._random)
-        call.entries = call.entries[:MAX_FORWARD_TRIES]
+        call.entries = self._list_entries(call)[:MAX_FORWARD_TRIES]
         self._forward(call)
 
     def _forward(self, call: Call) -> None:
--- a/src/mulberryrill/internal/gateway/forwarding.py
+++ b/src/mulberryrill/internal/gateway/forwarding.py
@@ -5,7 +5,7 @@
 
 from ..core.messages import MemberState, TargetState
 from ..core.snapshot import EntryMember, Snapshot
-from ..ids import DataCentre
+from ..ids import DataCentre, InstanceId
 from .call import Call
 from .loop import RelayLoop
 from .transfer import Transfer, TransferEnd, TransferRequest
@@ -33,17 +33,23 @@
 
 
 def list_forward_entries(
-    snapshot: Snapshot, own: DataCentre, call: Call, generator: random.Random
+    snapshot: Snapshot,
+    own: DataCentre,
+    call: Call,
+    generator: random.Random,
+    sibling_of: InstanceId | None = None,
 ) -> list[EntryMember]:
     """Returns the gateways that may run a call, in the order to try them.
 
     Data centres known to have a usable target come first, in random order within each group, so
-    that a drained data centre's load is spread.
+    that a drained data centre's load is spread. The own data centre is left out, unless
+    ``sibling_of`` names an instance whose siblings may run the call.
     """
     candidates = [
         entry
         for entry in snapshot.entries
-        if entry.data_centre != own and entry.data_centre not in snapshot.drained
+        if entry.data_centre not in snapshot.drained
+        and (entry.data_centre != own or sibling_of not in (None, entry.instance))
     ]
     generator.shuffle(candidates)
     usable = {
@@ -51,7 +57,9 @@
         for centre in {e.data_centre for e in candidates}
         if has_usable_target(snapshot, centre, call)
     }
-    return sorted(candidates, key=lambda entry: entry.data_centre not in usable)
+    return sorted(
+        candidates, key=lambda entry: (entry.data_centre not in usable, entry.data_centre != own)
+    )
 
 
 def has_usable_target(snapshot: Snapshot, data_centre: DataCentre, call: Call) -> bool:
