--- a/src/mulberryrill/internal/history/checks.py
+++ b/src/mulberryrill/internal/history/checks.py
@@ -3,11 +3,12 @@
 Events and the fields that are read:
 
 - ``call`` (gateway): request, customer, service, key, repeatable
-- ``answer`` (gateway): request, attempt, executed, version
+- ``answer`` (gateway): request, attempt, executed, version, complete, digest
 - ``dispatch`` (gateway): request, attempt, target, data_centre
 - ``configuration`` (control): service, offset, accepted, change_id, adopted
 - ``order`` (control): data_centre, epoch, state
-- ``execution`` (targets): request, attempt, customer, target, version, body_sha256
+- ``execution`` (targets): request, attempt, customer, target, version, body_sha256, model,
+  prompt_sha256, max_tokens, stream
 - ``overload``, ``foreign_block``, ``leaving``, ``started`` (targets): target
 - ``process_started`` (test harness): name, the ``process`` of the events of the new run
 - ``caller_call``, ``caller_answer`` (test clients): call, request, customer, service, key,
@@ -175,25 +176,33 @@
 
 def check_answers(history: History) -> tuple[int, list[str]]:
     """Each complete answer is the whole output for its own prompt, model and version."""
+    runs = {event.get("attempt"): event for event in history.executions}
     problems = []
-    answers = [
-        event
-        for event in history.select("answer", "caller_answer")
-        if event.fields.get("complete") is True and event.get("prompt_sha256")
-    ]
-    for event in answers:
-        expected = digest_expected(
-            event.get("model"),
-            event.get("version"),
-            event.get("prompt_sha256"),
-            event.get_number("max_tokens"),
-        )
-        if event.get("text_sha256") != expected:
-            problems.append(
-                f"{event.get('request')} of {event.get('customer')} got a text that is not its own "
-                "or not complete"
-            )
-    return len(answers), problems
+    examined = 0
+    for event in history.select("answer", "caller_answer"):
+        if event.fields.get("complete") is not True:
+            continue
+        request, source, digest = event.get("request"), event, event.get("text_sha256")
+        if event.kind == "answer":
+            source = runs.get(event.get("attempt"), event)
+            digest = event.get("digest")
+            if source.get("request") != request:
+                problems.append(f"{request} got the answer of {source.get('request')}")
+        # Answers that are not streamed have the digest of their JSON, which callers check.
+        if source.get("prompt_sha256") and source.fields.get("stream", True) is True:
+            examined += 1
+            if digest != _compute_digest(source):
+                problems.append(f"{request} got a text that is not its own or not complete")
+    return examined, problems
+
+
+def _compute_digest(event: HistoryEvent) -> str:
+    return digest_expected(
+        event.get("model"),
+        event.get("version"),
+        event.get("prompt_sha256"),
+        event.get_number("max_tokens"),
+    )
 
 
 def check_owners(history: History) -> tuple[int, list[str]]:
--- a/src/mulberryrill/internal/standins/enginemodel.py
+++ b/src/mulberryrill/internal/standins/enginemodel.py
@@ -289,6 +289,8 @@
         "path": run.path,
         "prompt_sha256": run.prompt_digest,
         "start_token": run.start_token,
+        "max_tokens": run.max_tokens,
+        "stream": run.stream,
         "cached_tokens": run.cached_tokens,
         "prompt_tokens": run.prompt_tokens,
     }
--- a/tests/unit/test_history.py
+++ b/tests/unit/test_history.py
@@ -114,7 +114,12 @@
     ),
     "answers": (
         [[("caller_answer", 1, text(5))]],
-        [[("caller_answer", 1, text(4))], [("answer", 1, {**text(5), "prompt_sha256": "other"})]],
+        [
+            [("caller_answer", 1, text(4))],
+            [("caller_answer", 1, {**text(5), "prompt_sha256": "other"})],
+            [("execution", 1, {**RUN, **TEXT, **PROMPT}), ("answer", 2, {**ANSWER, "digest": "x"})],
+            [("execution", 1, RUN), ("answer", 2, {**ANSWER, "request": "r2"})],
+        ],
     ),
     "owners": (
         [[("call", 1, CALL), ("execution", 2, RUN), ("answer", 3, ANSWER)]],
