Test claims through real processes with failing gateways and a failing log

Cause: a non-repeatable call must run at most once, whatever fails (I7, I8). Change: duplicates at all instances, gateways killed and paused around the dispatch, the log down, and append answers lost, each checked by the history checkers. With a call that the document does not mark, the checker reports the second run.

--- /dev/null
+++ b/tests/process/test_claims.py
@@ -0,0 +1,189 @@
+"""Calls that may run once run at most once, whatever fails (I7, I8); checked by history."""
+
+import json
+import time
+import unittest
+from collections.abc import Callable
+from functools import partial
+
+from mulberryrill.internal.history.checks import check_single_execution
+from mulberryrill.internal.history.reading import read_history
+from mulberryrill.internal.httpclient import HttpResponse
+from mulberryrill.internal.standins.callers import create_key
+from tests.common.deployment import Deployment, create_site
+from tests.common.verification import check_histories
+
+INSTANCES = ("kariakoo-1", "kariakoo-2", "msasani-1", "msasani-2")
+# A customer may have 24 requests at once, shared by four instances.
+BATCH = 6
+FINAL_TIMEOUT_S = 20.0
+RETRY_S = 0.2
+PAUSE_S = 3.0
+
+
+def read_body(answer: HttpResponse) -> dict:
+    body = answer.parse_json()
+    assert isinstance(body, dict)
+    return body
+
+
+class MissingRuleTest(unittest.TestCase):
+    """Shows that the checker finds duplicates where nothing prevents them."""
+
+    def test_call_without_the_rule_runs_for_each_repeat_and_is_found(self) -> None:
+        deployment = Deployment(create_site(data_centres=1, documents=["stock.yaml"]))
+        self.addCleanup(deployment.close)
+        deployment.start()
+        deployment.apply_documents()
+        key = create_key(int(time.time() * 1000))
+        for _ in range(2):
+            answer = deployment.call("kariakoo-1", "stock", "/not-in-the-document", b"1", key=key)
+            assert answer is not None
+            self.assertEqual(answer.status, 200)
+        history = read_history(deployment.list_history_files())
+        self.assertEqual(len(check_single_execution(history)[1]), 1)
+
+
+class ClaimsTest(unittest.TestCase):
+    deployment: Deployment
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.deployment = Deployment(create_site(data_centres=2, instances=2))
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start()
+        cls.deployment.apply_documents()
+
+    def pay(self, instance: str, key: str, timeout_s: float = 15.0) -> HttpResponse | None:
+        body = json.dumps({"order": key}).encode()
+        return self.deployment.call(instance, "stock", "/pay", body, key=key, timeout_s=timeout_s)
+
+    def create_keys(self, count: int) -> list[str]:
+        return [create_key(int(time.time() * 1000)) for _ in range(count)]
+
+    def settle(self, instance: str, key: str) -> HttpResponse:
+        """Repeats a call until it is answered with a result or as unknown for good."""
+        deadline = time.monotonic() + FINAL_TIMEOUT_S
+        while True:
+            answer = self.pay(instance, key)
+            if answer is not None and answer.status == 200:
+                return answer
+            if time.monotonic() > deadline:
+                self.assertIsNotNone(answer, f"no answer for {key}")
+                assert answer is not None
+                return answer
+            time.sleep(RETRY_S)
+
+    def test_duplicates_at_all_instances_run_once_and_get_one_outcome(self) -> None:
+        keys = self.create_keys(BATCH)
+        calls = [partial(self.pay, instance, key) for key in keys for instance in INSTANCES]
+        answers = self.deployment.run_parallel(calls, len(calls))
+        for answer in answers:
+            self.assertIn(answer.status, (200, 409))
+            if answer.status == 409:
+                self.assertEqual(read_body(answer)["executed"], "unknown")
+        for key in keys:
+            receipts = {read_body(self.settle(name, key))["receipt"] for name in INSTANCES}
+            self.assertEqual(len(receipts), 1, key)
+        check_histories(self, self.deployment, single_execution=len(keys))
+
+    def test_same_key_with_another_body_is_refused(self) -> None:
+        (key,) = self.create_keys(1)
+        self.assertEqual(self.settle("kariakoo-1", key).status, 200)
+        other = self.deployment.call("msasani-1", "stock", "/pay", b"other", key=key)
+        assert other is not None
+        self.assertEqual(other.status, 422)
+
+    def test_key_outside_the_window_is_refused_as_not_run(self) -> None:
+        key = create_key(int((time.time() - 7200) * 1000))
+        answer = self.pay("kariakoo-1", key)
+        assert answer is not None
+        self.assertEqual((answer.status, read_body(answer)["executed"]), (400, "no"))
+        check_histories(self, self.deployment, not_run=1)
+
+    def test_killed_gateway_before_and_after_dispatch(self) -> None:
+        deployment = self.deployment
+        # The claim takes some 0.1 s, so that kills fall before and after the dispatch.
+        for delay_s in (0.02, 0.1, 0.25):
+            with self.subTest(delay_s=delay_s):
+                keys = self.create_keys(BATCH)
+                calls: list[Callable[[], object]] = [
+                    partial(self.pay, "kariakoo-2", key) for key in keys
+                ]
+                calls.append(partial(self.kill_later, "kariakoo-2", delay_s))
+                deployment.run_parallel(calls)
+                for key in keys:
+                    # 409: the run may have happened and its outcome is lost.
+                    answer = self.pay("msasani-1", key)
+                    assert answer is not None
+                    self.assertIn(answer.status, (200, 409, 503))
+                deployment.start_process("kariakoo-2-gateway")
+                deployment.wait_ready(["kariakoo-2-gateway"])
+        check_histories(self, deployment, single_execution=1)
+
+    def kill_later(self, instance: str, delay_s: float) -> None:
+        time.sleep(delay_s)
+        self.deployment.kill(f"{instance}-gateway")
+
+    def test_paused_gateway_before_and_after_dispatch(self) -> None:
+        for delay_s in (0.02, 0.1):
+            with self.subTest(delay_s=delay_s):
+                keys = self.create_keys(BATCH)
+                calls: list[Callable[[], object]] = [
+                    partial(self.pay, "msasani-2", key) for key in keys
+                ]
+                calls.append(partial(self.pause, "msasani-2", delay_s))
+                calls += [partial(self.repeat_during_pause, key) for key in keys]
+                self.deployment.run_parallel(calls)
+                for key in keys:
+                    self.settle_or_unknown(key)
+        check_histories(self, self.deployment, single_execution=1)
+
+    def pause(self, instance: str, delay_s: float) -> None:
+        time.sleep(delay_s)
+        self.deployment.pause(f"{instance}-gateway")
+        time.sleep(PAUSE_S)
+        self.deployment.resume(f"{instance}-gateway")
+
+    def repeat_during_pause(self, key: str) -> None:
+        time.sleep(PAUSE_S / 2)
+        self.pay("kariakoo-1", key)
+
+    def settle_or_unknown(self, key: str) -> None:
+        answer = self.settle("kariakoo-1", key)
+        self.assertIn(answer.status, (200, 409))
+
+    def test_log_down_refuses_claims_as_not_run_and_serves_the_rest(self) -> None:
+        deployment = self.deployment
+        deployment.set_faults("platform", log="down")
+        keys = self.create_keys(4)
+        try:
+            answers = deployment.run_parallel(
+                [partial(self.pay, name, key) for name, key in zip(INSTANCES, keys, strict=True)]
+            )
+            for answer in answers:
+                self.assertEqual((answer.status, read_body(answer)["executed"]), (503, "no"))
+            plain = deployment.call("kariakoo-1", "stock", "/lookup", b"during the outage")
+            assert plain is not None
+            self.assertEqual(plain.status, 200)
+        finally:
+            deployment.set_faults("platform", log="up")
+        for key in keys:
+            # The refused key is free again, so the same call now runs.
+            self.assertEqual(self.settle("msasani-1", key).status, 200)
+        check_histories(self, deployment, single_execution=4, not_run=4)
+
+    def test_lost_append_answers_never_lead_to_two_runs(self) -> None:
+        deployment = self.deployment
+        keys = self.create_keys(8)
+        deployment.set_faults("platform", lose_answers=3)
+        calls = [
+            partial(self.pay, name, key)
+            for number, key in enumerate(keys)
+            for name in (INSTANCES[number % 4], INSTANCES[(number + 1) % 4])
+        ]
+        deployment.run_parallel(calls)
+        deployment.set_faults("platform", lose_answers=0)
+        for key in keys:
+            self.assertEqual(self.settle("kariakoo-1", key).status, 200)
+        check_histories(self, deployment, single_execution=len(keys))
