Leave a stalled instance soon in the command line, and shorten the history

Cause: in a trial with a paused control process, apply took 75 s, because each read went to the paused instance first and waited 25 s. The history table was too wide to read.

Change: reads wait 5 s at most, and an instance that failed is asked last. The history shows one line a change with time, offset, author, result, reason and id.

--- a/src/mulberryrill/bin/operator.py
+++ b/src/mulberryrill/bin/operator.py
@@ -20,7 +20,7 @@
 from ..internal.httpclient import HttpClient
 from ..internal.operator.client import Body, ExitCode, OperatorsClient, Sender
 from ..internal.operator.commands import Commands, check_files
-from ..internal.operator.output import format_object, format_table
+from ..internal.operator.output import format_history, format_object
 
 USAGE = """\
 usage: mulberryrill [FLAGS] COMMAND ...
@@ -188,7 +188,7 @@
     if command == "show":
         return f"# revision: {result['revision']}\n{result['document']}".rstrip("\n")
     if command == "history":
-        return format_table(result["history"]) if result["history"] else "no changes"
+        return format_history(result["history"])
     if command == "apply":
         suffix = ", in force everywhere" if result.get("in_force") else ""
         return f"{result['service']}: accepted as revision {result['revision']}{suffix}"
--- a/src/mulberryrill/internal/operator/client.py
+++ b/src/mulberryrill/internal/operator/client.py
@@ -13,7 +13,9 @@
 Body = dict[str, Any]
 
 # Longer than a control process takes to decide a change.
-CALL_TIMEOUT_S = 25.0
+CHANGE_TIMEOUT_S = 25.0
+# Reads are answered at once, so that a stalled instance is left soon.
+READ_TIMEOUT_S = 5.0
 
 
 class ExitCode(IntEnum):
@@ -35,7 +37,7 @@
         url: str,
         body: bytes = b"",
         headers: dict[str, str] | None = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float = READ_TIMEOUT_S,
     ) -> HttpResponse:
         """Sends one request."""
         ...
@@ -114,10 +116,11 @@
         """
         target = _build_target(path, query)
         failures = []
-        for url in self._urls:
+        for url in tuple(self._urls):
             try:
-                answer = self._send("PUT", url + target, body, headers)
+                answer = self._send("PUT", url + target, body, headers, CHANGE_TIMEOUT_S)
             except HttpError as error:
+                self._move_to_end(url)
                 if error.sent:
                     raise UnsureError(str(error)) from error
                 failures.append(str(error))
@@ -135,10 +138,11 @@
     ) -> Answer:
         failures = []
         unknown: Answer | None = None
-        for url in self._urls:
+        for url in tuple(self._urls):
             try:
-                answer = self._send(method, url + target, body, {})
+                answer = self._send(method, url + target, body, {}, READ_TIMEOUT_S)
             except HttpError as error:
+                self._move_to_end(url)
                 failures.append(str(error))
                 continue
             if answer.is_unavailable:
@@ -151,9 +155,16 @@
             return _require_success(unknown)
         raise _create_unreachable(failures)
 
-    def _send(self, method: str, url: str, body: bytes, headers: dict[str, str]) -> Answer:
+    def _move_to_end(self, url: str) -> None:
+        """Later calls begin with an instance that has not failed."""
+        self._urls.remove(url)
+        self._urls.append(url)
+
+    def _send(
+        self, method: str, url: str, body: bytes, headers: dict[str, str], timeout_s: float
+    ) -> Answer:
         response = self._sender.send(
-            method, url, body, {**self._headers, **headers}, timeout_s=CALL_TIMEOUT_S
+            method, url, body, {**self._headers, **headers}, timeout_s=timeout_s
         )
         parsed = response.parse_json()
         if not isinstance(parsed, dict):
--- a/src/mulberryrill/internal/operator/output.py
+++ b/src/mulberryrill/internal/operator/output.py
@@ -20,6 +20,23 @@
     return "\n".join(lines)
 
 
+def format_history(entries: list[dict[str, Any]]) -> str:
+    """Returns one line for each change, with what people look for first."""
+    rows = [
+        {
+            "recorded_unix_ms": entry.get("recorded_unix_ms"),
+            "offset": entry.get("offset"),
+            "author": entry.get("author"),
+            "based_on": entry.get("base_revision"),
+            "result": "accepted" if entry.get("accepted") else f"refused: {entry.get('refusal')}",
+            "reason": entry.get("reason"),
+            "change_id": entry.get("change_id"),
+        }
+        for entry in entries
+    ]
+    return format_table(rows) if rows else "no changes"
+
+
 def format_table(rows: list[dict[str, Any]], indent: str = "") -> str:
     """Returns rows of objects under the names of their fields."""
     names = list(dict.fromkeys(name for row in rows for name in row))
--- a/tests/unit/test_operator.py
+++ b/tests/unit/test_operator.py
@@ -183,7 +183,9 @@
         self.assertIn("ready: yes\nservices:\n  service\n  s\n", self.run_command("status"))
         entry = {"change_id": "c", "offset": 4, "accepted": True, "refusal": ""}
         self.react("GET", f"documents/{SERVICE}/history", (200, {"entries": [entry]}))
-        self.assertIn("c          4       yes       -", self.run_command("history", SERVICE))
+        self.assertIn(
+            "4       -       -         accepted  -       c", self.run_command("history", SERVICE)
+        )
 
     def test_explain_asks_every_instance(self) -> None:
         self.reactions["a GET requests/req-1"] = [(404, {"title": "Unknown request"})]
