Keep claims in a third of the memory

Cause: every control process remembers all keys of the last hour. One key with an outcome of 500 bytes used 2,111 bytes, so 100 claims/s would have needed about 760 MB of the 256 MB per node.

Change: a key's state is one small object; customer and service names are shared, the key is 16 bytes and the outcome is kept serialized without the fields that identify it. Checkpoints also restart the time of their document in a fold that adopted a peer's state.

--- a/src/mulberryrill/internal/core/claims.py
+++ b/src/mulberryrill/internal/core/claims.py
@@ -4,6 +4,7 @@
 instance and grants one only after it has read it back as the first.
 """
 
+import sys
 import uuid
 from collections import deque
 from collections.abc import Callable
@@ -51,7 +52,7 @@
 
 
 class KeyId(NamedTuple):
-    """Identifies one call that may run once."""
+    """Identifies one call that may run once. ``key`` has the usual text of a UUID."""
 
     customer: str
     service: str
@@ -88,13 +89,22 @@
     outcome: Outcome | None = None
 
 
-@dataclass
+@dataclass(slots=True)
 class _KeyState:
-    """All that is remembered of one key."""
-
-    winner: ClaimState | None = None
+    """All that is remembered of one key. Many are kept, so they are small."""
+
+    # The claim that holds the key; empty if it is free.
+    claim_id: str = ""
+    request_digest: bytes = b""
+    offset: Offset = Offset(0)
+    # A serialized Outcome without the fields that identify it; None until the run has ended.
+    outcome: bytes | None = None
     # Claims that lost or were withdrawn. A duplicate of their record never wins.
-    spent: set[str] = field(default_factory=set)
+    spent: frozenset[str] = frozenset()
+
+    def add_spent(self, claim_id: str) -> None:
+        if claim_id not in self.spent:
+            self.spent |= {claim_id}
 
 
 def read_key_time_ms(key: str) -> int | None:
@@ -114,6 +124,19 @@
         return key
 
 
+# Customer, service and the 16 bytes of the key.
+_PackedKey = tuple[str, str, bytes]
+
+
+def _pack(key_id: KeyId) -> _PackedKey:
+    """Returns a form that shares the names among keys and needs a third of the memory."""
+    try:
+        key = uuid.UUID(key_id.key).bytes
+    except ValueError:
+        key = key_id.key.encode("utf-8")
+    return sys.intern(key_id.customer), sys.intern(key_id.service), key
+
+
 def _identify(entry: Claim | ClaimVoid | Outcome) -> KeyId:
     return KeyId(entry.customer, entry.service, normalize_key(entry.key))
 
@@ -127,10 +150,11 @@
 
     def __init__(self, key_window_ms: int) -> None:
         self._window_ms = key_window_ms
-        self._keys: dict[KeyId, _KeyState] = {}
-        self._expiring: dict[int, list[KeyId]] = {}
-        self._bodies: deque[tuple[KeyId, int]] = deque()
-        self._body_bytes = 0
+        self._keys: dict[_PackedKey, _KeyState] = {}
+        self._expiring: dict[int, list[_PackedKey]] = {}
+        # Keys with an outcome, oldest first.
+        self._outcomes: deque[_PackedKey] = deque()
+        self._outcome_bytes = 0
         self._folded: Offset | None = None
         # Claims before this time may be missing; keys that could have had them win nothing.
         self._missing_until_ms = -1
@@ -159,8 +183,15 @@
 
     def look_up(self, customer: str, service: str, key: str) -> ClaimState | None:
         """Returns the claim that holds a key."""
-        state = self._keys.get(KeyId(customer, service, normalize_key(key)))
-        return state.winner if state is not None else None
+        state = self._keys.get(_pack(KeyId(customer, service, normalize_key(key))))
+        if state is None or not state.claim_id:
+            return None
+        outcome = None
+        if state.outcome is not None:
+            outcome = Outcome.FromString(state.outcome)
+            outcome.claim_id, outcome.key = state.claim_id, normalize_key(key)
+            outcome.customer, outcome.service = customer, service
+        return ClaimState(state.claim_id, state.request_digest, state.offset, outcome)
 
     def is_key_expired(self, key: str) -> bool:
         """Tells whether no claim of the key can be valid any more."""
@@ -179,15 +210,16 @@
 
     def _apply_claim(self, claim: Claim, record: Record) -> ClaimEvent | None:
         key_id = _identify(claim)
-        if not self._is_valid(key_id.key, record.time_ms):
+        if not claim.claim_id or not self._is_valid(key_id.key, record.time_ms):
             return ClaimEvent(ClaimEventKind.OUT_OF_WINDOW, claim.claim_id, key_id, record.offset)
         state = self._get_state(key_id)
-        if state.winner is not None and state.winner.claim_id == claim.claim_id:
+        if state.claim_id == claim.claim_id:
             return None
-        if state.winner is None and claim.claim_id not in state.spent:
-            state.winner = ClaimState(claim.claim_id, claim.request_digest, record.offset)
+        if not state.claim_id and claim.claim_id not in state.spent:
+            state.claim_id, state.request_digest = claim.claim_id, claim.request_digest
+            state.offset = record.offset
             return ClaimEvent(ClaimEventKind.WON, claim.claim_id, key_id, record.offset)
-        state.spent.add(claim.claim_id)
+        state.add_spent(claim.claim_id)
         return ClaimEvent(ClaimEventKind.LOST, claim.claim_id, key_id, record.offset)
 
     def _is_valid(self, key: str, time_ms: int) -> bool:
@@ -201,50 +233,62 @@
         if not self._is_valid(key_id.key, record.time_ms):
             return None
         state = self._get_state(key_id)
-        if state.winner is not None and state.winner.claim_id == void.claim_id:
-            if state.winner.outcome is not None:
+        if state.claim_id == void.claim_id:
+            if state.outcome is not None:
                 return None
-            state.winner = None
+            state.claim_id, state.request_digest = "", b""
         # The void may precede a claim whose append was delayed.
-        state.spent.add(void.claim_id)
+        state.add_spent(void.claim_id)
         return ClaimEvent(ClaimEventKind.VOIDED, void.claim_id, key_id, record.offset)
 
     def _apply_outcome(self, outcome: Outcome, record: Record) -> ClaimEvent | None:
         key_id = _identify(outcome)
-        state = self._keys.get(key_id)
-        winner = state.winner if state is not None else None
-        if state is None or winner is None or winner.claim_id != outcome.claim_id:
+        packed = _pack(key_id)
+        state = self._keys.get(packed)
+        if state is None or not state.claim_id or state.claim_id != outcome.claim_id:
             return None
-        if winner.outcome is not None:
+        if state.outcome is not None:
             return None
-        state.winner = ClaimState(winner.claim_id, winner.request_digest, winner.offset, outcome)
-        self._bodies.append((key_id, len(outcome.body)))
-        self._body_bytes += len(outcome.body)
+        answer = Outcome(
+            status=outcome.status,
+            content_type=outcome.content_type,
+            body=outcome.body,
+            truncated=outcome.truncated,
+        )
+        state.outcome = answer.SerializeToString()
+        self._outcomes.append(packed)
+        self._outcome_bytes += len(state.outcome)
         self._drop_old_bodies()
         return ClaimEvent(ClaimEventKind.OUTCOME, outcome.claim_id, key_id, record.offset)
 
     def _drop_old_bodies(self) -> None:
-        while self._body_bytes > MAX_OUTCOME_BYTES:
-            key_id, size = self._bodies.popleft()
-            self._body_bytes -= size
-            state = self._keys.get(key_id)
-            if size and state is not None and state.winner is not None and state.winner.outcome:
-                _truncate(state.winner.outcome)
+        while self._outcome_bytes > MAX_OUTCOME_BYTES and self._outcomes:
+            state = self._keys.get(self._outcomes.popleft())
+            if state is None or state.outcome is None:
+                continue
+            outcome = Outcome.FromString(state.outcome)
+            _truncate(outcome)
+            self._outcome_bytes -= len(state.outcome)
+            state.outcome = outcome.SerializeToString()
 
     def _get_state(self, key_id: KeyId) -> _KeyState:
-        state = self._keys.get(key_id)
+        packed = _pack(key_id)
+        state = self._keys.get(packed)
         if state is None:
-            state = self._keys[key_id] = _KeyState()
+            state = self._keys[packed] = _KeyState()
             created_ms = read_key_time_ms(key_id.key) or 0
             forget_ms = created_ms + self._window_ms + FORGET_MARGIN_MS
-            self._expiring.setdefault(forget_ms // FORGET_STEP_MS, []).append(key_id)
+            self._expiring.setdefault(forget_ms // FORGET_STEP_MS, []).append(packed)
         return state
 
     def _forget_expired(self) -> None:
         step = self.last_time_ms // FORGET_STEP_MS
         for old in [key for key in self._expiring if key < step]:
-            for key_id in self._expiring.pop(old):
-                self._keys.pop(key_id, None)
+            for packed in self._expiring.pop(old):
+                state = self._keys.pop(packed)
+                self._outcome_bytes -= len(state.outcome or b"")
+        while self._outcomes and self._outcomes[0] not in self._keys:
+            self._outcomes.popleft()
 
 
 def _truncate(outcome: Outcome) -> None:
--- a/src/mulberryrill/internal/core/configuration.py
+++ b/src/mulberryrill/internal/core/configuration.py
@@ -374,7 +374,8 @@
         self._documents = copies
         self._quarantine = {entry.fingerprint: entry for entry in state.quarantine}
         self._folded = Offset(state.folded_offset)
-        self._read_from = Offset(state.folded_offset + 1)
+        # A complete state stands for all earlier records.
+        self._read_from = Offset(0)
         self._known = set(self._documents)
         self._awaited = set()
         self._pending.clear()
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -2,7 +2,9 @@
 
 import unittest
 import uuid
+from unittest import mock
 
+from mulberryrill.internal.core import claims as core_claims
 from mulberryrill.internal.core.claims import (
     KEY_LEAD_MS,
     Action,
@@ -148,10 +150,20 @@
     def test_keys_are_forgotten_after_the_window(self) -> None:
         for number in range(100):
             self.apply(create_claim(f"a{number}", create_key(number=number)))
+            self.apply(create_outcome(create_claim(f"a{number}", create_key(number=number))))
         self.assertEqual(len(self.fold), 100)
         self.apply(time_ms=START_MS + WINDOW_MS + 10 * KEY_LEAD_MS)
         self.assertEqual(len(self.fold), 0)
 
+    def test_oldest_bodies_are_dropped_when_they_use_too_much_memory(self) -> None:
+        claims = [create_claim(f"a{n}", create_key(number=n)) for n in range(3)]
+        with mock.patch.object(core_claims, "MAX_OUTCOME_BYTES", 2500):
+            for claim in claims:
+                self.apply(claim, create_outcome(claim, b"x" * 1000))
+        outcomes = [self.fold.look_up("c", "s", claim.key) for claim in claims]
+        kept = [s.outcome.truncated for s in outcomes if s is not None and s.outcome is not None]
+        self.assertEqual(kept, [True, False, False])
+
     def test_claims_after_a_gap_win_only_with_keys_that_are_newer_than_it(self) -> None:
         self.apply(create_claim("a", create_key(number=1)))
         self.log.next += 5
