--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -4,6 +4,7 @@
 import socket
 import time
 import unittest
+import uuid
 from collections.abc import Callable
 from hashlib import sha256
 
@@ -19,7 +20,7 @@
     PlatformSettings,
     SiteOperator,
 )
-from mulberryrill.internal.schema.wire_pb2 import Envelope, GatewayReport, SnapshotAck
+from mulberryrill.internal.schema.wire_pb2 import Envelope, GatewayReport, SnapshotAck, TargetUse
 from mulberryrill.internal.standins.platform import PlatformStandin
 from mulberryrill.internal.transport import decode_envelope, encode_envelope, open_client
 
@@ -46,6 +47,12 @@
     return DOCUMENT.format(service=service, digest=digest, deadline_ms=deadline_ms)
 
 
+def create_key() -> str:
+    """Returns a UUIDv7 of the present time."""
+    value = (int(time.time() * 1000) << 80) | uuid.uuid4().int & ((1 << 80) - 1)
+    return str(uuid.UUID(int=value & ~(0xF << 76) | (7 << 76)))
+
+
 def create_keys() -> KeyPair:
     public, secret = zmq.curve_keypair()
     return KeyPair(public_key=public.decode(), secret_key=secret.decode())
@@ -69,6 +76,7 @@
         self.others: list[Envelope] = []
         self._sequence = 0
         self.acknowledges = True
+        self.uses: list[TargetUse] = []
         self._socket = open_client(
             context, endpoint, settings.keys.public_key, settings.keys, self.name
         )
@@ -80,7 +88,7 @@
 
     def exchange(self) -> None:
         """Reports once and takes what has arrived."""
-        report = GatewayReport(gateway=self.name, sent_at=time.monotonic())
+        report = GatewayReport(gateway=self.name, sent_at=time.monotonic(), uses=self.uses)
         self.send(gateway_report=report)
         while self._socket.poll(50):
             envelope = decode_envelope(self._socket.recv())
--- a/tests/process/test_control_alone.py
+++ b/tests/process/test_control_alone.py
@@ -3,8 +3,6 @@
 import json
 import random
 import socket
-import time
-import uuid
 
 from mulberryrill.internal.httpclient import HttpClient
 from mulberryrill.internal.schema.log_pb2 import Claim, Outcome
@@ -16,13 +14,7 @@
     RequestTrace,
 )
 from mulberryrill.internal.transport import open_client
-from tests.common.control import ControlTestCase, create_document, wait_for
-
-
-def create_key() -> str:
-    """Returns a UUIDv7 of the present time."""
-    value = (int(time.time() * 1000) << 80) | uuid.uuid4().int & ((1 << 80) - 1)
-    return str(uuid.UUID(int=value & ~(0xF << 76) | (7 << 76)))
+from tests.common.control import ControlTestCase, create_document, create_key, wait_for
 
 
 class ControlAloneTest(ControlTestCase):
@@ -37,7 +29,7 @@
         """Guards against an accepted change that gateways never get."""
         revision = self.create_document(self.program)
         path = f"/v1/in-force?service=flavour-questions&revision={revision}"
-        self.assertEqual(self.read(self.program, path)["missing"], ["k-1"])
+        self.assertEqual(self.read(self.program, path)["behind"], ["k-1"])
 
         def has_document() -> bool:
             services = [s for snapshot in self.gateway.snapshots for s in snapshot.services]
@@ -62,7 +54,7 @@
             (revision, "asha", "no"),
         )
         self.assertEqual(self.put_document(self.program, revision, 900, "baraka").status, 409)
-        entries = self.read(self.program, "/v1/documents/flavour-questions/history")["entries"]
+        entries = self.read(self.program, "/v1/documents/flavour-questions/history")["history"]
         self.assertEqual([entry["accepted"] for entry in entries], [True, False, False])
 
     def test_invalid_calls_are_refused_with_the_remedy(self) -> None:
