Ignore grants that answer a report of an earlier promise

Cause: an instance that was paused took a late promise request of the same holder, dated its time by it, and then accepted a grant of an earlier promise as still valid. Change: a grant is valid only if it answers a report of the present promise, and ends by the instance's own time of that report.

--- a/src/mulberryrill/internal/core/slots.py
+++ b/src/mulberryrill/internal/core/slots.py
@@ -173,6 +173,9 @@
         self._promised_until = now + PROMISE_S
         # Own time minus the holder's time, never too small: the smallest seen includes some delay.
         self._offset = 0.0
+        # Reports sent since the promises have had no gap: date to own time. A grant that answers
+        # an earlier one is not valid, and its date cannot be converted with the present offset.
+        self._reports: dict[float, float] = {}
         self._grant: Slots = {}
         self._grant_until = float("-inf")
         self._caps: dict[TargetId, TargetCap] = {}
@@ -207,6 +210,8 @@
         if self.get_holder(now) is None:
             return SlotReport(instance=self._instance, sent_at=UNPROMISED)
         report = SlotReport(instance=self._instance, sent_at=now - self._offset)
+        self._reports = {d: sent for d, sent in self._reports.items() if now - sent < GRANT_S}
+        self._reports[report.sent_at] = now
         uses: dict[SlotKey, TargetUse] = {}
         for gateway in self._gateways.values():
             for key, count in gateway.account.list_left_behind(now).items():
@@ -224,8 +229,11 @@
 
     def on_grant(self, grant: SlotGrant, now: float) -> None:
         """Takes a grant of the promised holder; it ends by this instance's clock."""
-        until = grant.report_sent_at + grant.duration_ms / 1000.0 + self._offset
-        if grant.holder != self.get_holder(now) or until <= self._grant_until:
+        sent = self._reports.get(grant.report_sent_at)
+        if sent is None or grant.holder != self.get_holder(now):
+            return
+        until = sent + grant.duration_ms / 1000.0
+        if until <= self._grant_until:
             return
         self._grant = {
             (TargetId(g.target), Incarnation(g.incarnation)): g.slots for g in grant.grants
@@ -243,6 +251,7 @@
             self._offset = min(self._offset, now - request.sent_at)
         elif not refused:
             self._offset = now - request.sent_at
+            self._reports.clear()
             self._grant, self._grant_until = {}, float("-inf")
         if not refused:
             self._holder = holder
--- a/tests/unit/test_slots.py
+++ b/tests/unit/test_slots.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from mulberryrill.internal.core.rendezvous import rank_members
 from mulberryrill.internal.core.slots import (
     GRANT_S,
     PROMISE_S,
@@ -10,6 +11,14 @@
     SlotHolder,
 )
 from mulberryrill.internal.ids import GatewayId, InstanceId, TargetId
+from mulberryrill.internal.schema.wire_pb2 import (
+    SlotGrant,
+    SlotPromise,
+    SlotPromiseRequest,
+    SlotReport,
+    TargetGrant,
+    TargetUse,
+)
 from tests.common.core import DATA_CENTRE, create_target
 
 INSTANCE = InstanceId("kariakoo-1")
@@ -78,3 +87,120 @@
         self.assertEqual(self.gateway.count_free(self.single.target, now), 0)
         self.single.exchange(now + 0.2)
         self.assertEqual(self.gateway.count_free(self.single.target, now + 0.2), 1)
+
+    def test_failure_returns_the_cap_to_one(self) -> None:
+        now = READY
+        self.single.exchange(now)
+        for succeeded in [True] * 9 + [False]:
+            self.gateway.acquire(self.single.target, now)
+            self.gateway.release(TARGET, succeeded)
+            now += 0.2
+            self.single.exchange(now)
+        now += GRANT_S
+        self.single.exchange(now)
+        self.assertEqual(self.gateway.count_free(self.single.target, now), 1)
+
+
+class HolderTest(unittest.TestCase):
+    """The holder of two instances, driven by single messages."""
+
+    def setUp(self) -> None:
+        names = [InstanceId("a"), InstanceId("b")]
+        self.own, self.other = rank_members(DATA_CENTRE, names)
+        self.names = names
+        self.holder = SlotHolder(self.own, DATA_CENTRE, 2, LIST_LAG_S, STARTED)
+        self.targets = {TARGET: create_target(TARGET)}
+
+    def promise(self, instance: InstanceId, now: float, caps: int = 0) -> None:
+        self.holder.tick(self.names, now)
+        promise = SlotPromise(
+            instance=instance, holder=self.own, request_sent_at=now, duration_ms=3000
+        )
+        if caps:
+            promise.caps.add(target=TARGET, incarnation="1", cap=caps)
+        self.holder.on_promise(promise, now)
+
+    def report(self, instance: InstanceId, now: float, **use: int) -> SlotGrant | None:
+        uses = [TargetUse(target=TARGET, incarnation="1", **use)]
+        report = SlotReport(instance=instance, sent_at=now, uses=uses)
+        return self.holder.on_report(report, self.targets, now)
+
+    def test_holder_needs_promise_and_report_of_all(self) -> None:
+        """Guards against grants that overlap with those of another holder or with its requests."""
+        self.promise(self.own, READY)
+        self.assertIsNone(self.report(self.own, READY + 0.1))
+        self.promise(self.other, READY + 1)
+        self.assertIsNone(self.report(self.own, READY + 1.1))
+        self.assertIsNotNone(self.report(self.other, READY + 1.2))
+
+    def test_report_sent_before_the_promise_is_not_used(self) -> None:
+        """Guards against a delayed report that hides requests of another holder's grant."""
+        self.promise(self.own, READY)
+        self.promise(self.other, READY + 0.5)
+        self.report(self.own, READY + 0.6)
+        self.assertIsNone(self.report(self.other, READY + 0.4))
+        self.assertIsNotNone(self.report(self.other, READY + 0.7))
+
+    def test_grant_ends_before_the_first_promise(self) -> None:
+        """Guards against grants in use while another instance promises to the next holder."""
+        self.promise(self.other, READY)
+        self.promise(self.own, READY + 2)
+        self.report(self.other, READY + 2.1)
+        grant = self.report(self.own, READY + 2.2)
+        assert grant is not None
+        self.assertLessEqual(grant.duration_ms, 800)
+
+    def test_new_holder_continues_from_the_lowest_cap(self) -> None:
+        self.promise(self.own, READY, caps=8)
+        self.promise(self.other, READY + 0.5, caps=4)
+        self.report(self.other, READY + 0.6)
+        grant = self.report(self.own, READY + 0.7)
+        assert grant is not None
+        self.assertEqual([c.cap for c in grant.caps], [4])
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.client = SlotClient(INSTANCE, 2, STARTED)
+        self.gateway = GatewaySlots(2)
+        self.now = STARTED + PROMISE_S
+
+    def promise(self, holder: str, sent_at: float) -> bool:
+        self.client.on_gateway_report(self.gateway.report(GATEWAY, {}, self.now), self.now)
+        request = SlotPromiseRequest(holder=holder, sent_at=sent_at)
+        return not self.client.on_promise_request(request, self.now).refused
+
+    def grant(self, report: SlotReport, cap: int) -> None:
+        slots = [TargetGrant(target=TARGET, incarnation="1", slots=2)]
+        grant = SlotGrant(holder="h", report_sent_at=report.sent_at, duration_ms=2000, grants=slots)
+        grant.caps.add(target=TARGET, incarnation="1", cap=cap)
+        self.client.on_grant(grant, self.now)
+
+    def count_free(self) -> int:
+        for update in self.client.list_gateway_grants(self.now):
+            self.gateway.update(update)
+        return self.gateway.count_free(create_target(TARGET), self.now)
+
+    def test_restarted_instance_promises_only_after_its_old_promise(self) -> None:
+        """Guards against promises to two holders by two runs of one control process."""
+        self.now = STARTED + PROMISE_S - 0.1
+        self.assertFalse(self.promise("h", 1.0))
+
+    def test_grant_of_an_earlier_promise_is_ignored(self) -> None:
+        """Guards against the fault found with seed 1036 of the simulated data centre: after a
+        pause, a late promise request made an old grant appear valid."""
+        self.assertTrue(self.promise("h", 10.0))
+        report = self.client.build_report(self.now)
+        self.now += 5.0
+        self.assertTrue(self.promise("h", 11.0))
+        self.grant(report, 4)
+        self.assertEqual(self.count_free(), 0)
+
+    def test_floor_share_is_used_after_the_promise_ended(self) -> None:
+        self.promise("h", 10.0)
+        self.grant(self.client.build_report(self.now), 6)
+        self.assertEqual(self.count_free(), 2)
+        self.now += 3.0
+        self.assertEqual(self.count_free(), 0)
+        self.now += 3.0
+        self.assertEqual(self.count_free(), 3)
