Attribute a gateway's messages to its sender name, not its connection

When a gateway reconnects after a pause, ZeroMQ gives the unread messages of the old connection a temporary identity. The control process took it for another gateway that never acknowledges, so the offset in force fell to 0 until that gateway was forgotten after 10 s. Gateways are now known by their checked sender name, and temporary identities are not used for sending.

Seen before, with two data centres and a control process paused for 5 s: a change took 7.9 and 8.1 s to be reported as in force, and the new unit test found the identity. After: the unit test passes.

--- a/src/mulberryrill/internal/control/follower.py
+++ b/src/mulberryrill/internal/control/follower.py
@@ -27,6 +27,9 @@
 class Follower(Task):
     """Posts every record of a stream once, in offset order, to an inbox."""
 
+    # A long poll only reads, so a stop need not wait for its end.
+    close_timeout_s = 0.1
+
     def __init__(
         self, stream: str, open_client: Callable[[], LogClient], inbox: Inbox, clock: Clock
     ) -> None:
--- a/src/mulberryrill/internal/control/link.py
+++ b/src/mulberryrill/internal/control/link.py
@@ -73,9 +73,9 @@
 
 @dataclass(frozen=True)
 class ToGateway:
-    """Sends a message to the gateway with this connection identity."""
+    """Sends a message to the gateway that uses this sender name."""
 
-    identity: str
+    gateway: str
     envelope: Envelope
 
 
@@ -134,6 +134,8 @@
             self._context, [settings.keys.public_key, *self._instance_of_key]
         )
         self._clients: dict[str, zmq.Socket] = {}
+        # Connection identities by gateway and by instance.
+        self._gateway_identities: dict[str, bytes] = {}
         self._identities: dict[str, bytes] = {}
         self._poller = zmq.Poller()
         self._gateways: zmq.Socket
@@ -230,7 +232,7 @@
         frame = encode_envelope(envelope)
         try:
             if isinstance(outgoing, ToGateway):
-                self._gateways.send_multipart([outgoing.identity.encode(), frame], zmq.NOBLOCK)
+                self._send_to_gateway(outgoing.gateway, frame)
             elif outgoing.instance in self._clients:
                 self._clients[outgoing.instance].send(frame, zmq.NOBLOCK)
             elif outgoing.instance in self._identities:
@@ -242,6 +244,13 @@
             MESSAGES_DROPPED.inc()
             log_event(_LOGGER, logging.DEBUG, Event.MESSAGE_DROPPED, f"not sent: {error}")
 
+    def _send_to_gateway(self, gateway: str, frame: bytes) -> None:
+        identity = self._gateway_identities.get(gateway)
+        if identity is None:
+            MESSAGES_DROPPED.inc()
+            return
+        self._gateways.send_multipart([identity, frame], zmq.NOBLOCK)
+
     def _connect(self, instances: tuple[str, ...]) -> None:
         for instance in set(self._clients) - set(instances):
             client = self._clients.pop(instance)
@@ -296,7 +305,9 @@
         envelope = decode_envelope(frame)
         _raise_refusal(check_gateway_message(self._settings.instance, envelope))
         MESSAGES.labels(envelope.WhichOneof("body")).inc()
-        self._inbox.put(GatewayMessage(identity.decode("utf-8", "replace"), envelope))
+        if not _is_temporary(identity):
+            self._gateway_identities[envelope.sender] = identity
+        self._inbox.put(GatewayMessage(envelope.sender, envelope))
 
     def _receive_from_peer(self, socket: zmq.Socket) -> None:
         identity, key, frame = _receive(socket)
@@ -304,7 +315,8 @@
         if instance is None:
             raise TransportError("a key that belongs to no peer on the peer endpoint")
         self._accept(instance, frame)
-        self._identities[instance] = identity
+        if not _is_temporary(identity):
+            self._identities[instance] = identity
 
     def _receive_reply(self, instance: str, socket: zmq.Socket) -> None:
         self._accept(instance, socket.recv(zmq.NOBLOCK))
@@ -327,6 +339,14 @@
     return frames[0].bytes, key, frames[1].bytes
 
 
+def _is_temporary(identity: bytes) -> bool:
+    """Tells whether ZeroMQ has replaced the connection of an unread message by a newer one.
+
+    Identities that start with a zero byte are its own.
+    """
+    return identity.startswith(b"\0")
+
+
 def _raise_refusal(refusal: str | None) -> None:
     if refusal is not None:
         raise TransportError(refusal)
--- a/src/mulberryrill/internal/control/messages.py
+++ b/src/mulberryrill/internal/control/messages.py
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True)
 class GatewayMessage:
-    """A message of one of this instance's gateways; ``gateway`` is its connection's identity."""
+    """A message of one of this instance's gateways; ``gateway`` is its sender name."""
 
     gateway: str
     envelope: Envelope
--- a/src/mulberryrill/internal/control/slots.py
+++ b/src/mulberryrill/internal/control/slots.py
@@ -41,7 +41,7 @@
         self._holder = holder
         self._send = send
         self._clock = clock
-        self._identities: dict[str, str] = {}
+        self._senders: dict[str, str] = {}
         self._reported_at = 0.0
         self._is_urgent = False
 
@@ -50,9 +50,9 @@
         promised = self._client.get_holder(self._clock.monotonic())
         return promised or choose_member(self._data_centre, listed) or ""
 
-    def on_gateway_report(self, identity: str, report: GatewayReport) -> None:
-        """Takes a gateway's report; ``identity`` is its connection."""
-        self._identities[report.gateway] = identity
+    def on_gateway_report(self, sender: str, report: GatewayReport) -> None:
+        """Takes a gateway's report; ``sender`` is the name that messages to it are sent to."""
+        self._senders[report.gateway] = sender
         self._client.on_gateway_report(report, self._clock.monotonic())
         if any(use.demand or use.failures for use in report.uses):
             self._is_urgent = True
@@ -88,9 +88,9 @@
         """Renews the gateways' parts, or their floor shares while there is no grant."""
         now = self._clock.monotonic()
         for update in self._client.list_gateway_grants(now):
-            identity = self._identities.get(update.gateway)
-            if identity is not None:
-                self._send(ToGateway(identity, Envelope(grant_update=update)))
+            sender = self._senders.get(update.gateway)
+            if sender is not None:
+                self._send(ToGateway(sender, Envelope(grant_update=update)))
 
     def tick(
         self,
--- a/src/mulberryrill/internal/control/snapshots.py
+++ b/src/mulberryrill/internal/control/snapshots.py
@@ -60,25 +60,25 @@
         self._load_changed = True
 
     def list_gateways(self) -> list[str]:
-        """Returns the identities of connected gateways."""
+        """Returns the names of the gateways that are waited for."""
         return sorted(self._gateways)
 
-    def on_message(self, identity: str, sequence: int) -> None:
+    def on_message(self, name: str, sequence: int) -> None:
         """Notes a sign of life; sends the current snapshot to a new gateway process."""
         now = self._clock.monotonic()
-        gateway = self._gateways.get(identity)
+        gateway = self._gateways.get(name)
         if gateway is None or sequence < gateway.sequence or now - gateway.heard_at >= SILENCE_S:
             # A new process serves nothing before it has a snapshot, so what its predecessor had in
             # force need not be forgotten.
             offset = gateway.acked_offset if gateway is not None else -1
-            gateway = self._gateways[identity] = _Gateway(now, acked_offset=offset)
-            self._send_current(identity, gateway)
+            gateway = self._gateways[name] = _Gateway(now, acked_offset=offset)
+            self._send_current(name, gateway)
         gateway.heard_at = now
         gateway.sequence = sequence
 
-    def on_ack(self, identity: str, version: int) -> None:
+    def on_ack(self, name: str, version: int) -> None:
         """Notes that a gateway has a snapshot of this run in force."""
-        gateway = self._gateways.get(identity)
+        gateway = self._gateways.get(name)
         offset = self._offsets.get(version)
         if gateway is None or offset is None:
             return
@@ -95,9 +95,9 @@
         if due or (self._load_changed and age >= LOAD_INTERVAL_S):
             self._publish(build(), now)
             return
-        for identity, gateway in self._gateways.items():
+        for name, gateway in self._gateways.items():
             if gateway.acked_version < gateway.sent_version and now - gateway.sent_at >= RESEND_S:
-                self._send_current(identity, gateway)
+                self._send_current(name, gateway)
 
     def _publish(self, snapshot: SnapshotUpdate, now: float) -> None:
         self._changed = self._load_changed = False
@@ -109,21 +109,21 @@
         self._offsets[self._version] = snapshot.folded_offset
         if len(self._offsets) > KEPT_VERSIONS:
             del self._offsets[min(self._offsets)]
-        for identity, gateway in self._gateways.items():
-            self._send_current(identity, gateway)
+        for name, gateway in self._gateways.items():
+            self._send_current(name, gateway)
 
-    def _send_current(self, identity: str, gateway: _Gateway) -> None:
+    def _send_current(self, name: str, gateway: _Gateway) -> None:
         if self._current is None:
             return
         gateway.sent_version = self._current.version
         gateway.sent_at = self._clock.monotonic()
         SNAPSHOTS.inc()
-        self._send(ToGateway(identity, Envelope(snapshot_update=self._current)))
+        self._send(ToGateway(name, Envelope(snapshot_update=self._current)))
 
     def _forget_silent(self, now: float) -> None:
-        for identity, gateway in list(self._gateways.items()):
+        for name, gateway in list(self._gateways.items()):
             if now - gateway.heard_at >= FORGET_S:
-                del self._gateways[identity]
+                del self._gateways[name]
                 self._update_in_force()
 
     def _update_in_force(self) -> None:
--- a/src/mulberryrill/internal/control/task.py
+++ b/src/mulberryrill/internal/control/task.py
@@ -16,6 +16,9 @@
 class Task:
     """Runs ``step`` repeatedly on its own thread; a failing step is counted, logged and skipped."""
 
+    # How long ``close`` waits for the current step.
+    close_timeout_s = CLOSE_TIMEOUT_S
+
     def __init__(self, name: str) -> None:
         self._name = name
         self._stop = threading.Event()
@@ -34,7 +37,7 @@
         """Ends the thread after its current step."""
         self.stop()
         if self._thread.is_alive():
-            self._thread.join(CLOSE_TIMEOUT_S)
+            self._thread.join(self.close_timeout_s)
 
     def step(self) -> None:
         """Does one unit of work; blocks for a limited time at most."""
--- /dev/null
+++ b/tests/unit/test_control_link.py
@@ -0,0 +1,53 @@
+"""The link attributes each message to its sender, also while a connection is replaced."""
+
+import time
+import unittest
+from unittest import mock
+
+import zmq
+
+from mulberryrill.internal.clock import SystemClock
+from mulberryrill.internal.control.link import Link
+from mulberryrill.internal.control.messages import GatewayMessage, Inbox
+from mulberryrill.internal.control.task import Task
+from mulberryrill.internal.schema.settings_pb2 import ControlSettings
+from mulberryrill.internal.schema.wire_pb2 import Envelope, SnapshotAck
+from mulberryrill.internal.transport import encode_envelope, open_client
+from tests.common.control import create_keys
+
+
+class LinkTest(unittest.TestCase):
+    def test_unread_messages_of_a_replaced_connection_keep_their_sender(self) -> None:
+        """Guards against a gateway that nobody has started and that holds back what is in force.
+
+        When a connection takes over an identity, ZeroMQ gives the old one's unread messages a
+        temporary identity.
+        """
+        keys = create_keys()
+        settings = ControlSettings(
+            instance="k-1",
+            keys=keys,
+            gateway_endpoint="tcp://127.0.0.1:*",
+            peer_endpoint="tcp://127.0.0.1:*",
+        )
+        inbox: Inbox = Inbox()
+        link = Link(settings, inbox, SystemClock())
+        with mock.patch.object(Task, "start"):  # The test takes the steps itself.
+            link.start()
+        self.addCleanup(link.close)
+        context = zmq.Context()
+        self.addCleanup(context.destroy, 0)
+        for first in (1, 11):
+            client = open_client(
+                context, link.gateway_endpoint, keys.public_key, keys, "k-1/gateway-0"
+            )
+            for sequence in range(first, first + 10):
+                ack = SnapshotAck(gateway="gateway-0", version=sequence)
+                envelope = Envelope(sender="k-1/gateway-0", sequence=sequence, snapshot_ack=ack)
+                client.send(encode_envelope(envelope))
+            time.sleep(0.5)
+        while inbox.qsize() < 11:
+            link.step()
+        messages = [inbox.get_nowait() for _ in range(inbox.qsize())]
+        senders = {m.gateway for m in messages if isinstance(m, GatewayMessage)}
+        self.assertEqual(senders, {"k-1/gateway-0"})
