--- a/deploy/local.sh
+++ b/deploy/local.sh
@@ -7,6 +7,7 @@
 python="$(cd "${MULBERRYRILL_VENV:-.venv}" && pwd)/bin/python"
 export PYTHONPATH=src
 run_folder="${MULBERRYRILL_RUN:-run}"
+sites_folder="${MULBERRYRILL_SITES:-examples}"
 stop_timeout_s=60
 
 # A process id may be in use by another program after a reboot: it is ours only with its settings.
@@ -22,7 +23,7 @@
   fi
   rm -rf "$folder"
   mkdir -p "$folder/pids" "$folder/logs"
-  "$python" -m mulberryrill.bin.standin_site --site "examples/$site/site.yaml" --output "$folder" \
+  "$python" -m mulberryrill.bin.standin_site --site "$sites_folder/$site/site.yaml" --output "$folder" \
     >"$folder/processes"
   while IFS=$'\t' read -r name module settings url; do
     "$python" -m "$module" --settings "$settings" >"$folder/logs/$name.log" 2>&1 </dev/null &
@@ -88,8 +89,8 @@
 [ "${#sites[@]}" -gt 0 ] || sites=(pipi-tamu kimolia)
 stop_failed=0
 for site in "${sites[@]}"; do
-  if [ ! -f "examples/$site/site.yaml" ]; then
-    echo "unknown site $site; there is: $(ls examples | tr '\n' ' ')" >&2
+  if [ ! -f "$sites_folder/$site/site.yaml" ]; then
+    echo "unknown site $site; there is: $(ls "$sites_folder" | tr '\n' ' ')" >&2
     exit 2
   fi
   case "$command" in
--- a/src/mulberryrill/internal/load/client.py
+++ b/src/mulberryrill/internal/load/client.py
@@ -79,6 +79,7 @@
     def __init__(self, deployment: LoadDeployment, timeout_s: float) -> None:
         self._deployment = deployment
         self._timeout_s = timeout_s
+        self._tokens = {entry.class_name: list(entry.tokens) for entry in deployment.tokens}
         self._multi = pycurl.CurlMulti()
         self._running: dict[pycurl.Curl, _Transfer] = {}
         self._sent = 0
@@ -128,7 +129,7 @@
         return [
             "Content-Type: application/json",
             "Expect:",
-            f"Authorization: Bearer {planned.token}",
+            f"Authorization: Bearer {self._tokens[planned.load_class][planned.customer]}",
             f"X-Request-Id: {request_id}",
             f"X-Attempt-Id: {request_id}",
             *self._deployment.headers,
--- a/src/mulberryrill/internal/load/plan.py
+++ b/src/mulberryrill/internal/load/plan.py
@@ -16,7 +16,6 @@
     at_s: float
     load_class: str
     customer: int
-    token: str
     model: str
     prompt: str
     max_tokens: int
@@ -67,7 +66,6 @@
         at_s=at_s,
         load_class=load_class.name,
         customer=customer,
-        token=load_class.tokens[customer],
         model=load_class.model,
         prompt=prompts[prompt_index] + suffix,
         max_tokens=load_class.max_tokens,
@@ -77,6 +75,5 @@
 
 
 def _choose_customer(load_class: LoadClass, prompt_index: int) -> int:
-    weights = list(load_class.weights) or [1.0] * len(load_class.tokens)
-    choice = random.Random(prompt_index).choices(range(len(load_class.tokens)), weights)
-    return choice[0]
+    customers = range(len(load_class.weights))
+    return random.Random(prompt_index).choices(customers, load_class.weights)[0]
--- a/src/mulberryrill/internal/load/run.py
+++ b/src/mulberryrill/internal/load/run.py
@@ -5,7 +5,7 @@
 
 from ...errors import HttpError, LoadError
 from ..httpclient import HttpClient
-from ..schema.load_pb2 import LoadDeployment, LoadSettings
+from ..schema.load_pb2 import LoadClass, LoadDeployment, LoadSettings
 from .client import LoadClient, Result
 from .plan import plan_requests
 from .report import Summary, format_table, summarize, write_plot, write_report
@@ -50,14 +50,25 @@
     if not settings.deployments or any(not d.urls for d in settings.deployments):
         raise LoadError("deployments: name at least one deployment with urls")
     for load_class in settings.workload.classes:
-        if not load_class.tokens or load_class.requests_per_second <= 0 or load_class.prompts < 1:
+        if not load_class.weights or load_class.requests_per_second <= 0 or load_class.prompts < 1:
             raise LoadError(
-                f"class {load_class.name!r}: needs tokens, prompts and requests_per_second"
+                f"class {load_class.name!r}: needs weights, prompts and requests_per_second"
             )
+        for deployment in settings.deployments:
+            _check_tokens(deployment, load_class)
     if not settings.workload.classes or settings.workload.duration_s <= 0:
         raise LoadError("workload: needs classes and duration_s")
 
 
+def _check_tokens(deployment: LoadDeployment, load_class: LoadClass) -> None:
+    tokens = {entry.class_name: entry.tokens for entry in deployment.tokens}
+    if len(tokens.get(load_class.name, ())) != len(load_class.weights):
+        raise LoadError(
+            f"{deployment.name}: class {load_class.name!r} needs one token for each of its "
+            f"{len(load_class.weights)} weights"
+        )
+
+
 def _report(
     settings: LoadSettings, results: dict[str, list[Result]], processor_s: dict[str, float]
 ) -> str:
--- a/tests/unit/test_load.py
+++ b/tests/unit/test_load.py
@@ -11,10 +11,17 @@
 from mulberryrill.internal.load.plan import plan_requests
 from mulberryrill.internal.load.report import summarize
 from mulberryrill.internal.load.run import run_load
-from mulberryrill.internal.schema.load_pb2 import LoadClass, LoadDeployment, LoadSettings, Workload
+from mulberryrill.internal.schema.load_pb2 import (
+    ClassTokens,
+    LoadClass,
+    LoadDeployment,
+    LoadSettings,
+    Workload,
+)
 from mulberryrill.internal.schema.settings_pb2 import Listen
 
 SEED = 7
+TOKENS = [ClassTokens(class_name="notes", tokens=["t0", "t1"])]
 STREAM = (
     b'data: {"choices":[{"text":"a"}]}\n\ndata: {"choices":[{"text":"b"}]}\n\n'
     b'data: {"choices":[],"usage":{"prompt_tokens":10,"completion_tokens":2,'
@@ -26,7 +33,6 @@
     load_class = LoadClass(
         name="notes",
         model="m",
-        tokens=["t0", "t1"],
         weights=[3, 1],
         requests_per_second=50,
         prompts=5,
@@ -68,7 +74,7 @@
         server.start()
         self.addCleanup(server.close)
         url = f"http://127.0.0.1:{server.port}"
-        deployment = LoadDeployment(name="only", urls=[url])
+        deployment = LoadDeployment(name="only", urls=[url], tokens=TOKENS)
         settings = LoadSettings(deployments=[deployment], workload=create_workload(), seed=SEED)
         return run_load(settings)
 
