Relay events of a known form without parsing them

Cause: parsing each event's JSON took about a third of the relay loop's time. Change: an event that differs from a parsed one only in a token without quotes, backslashes and control characters is counted without parsing; a finished answer is sent before it is recorded; a histogram is no longer built for each request.

--- a/src/mulberryrill/internal/gateway/caller.py
+++ b/src/mulberryrill/internal/gateway/caller.py
@@ -107,8 +107,9 @@
         self._loop.flush_at_end(self._flush)
 
     def _finish(self) -> None:
+        # Nothing can follow, and the caller need not wait until the call has been recorded.
         self._is_finishing = True
-        self._loop.flush_at_end(self._flush)
+        self._flush()
 
     def _watch(self) -> None:
         mask = select.EPOLLIN | select.EPOLLRDHUP
@@ -147,7 +148,10 @@
         try:
             while self._buffer:
                 count = self._socket.send(self._buffer)
-                del self._buffer[:count]
+                if count == len(self._buffer):
+                    self._buffer.clear()
+                else:
+                    del self._buffer[:count]
         except (BlockingIOError, ssl.SSLWantWriteError, ssl.SSLWantReadError):
             pass
         except OSError:
--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -3,7 +3,6 @@
 import logging
 import random
 from collections import Counter
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from ..clock import Clock
@@ -249,7 +248,9 @@
 
     def on_forward_data(self, forward: Forward, data: bytes) -> None:
         """Relays bytes of the answer."""
-        self._write(forward.call, forward, lambda: forward.call.caller.write(data))
+        if not forward.call.answered:
+            forward.call.caller.write(data)
+            self._limit_buffer(forward.call, forward)
 
     def on_forward_end(self, forward: Forward, error: str, sent: bool) -> None:
         """Ends the call, or tries another gateway if nothing was sent."""
@@ -432,12 +433,11 @@
             call.first_token = self._loop.now()
             histogram = self._metrics.first_token(call.request.config.name)
             histogram.record(call.first_token - call.received)
-        self._write(call, attempt, lambda: self._answerer.stream(call, data))
+        if not call.answered:
+            self._answerer.stream(call, data)
+            self._limit_buffer(call, attempt)
 
-    def _write(self, call: Call, run: Attempt | Forward, write: Callable[[], None]) -> None:
-        if call.answered:
-            return
-        write()
+    def _limit_buffer(self, call: Call, run: Attempt | Forward) -> None:
         if call.caller.buffered > self._options.relay_buffer_bytes:
             run.pause()
 
--- a/src/mulberryrill/internal/gateway/metrics.py
+++ b/src/mulberryrill/internal/gateway/metrics.py
@@ -51,7 +51,11 @@
         self._entries.append((name, text, by_service))
 
         def find(service: str) -> LatencyHistogram:
-            return by_service.setdefault(service, LatencyHistogram())
+            # Creating a histogram takes 0.1 ms, so setdefault would cost that for each request.
+            histogram = by_service.get(service)
+            if histogram is None:
+                histogram = by_service[service] = LatencyHistogram()
+            return histogram
 
         return find
 
--- a/src/mulberryrill/internal/gateway/streams.py
+++ b/src/mulberryrill/internal/gateway/streams.py
@@ -62,10 +62,42 @@
         self._progress = progress
         self._wants_usage = wants_usage
         self._is_resumed = progress.tokens > 0
+        # Bytes before and after the token in the last event that was parsed.
+        self._before = self._after = b""
         self.is_done = False
 
     def read(self, event: bytes) -> bytes:
         """Returns the bytes to deliver, which may be empty; raises BrokenStreamError."""
+        if self._before and self._read_similar(event):
+            return event + b"\n\n"
+        return self._read_any(event)
+
+    def _read_similar(self, event: bytes) -> bool:
+        """Counts an event that differs from a parsed one only in its token.
+
+        Parsing each event took a third of the relay's processor time. A token without quotes,
+        backslashes and control characters cannot change the structure of the JSON around it.
+        """
+        before, after = self._before, self._after
+        if not (event.startswith(before) and event.endswith(after)):
+            return False
+        token = event[len(before) : -len(after)]
+        if not token.isascii() or not token.decode("ascii").isprintable():
+            return False
+        if b'"' in token or b"\\" in token or not token:
+            return False
+        self._progress.tokens += 1
+        self._progress.parts.append(token.decode("ascii"))
+        return True
+
+    def _learn(self, event: bytes, text: str) -> None:
+        """Remembers what surrounds the token of an ordinary event."""
+        quoted = b'"' + text.encode("utf-8") + b'"'
+        if event.count(quoted) == 1:
+            start = event.index(quoted) + 1
+            self._before, self._after = event[:start], event[start + len(quoted) - 2 :]
+
+    def _read_any(self, event: bytes) -> bytes:
         if self.is_done:
             raise BrokenStreamError("events after the end of the stream", False)
         if event.startswith(DONE):
@@ -92,6 +124,8 @@
         if not choices:
             return event + b"\n\n" if self._wants_usage and usage else b""
         reason = choices[0].get("finish_reason")
+        if has_token and not usage and not reason and self._progress.resumable:
+            self._learn(event, self._progress.parts[-1])
         if reason:
             self._progress.finish_reason = str(reason)
         is_repeated_role = self._is_resumed and not has_token and not reason
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -3,6 +3,9 @@
 import json
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from mulberryrill.internal.gateway.streams import (
     BrokenStreamError,
     EventSplitter,
@@ -11,6 +14,7 @@
 )
 
 DONE = b"data: [DONE]"
+HOSTILE = ("first", "text", '"', "\\", '","index":1,"x":"', "\n", "\x7f", "\u2028", "é", "r")
 
 
 def create_token(text: str, **choice: object) -> bytes:
@@ -69,6 +73,26 @@
         resumed.read(create_usage(2))
         self.assertTrue(self.progress.verified)
 
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.lists(st.one_of(st.text(max_size=6), st.sampled_from(HOSTILE)), max_size=12))
+    def test_every_token_is_read_as_its_json_says(self, tokens: list[str]) -> None:
+        """Guards the shortcut that does not parse events of a known form."""
+        for ascii_only in (True, False):
+            progress = StreamProgress()
+            reader = StreamReader(progress, wants_usage=False)
+            for token in ["first", *tokens]:
+                body = {"id": "r", "choices": [{"text": token, "index": 0}]}
+                event = b"data: " + json.dumps(body, ensure_ascii=ascii_only).encode()
+                self.assertEqual(reader.read(event), event + b"\n\n")
+            self.assertEqual(progress.parts, ["first", *(token for token in tokens if token)])
+
+    def test_event_with_other_members_after_a_known_one_is_parsed(self) -> None:
+        first = create_token("a")
+        self.reader.read(first)
+        forged = first.replace(b'"a"', b'"a", "index": 1, "x": "a"')
+        self.reader.read(forged)
+        self.assertFalse(self.progress.resumable)
+
     def test_output_that_text_cannot_express_is_not_resumed(self) -> None:
         self.reader.read(create_token("a", index=1))
         self.assertFalse(self.progress.resumable)
