Route by learned cost, placed prefixes and link budgets

Change: policies.py orders candidates; estimates.py learns prefill rate, service time, placed blocks (65,536, on up to 3 target runs each) and how often the hash-preferred target has an unknown prompt cached; buckets.py holds the link budgets. Conclusion: bytes taken from a link in any time t are at most rate * (t + 1 s).

--- a/src/mulberryrill/internal/core/admission.py
+++ b/src/mulberryrill/internal/core/admission.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from ..ids import CustomerName, RequestId, ServiceName
+from .buckets import TokenBucket
 from .messages import Priority, QueueItem
 
 DEFAULT_MAX_WAITING = 1000
@@ -51,42 +52,6 @@
     return CustomerLimits(limits.requests_per_second / holders, concurrent, limits.weight)
 
 
-class TokenBucket:
-    """Tokens per second with a bounded burst."""
-
-    def __init__(self, rate: float, burst: float, now: float) -> None:
-        self.rate = rate
-        self.burst = burst
-        self._tokens = burst
-        self._updated = now
-
-    def get_wait(self, amount: float, now: float) -> float:
-        """Returns the seconds until ``amount`` tokens are available; 0 if they are."""
-        self._refill(now)
-        missing = amount - self._tokens
-        if missing <= 0:
-            return 0.0
-        return missing / self.rate if self.rate > 0 else float("inf")
-
-    def take(self, amount: float, now: float) -> bool:
-        """Takes the tokens if all are available."""
-        if self.get_wait(amount, now) > 0:
-            return False
-        self._tokens -= amount
-        return True
-
-    def set_rate(self, rate: float, burst: float, now: float) -> None:
-        """Changes the rate; tokens above the new burst are lost."""
-        self._refill(now)
-        self.rate, self.burst = rate, burst
-        self._tokens = min(self._tokens, burst)
-
-    def _refill(self, now: float) -> None:
-        elapsed = max(0.0, now - self._updated)
-        self._tokens = min(self.burst, self._tokens + elapsed * self.rate)
-        self._updated = max(self._updated, now)
-
-
 class _CustomerQueue:
     """Waiting requests of one customer at one priority, and its deficit."""
 
--- /dev/null
+++ b/src/mulberryrill/internal/core/estimates.py
@@ -0,0 +1,158 @@
+"""What a router has learned of targets, placed blocks and store links."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..ids import Incarnation, RequestId, TargetId
+from .buckets import TokenBucket
+from .messages import RoutingRequest, TargetState
+
+# Cache blocks are about this long (see ``cachekeys``).
+TOKENS_PER_BLOCK = 2000
+# 65,536 placed blocks are 130 million tokens and take about 20 MB.
+MAX_PLACEMENTS = 65_536
+# A block is remembered on this many targets, because load spreads popular prefixes.
+TARGETS_PER_BLOCK = 3
+# Weight of a new sample. One sample in five changes the estimate by a fifth of the difference.
+SAMPLE_WEIGHT = 0.2
+# Used until a target has been measured.
+DEFAULT_PREFILL_TOKENS_PER_S = 4000.0
+DEFAULT_SERVICE_S = 1.0
+# Shorter prompts measure the network more than the target.
+MIN_MEASURED_TOKENS = 200
+# A link may transfer the bytes of this time at once.
+LINK_BURST_S = 1.0
+
+
+@dataclass
+class TargetEstimate:
+    """Averages of one target; times in seconds."""
+
+    prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S
+    service_s: float = DEFAULT_SERVICE_S
+    # Requests started here and not ended, and when their prompts will have been computed.
+    started: int = 0
+    prefill_until: float = float("-inf")
+
+
+@dataclass
+class Started:
+    """A request that runs."""
+
+    at: float
+    # The target was chosen by hash only: nothing was known of the prompt's blocks.
+    by_hash: bool
+
+
+class RoutingState:
+    """Everything that a policy uses besides the request and the candidates."""
+
+    def __init__(self) -> None:
+        self._estimates: dict[TargetId, TargetEstimate] = {}
+        # Block key to the target runs that computed or imported it last; least recently used first.
+        self._placements: dict[bytes, tuple[tuple[TargetId, Incarnation], ...]] = {}
+        self._started: dict[tuple[RequestId, TargetId], Started] = {}
+        self._links: dict[str, TokenBucket] = {}
+        # Share of a prompt's blocks found cached on the target that its hash prefers, when this
+        # router knows nothing of them because another gateway served the prompt before.
+        self.hash_hit_share = 0.5
+
+    def get_estimate(self, target: TargetId) -> TargetEstimate:
+        """Returns the averages of a target."""
+        return self._estimates.setdefault(target, TargetEstimate())
+
+    def get_load(self, target: TargetState) -> int:
+        """Returns the requests on a target; its own count lags, so the larger one is used."""
+        known = self._estimates.get(target.target)
+        return max(target.running + target.waiting, known.started if known is not None else 0)
+
+    def count_placed_blocks(self, request: RoutingRequest, target: TargetState) -> int:
+        """Returns the length of the prefix, in blocks, that the target is thought to hold."""
+        place = (target.target, target.incarnation)
+        count = 0
+        for key in request.block_keys:
+            if place not in self._placements.get(key, ()):
+                break
+            count += 1
+        return count
+
+    def count_known_blocks(self, request: RoutingRequest) -> int:
+        """Returns the length of the prefix, in blocks, that was computed before anywhere."""
+        count = 0
+        for key in request.block_keys:
+            if key not in self._placements:
+                break
+            count += 1
+        return max([count, *(stored.blocks for stored in request.stored)])
+
+    def get_link(self, store: str) -> TokenBucket | None:
+        """Returns the budget of a store's link; None if it may not be used."""
+        return self._links.get(store)
+
+    def set_links(self, bytes_per_s: dict[str, float], now: float) -> None:
+        """Sets the budgets of all store links."""
+        for store in set(self._links) - set(bytes_per_s):
+            del self._links[store]
+        for store, rate in bytes_per_s.items():
+            burst = rate * LINK_BURST_S
+            if store in self._links:
+                self._links[store].set_rate(rate, burst, now)
+            else:
+                self._links[store] = TokenBucket(rate, burst, now)
+
+    def record_start(self, request: RoutingRequest, target: TargetState, now: float) -> None:
+        """Counts the request, its expected prefill time, and where its blocks will be."""
+        placed = self.count_placed_blocks(request, target)
+        by_hash = bool(request.block_keys) and self.count_known_blocks(request) == 0
+        self._started[(request.request_id, target.target)] = Started(now, by_hash)
+        estimate = self.get_estimate(target.target)
+        estimate.started += 1
+        tokens = max(0, request.prompt_tokens - placed * TOKENS_PER_BLOCK)
+        prefill_s = tokens / estimate.prefill_tokens_per_s
+        estimate.prefill_until = max(estimate.prefill_until, now) + prefill_s
+        self._place(request.block_keys, target)
+
+    def record_end(
+        self,
+        request: RoutingRequest,
+        target: TargetState,
+        cached_tokens: int,
+        first_token_s: float | None,
+        now: float,
+    ) -> None:
+        """Learns from a request that ended; ignored if its start was not recorded."""
+        started = self._started.pop((request.request_id, target.target), None)
+        if started is None:
+            return
+        estimate = self.get_estimate(target.target)
+        estimate.started -= 1
+        if estimate.started == 0:
+            estimate.prefill_until = float("-inf")
+        if first_token_s is None:
+            # Nothing is known of the blocks after a failure.
+            self._displace(request.block_keys, target)
+            return
+        estimate.service_s += SAMPLE_WEIGHT * (now - started.at - estimate.service_s)
+        computed = request.prompt_tokens - cached_tokens
+        if computed >= MIN_MEASURED_TOKENS and first_token_s > 0:
+            rate = computed / first_token_s
+            estimate.prefill_tokens_per_s += SAMPLE_WEIGHT * (rate - estimate.prefill_tokens_per_s)
+        if started.by_hash:
+            found = min(1.0, cached_tokens / (len(request.block_keys) * TOKENS_PER_BLOCK))
+            self.hash_hit_share += SAMPLE_WEIGHT * (found - self.hash_hit_share)
+
+    def _place(self, keys: Iterable[bytes], target: TargetState) -> None:
+        place = (target.target, target.incarnation)
+        for key in keys:
+            others = [p for p in self._placements.pop(key, ()) if p[0] != target.target]
+            self._placements[key] = (place, *others[: TARGETS_PER_BLOCK - 1])
+        while len(self._placements) > MAX_PLACEMENTS:
+            del self._placements[next(iter(self._placements))]
+
+    def _displace(self, keys: Iterable[bytes], target: TargetState) -> None:
+        for key in keys:
+            others = tuple(p for p in self._placements.get(key, ()) if p[0] != target.target)
+            if others:
+                self._placements[key] = others
+            else:
+                self._placements.pop(key, None)
--- /dev/null
+++ b/src/mulberryrill/internal/core/policies.py
@@ -0,0 +1,220 @@
+"""Routing policies: how candidates are ordered, with a reason that operators can read."""
+
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from .estimates import TOKENS_PER_BLOCK, RoutingState
+from .messages import RoutingRequest, StoredPrefix, TargetState
+from .rendezvous import rank_members
+
+# A candidate above this multiple of its part of the load is passed over by affinity.
+LOAD_BOUND = 1.25
+
+
+@dataclass(frozen=True)
+class Ranked:
+    """A candidate and the reason for its place."""
+
+    target: TargetState
+    reason: str
+    imported: StoredPrefix | None = None
+
+
+class Policy(Protocol):
+    """Orders candidates, best first."""
+
+    def rank(
+        self,
+        request: RoutingRequest,
+        candidates: Sequence[TargetState],
+        state: RoutingState,
+        generator: random.Random,
+        now: float,
+    ) -> list[Ranked]:
+        """Returns all candidates, best first. Ties are broken by the generator."""
+        ...
+
+
+class LeastLoaded:
+    """The baseline: fewest requests in relation to the target's concurrency."""
+
+    def rank(
+        self,
+        request: RoutingRequest,
+        candidates: Sequence[TargetState],
+        state: RoutingState,
+        generator: random.Random,
+        now: float,
+    ) -> list[Ranked]:
+        """Orders by load."""
+        shuffled = generator.sample(list(candidates), len(candidates))
+        shuffled.sort(key=lambda t: get_utilization(t, state))
+        return [
+            Ranked(t, f"load {state.get_load(t)} of {t.max_concurrency} requests") for t in shuffled
+        ]
+
+
+class Affinity:
+    """Sends prompts with the same beginning to the same target, unless it has too much load."""
+
+    def rank(
+        self,
+        request: RoutingRequest,
+        candidates: Sequence[TargetState],
+        state: RoutingState,
+        generator: random.Random,
+        now: float,
+    ) -> list[Ranked]:
+        """Orders by placed prefix, then by rendezvous hash; candidates with too much load last."""
+        if not request.block_keys:
+            return LeastLoaded().rank(request, candidates, state, generator, now)
+        placed = {t.target: state.count_placed_blocks(request, t) for t in candidates}
+        order = rank_by_hash(request, candidates)
+        order.sort(key=lambda t: -placed[t.target])
+        total = sum(state.get_load(t) for t in candidates) + 1
+        capacity = sum(max(1, t.max_concurrency) for t in candidates)
+        within: list[Ranked] = []
+        above: list[Ranked] = []
+        for target in order:
+            part = total * max(1, target.max_concurrency) / capacity
+            load = state.get_load(target)
+            if load + 1 <= math.ceil(LOAD_BOUND * part):
+                reason = f"{placed[target.target]} of {len(request.block_keys)} blocks placed there"
+                within.append(Ranked(target, reason if placed[target.target] else "first by hash"))
+            else:
+                reason = f"passed over: load {load} is above {LOAD_BOUND} times its part {part:.1f}"
+                above.append(Ranked(target, reason))
+        return within + above
+
+
+@dataclass(frozen=True)
+class Cost:
+    """The expected times of a request on one candidate, in seconds."""
+
+    queue_s: float
+    import_s: float
+    compute_s: float
+    recomputed_s: float
+    total: float
+    imported: StoredPrefix | None = None
+
+    def describe(self) -> str:
+        """Returns the parts in words."""
+        text = (
+            f"cost {self.total:.2f}: queue {self.queue_s:.2f} s, import {self.import_s:.2f} s, "
+            f"compute {self.compute_s:.2f} s"
+        )
+        if self.imported is not None:
+            text += f", imports {self.imported.blocks} blocks"
+        return text
+
+
+class Full:
+    """Weighs waiting, recomputation and link use by the service's document."""
+
+    def rank(
+        self,
+        request: RoutingRequest,
+        candidates: Sequence[TargetState],
+        state: RoutingState,
+        generator: random.Random,
+        now: float,
+    ) -> list[Ranked]:
+        """Orders by cost; equal costs by load, then by hash so that gateways agree, or at random."""
+        if request.block_keys:
+            order = rank_by_hash(request, candidates)
+        else:
+            order = generator.sample(list(candidates), len(candidates))
+        is_unknown = bool(request.block_keys) and state.count_known_blocks(request) == 0
+        costs: list[tuple[TargetState, Cost]] = []
+        for position, target in enumerate(order):
+            tokens = float(state.count_placed_blocks(request, target) * TOKENS_PER_BLOCK)
+            if is_unknown and position == 0:
+                blocks = len(request.block_keys)
+                tokens = state.hash_hit_share * blocks * TOKENS_PER_BLOCK
+            costs.append((target, self._find_best(request, target, tokens, state, now)))
+        costs.sort(key=lambda entry: (entry[1].total, get_utilization(entry[0], state)))
+        return [Ranked(target, cost.describe(), cost.imported) for target, cost in costs]
+
+    def _find_best(
+        self,
+        request: RoutingRequest,
+        target: TargetState,
+        cached_tokens: float,
+        state: RoutingState,
+        now: float,
+    ) -> Cost:
+        """Compares computing everything that is not cached with each possible import."""
+        options = [compute_cost(request, target, cached_tokens, None, state, now)]
+        for stored in request.stored:
+            part = limit_import(stored, cached_tokens, state, now)
+            if part is not None:
+                options.append(compute_cost(request, target, cached_tokens, part, state, now))
+        return min(options, key=lambda cost: cost.total)
+
+
+def get_utilization(target: TargetState, state: RoutingState) -> float:
+    """Returns the load in relation to the target's concurrency."""
+    return state.get_load(target) / max(1, target.max_concurrency)
+
+
+def rank_by_hash(request: RoutingRequest, candidates: Sequence[TargetState]) -> list[TargetState]:
+    """Returns the candidates in the order of the first block key's rendezvous hash."""
+    by_id = {t.target: t for t in candidates}
+    return [by_id[id_] for id_ in rank_members(request.block_keys[0], by_id)]
+
+
+def limit_import(
+    stored: StoredPrefix, cached_tokens: float, state: RoutingState, now: float
+) -> StoredPrefix | None:
+    """Returns the longest part of a stored prefix that the link's budget allows.
+
+    An import always starts at the first block, because an engine needs an unbroken prefix.
+    """
+    link = state.get_link(stored.store)
+    if link is None or stored.blocks <= 0 or link.rate <= 0:
+        return None
+    block_bytes = -(-stored.size_bytes // stored.blocks)
+    blocks = stored.blocks
+    if block_bytes > 0:
+        blocks = min(blocks, int(link.get_tokens(now) // block_bytes))
+    if blocks * TOKENS_PER_BLOCK <= cached_tokens:
+        return None
+    return StoredPrefix(stored.store, blocks, min(stored.size_bytes, blocks * block_bytes))
+
+
+def compute_cost(
+    request: RoutingRequest,
+    target: TargetState,
+    cached_tokens: float,
+    imported: StoredPrefix | None,
+    state: RoutingState,
+    now: float,
+) -> Cost:
+    """Returns the cost of running the request on the target with an import or without."""
+    estimate = state.get_estimate(target.target)
+    excess = max(0, state.get_load(target) + 1 - max(1, target.max_concurrency))
+    queue_s = excess * estimate.service_s / max(1, target.max_concurrency)
+    queue_s += max(0.0, estimate.prefill_until - now)
+    import_s = 0.0
+    ready_tokens = cached_tokens
+    if imported is not None:
+        link = state.get_link(imported.store)
+        import_s = imported.size_bytes / link.rate if link is not None else 0.0
+        ready_tokens = max(ready_tokens, imported.blocks * TOKENS_PER_BLOCK)
+    rate = max(1.0, estimate.prefill_tokens_per_s)
+    compute_s = max(0.0, request.prompt_tokens - ready_tokens) / rate
+    # Running requests share the accelerator with the prompt.
+    queue_s += compute_s * min(1.0, get_utilization(target, state))
+    known_tokens = min(request.prompt_tokens, state.count_known_blocks(request) * TOKENS_PER_BLOCK)
+    recomputed_s = max(0.0, known_tokens - ready_tokens) / rate
+    weights = request.weights
+    total = (
+        weights.time_to_first_token * (queue_s + import_s + compute_s)
+        + weights.recomputation * recomputed_s
+        + weights.link * import_s
+    )
+    return Cost(queue_s, import_s, compute_s, recomputed_s, total, imported)
