Wait for targets before process tests and examples send requests

Cause: a gateway is ready before its instance has read the list; calls in the first second were refused with 503 "No data centre available", not run (two of three starts). Change: the harness waits until every instance serves a lookup; example callers repeat a 503 as its answer says. The configuration test now adds a customer, so that the change itself decides between 401 and 200.

--- a/src/mulberryrill/internal/standins/callers.py
+++ b/src/mulberryrill/internal/standins/callers.py
@@ -20,6 +20,9 @@
 OUTCOME_TIMEOUT_S = 10.0
 RETRY_S = 0.2
 STATUS_OUTCOME_UNKNOWN = 409
+# A deployment that has just started may not know its targets yet.
+NOT_RUN_TIMEOUT_S = 10.0
+STATUS_NOT_RUN = 503
 _MAX_TIME_BITS = 48
 
 
@@ -87,7 +90,15 @@
         token = tokens[document.customers[0].name]
         sent = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
         url = self._plan.instances[instance % len(self._plan.instances)].gateway_url + path
-        return self._client.send(method, url, body, {**sent, **(headers or {})}, TIMEOUT_S)
+        sent.update(headers or {})
+        deadline = time.monotonic() + NOT_RUN_TIMEOUT_S
+        while True:
+            answer = self._client.send(method, url, body, sent, TIMEOUT_S)
+            # Refused as not run: the caller may send it again, as the answer says.
+            if answer.status != STATUS_NOT_RUN or time.monotonic() > deadline:
+                return answer
+            self._report.lines.append(f"{document.service}: not run yet: {answer.body!r}")
+            time.sleep(float(answer.headers.get("retry-after", RETRY_S)))
 
     def _send_chat(self, document: ServiceDocument) -> None:
         model = document.models[0]
--- a/tests/common/deployment.py
+++ b/tests/common/deployment.py
@@ -264,6 +264,17 @@
             self.wait_in_force(instance, service, revisions[service])
         return revisions
 
+    def wait_serving(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Waits until every instance has heard of targets: readiness only covers the log."""
+        for instance in self.plan.instances:
+            name = instance.name
+
+            def serves(name: str = name) -> bool:
+                answer = self.call(name, "stock", "/lookup", b"serving?")
+                return answer is not None and answer.status == 200
+
+            wait_until(serves, timeout_s, f"{name} serves")
+
     def apply(self, instance: str, service: str, text: bytes, base_revision: int) -> int:
         """Applies a document and returns its revision."""
         path = f"/v1/documents/{service}?base_revision={base_revision}&reason=test"
--- a/tests/process/test_claims.py
+++ b/tests/process/test_claims.py
@@ -35,6 +35,7 @@
         self.addCleanup(deployment.close)
         deployment.start()
         deployment.apply_documents()
+        deployment.wait_serving()
         key = create_key(int(time.time() * 1000))
         for _ in range(2):
             answer = deployment.call("kariakoo-1", "stock", "/not-in-the-document", b"1", key=key)
@@ -53,6 +54,7 @@
         cls.addClassCleanup(cls.deployment.close)
         cls.deployment.start()
         cls.deployment.apply_documents()
+        cls.deployment.wait_serving()
 
     def pay(self, instance: str, key: str, timeout_s: float = 15.0) -> HttpResponse | None:
         body = json.dumps({"order": key}).encode()
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -7,6 +7,7 @@
 
 from mulberryrill.internal.standins.callers import create_key
 from mulberryrill.internal.standins.pseudotext import digest_text, list_tokens
+from mulberryrill.internal.standins.site import hash_token
 from tests.common.deployment import Deployment, create_site, wait_until
 from tests.common.verification import check_histories
 
@@ -29,6 +30,7 @@
         cls.addClassCleanup(cls.deployment.close)
         cls.deployment.start()
         cls.revisions = cls.deployment.apply_documents()
+        cls.deployment.wait_serving()
 
     def test_streams_and_completions_are_complete_at_every_instance(self) -> None:
         for instance in INSTANCES:
@@ -58,19 +60,21 @@
         path = next(path for path in deployment.plan.documents if path.endswith("stock.yaml"))
         with open(path, encoding="utf-8") as file:
             document = yaml.safe_load(file)
-        # The new first customer of the changed document is refused before the change.
-        document["customers"][0]["name"] = "renamed-market"
+        token = "token of a new customer"
+        added = {
+            **document["customers"][0],
+            "name": "new-stand",
+            "token_sha256": [hash_token(token)],
+        }
+        document["customers"].append(added)
+        deployment.plan.customer_tokens["stock"]["new-stand"] = token
+        self.assertEqual([self.look_up_as_new(name) for name in INSTANCES], [401, 401])
         text = yaml.safe_dump(document, sort_keys=False).encode()
         base = self.revisions["stock"]
         revision = deployment.apply("msasani-1", "stock", text, base)
         self.assertGreater(revision, base)
         deployment.wait_in_force("msasani-1", "stock", revision)
-        tokens = deployment.plan.customer_tokens["stock"]
-        tokens["renamed-market"] = tokens["kariakoo-market"]
-        for instance in INSTANCES:
-            answer = deployment.call(instance, "stock", "/lookup", b"", "renamed-market")
-            assert answer is not None
-            self.assertEqual(answer.status, 200)
+        self.assertEqual([self.look_up_as_new(name) for name in INSTANCES], [200, 200])
         stale = deployment.operate(
             "kariakoo-1",
             "PUT",
@@ -81,6 +85,11 @@
         self.assertEqual(stale.status, 409)
         check_histories(self, deployment, configuration=4)
 
+    def look_up_as_new(self, instance: str) -> int:
+        answer = self.deployment.call(instance, "stock", "/lookup", b"", "new-stand")
+        assert answer is not None
+        return answer.status
+
     def test_gateway_goes_on_while_its_control_process_is_dead(self) -> None:
         deployment = self.deployment
         deployment.kill("kariakoo-1-control")
