Refuse aliases in documents, and resolve unsure changes by their id only

Cause: an alias lets a document of 500 KB expand to millions of tokens in every process. The control process now keeps the change id that the command line chooses, so its other ways to find a change are not needed. A change with the id of another change was ignored without a word.

Change: aliases are a problem with a line number; the command line searches the history by id; the fold ignores a repeated record only if author and base agree, and otherwise refuses it with the reason.

--- a/src/mulberryrill/internal/core/configuration.py
+++ b/src/mulberryrill/internal/core/configuration.py
@@ -34,6 +34,7 @@
 # Revision 0 means "no document", so the record at offset 0 creates none. A reader that starts at
 # offset 1 has therefore missed no document.
 FIRST_REVISION = Offset(1)
+_USED_ID = "another change has the same id; submit it with a new one"
 # A checkpoint holds the document and its newest audit entries and must fit into one record of
 # 1 MiB; these limits keep it below 800 KiB.
 MAX_DOCUMENT_BYTES = 512 * 1024
@@ -213,9 +214,11 @@
         """Accepts or refuses a change whose base is known."""
         current = self._documents.get(service)
         message = change.message
-        if current is not None and any(e.change_id == message.change_id for e in current.audit):
+        earlier = current.audit if current is not None else ()
+        same = [entry for entry in earlier if entry.change_id == message.change_id]
+        if any(_is_repeat(change, entry) for entry in same):
             return
-        refusal = self._find_refusal(change, current)
+        refusal = _USED_ID if same else self._find_refusal(change, current)
         audit = _create_audit(change, refusal)
         step.decided.append(audit)
         if refusal:
@@ -445,6 +448,12 @@
     )
 
 
+def _is_repeat(change: _Change, entry: AuditEntry) -> bool:
+    """Tells whether a record repeats a decided change, as after an append or answer in doubt."""
+    message = change.message
+    return (message.author, message.base_revision) == (entry.author, entry.base_revision)
+
+
 def _append_audit(state: DocumentState, audit: AuditEntry) -> None:
     state.audit.append(audit)
     del state.audit[:-MAX_AUDIT_ENTRIES]
--- a/src/mulberryrill/internal/operator/client.py
+++ b/src/mulberryrill/internal/operator/client.py
@@ -48,14 +48,7 @@
 
 
 class UnsureError(Exception):
-    """A change was sent, but whether it was recorded is not known.
-
-    ``change_id`` is empty unless the instance named the id that it gave the change.
-    """
-
-    def __init__(self, message: str, change_id: str = "") -> None:
-        super().__init__(message)
-        self.change_id = change_id
+    """A change was sent, but whether it was recorded is not known."""
 
 
 @dataclass(frozen=True)
@@ -128,8 +121,7 @@
             if answer.status < 500:
                 return _require_success(answer)
             if answer.status != 503 or answer.body.get("executed") != "no":
-                change_id = str(answer.body.get("change_id", ""))
-                raise UnsureError(answer.describe_problem(), change_id)
+                raise UnsureError(answer.describe_problem())
             failures.append(f"{url}: {answer.describe_problem()}")
         raise _create_unreachable(failures)
 
--- a/src/mulberryrill/internal/operator/commands.py
+++ b/src/mulberryrill/internal/operator/commands.py
@@ -3,13 +3,12 @@
 import re
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
 from ...errors import OperatorError, SettingsError
 from ..clock import Clock
 from ..ids import create_id
 from ..settings.documents import check_document
-from .client import Answer, Body, ExitCode, OperatorsClient, UnsureError
+from .client import Body, ExitCode, OperatorsClient, UnsureError
 
 # ``show`` writes the revision in a first line, so that the edited file can be applied as it is.
 _REVISION_LINE = re.compile(r"# revision: (\d+)\n")
@@ -58,21 +57,20 @@
                 reason=reason,
             )
         except UnsureError as error:
-            return self._resolve(service, text, base, error.change_id or change_id, str(error))
-        recorded_id = answer.body.get("change_id", change_id)
-        return {
-            "service": service,
-            "revision": answer.body["revision"],
-            "change_id": recorded_id,
-        }
-
-    def _resolve(self, service: str, text: str, base: int, change_id: str, failure: str) -> Body:
-        """Finds out whether a change was recorded whose answer was lost."""
+            revision = self._resolve(service, change_id, str(error))
+        else:
+            revision = int(answer.body["revision"])
+        return {"service": service, "revision": revision, "change_id": change_id}
+
+    def _resolve(self, service: str, change_id: str, failure: str) -> int:
+        """Finds out whether a change was recorded whose answer was lost; returns its revision."""
         deadline = self._clock.monotonic() + RESOLVE_TIMEOUT_S
         while self._clock.monotonic() < deadline:
-            revision = self._find_revision(service, text, base, change_id)
-            if revision is not None:
-                return {"service": service, "revision": revision, "change_id": change_id}
+            entry = self._find_entry(service, change_id)
+            if entry is not None and not entry["accepted"]:
+                raise OperatorError(f"Change refused: {entry['refusal']}", ExitCode.REFUSED)
+            if entry is not None:
+                return int(entry["offset"])
             self._sleep(POLL_S)
         raise OperatorError(
             f"it is not known whether the change {change_id} was recorded ({failure});"
@@ -80,22 +78,12 @@
             ExitCode.UNREACHABLE,
         )
 
-    def _find_revision(self, service: str, text: str, base: int, change_id: str) -> int | None:
+    def _find_entry(self, service: str, change_id: str) -> Body | None:
         try:
-            for entry in list_history(self._client.get("documents", service, "history")):
-                if entry["change_id"] != change_id:
-                    continue
-                if not entry["accepted"]:
-                    raise _RefusedError(entry["refusal"])
-                return int(entry["offset"])
-            # An instance that gave the change its own id still shows the text.
-            body = self._client.get("documents", service).body
-        except _RefusedError as error:
-            raise OperatorError(f"Change refused: {error}", ExitCode.REFUSED) from error
-        except OperatorError:
+            entries = self.history(service)["history"]
+        except OperatorError:  # Unreachable for now, or the service does not exist yet.
             return None
-        newer = int(body["revision"]) > base
-        return int(body["revision"]) if newer and body["document"] == text else None
+        return next((entry for entry in entries if entry["change_id"] == change_id), None)
 
     def _wait_in_force(self, service: str, revision: int, wait_s: float) -> bool:
         deadline = self._clock.monotonic() + wait_s
@@ -106,7 +94,7 @@
                 body = self._client.get("in-force", service=service, revision=revision).body
                 if body["in_force"]:
                     return True
-                behind = [str(name) for name in body.get("behind") or body.get("missing") or []]
+                behind = [str(name) for name in body["behind"]]
                 failure = ""
             except OperatorError as error:
                 failure = f"; {error}"
@@ -122,8 +110,7 @@
 
     def history(self, service: str) -> Body:
         """Returns the decided changes of a service, oldest first."""
-        answer = self._client.get("documents", service, "history")
-        return {"service": service, "history": list_history(answer)}
+        return self._client.get("documents", service, "history").body
 
     def show(self, service: str) -> Body:
         """Returns the document in force."""
@@ -144,10 +131,6 @@
         return self._client.find("requests", request_id).body
 
 
-class _RefusedError(Exception):
-    """The history shows that a change was refused."""
-
-
 def read_document(path: str) -> tuple[str, int | None]:
     """Returns a document file's text without the revision line of ``show``, and its revision."""
     try:
@@ -179,8 +162,3 @@
     if problems:
         raise OperatorError("\n".join(problems), ExitCode.REFUSED)
     return {"valid": services}
-
-
-def list_history(answer: Answer) -> list[dict[str, Any]]:
-    """Returns the entries of a history answer."""
-    return list(answer.body.get("history") or answer.body.get("entries") or [])
--- a/src/mulberryrill/internal/settings/documents.py
+++ b/src/mulberryrill/internal/settings/documents.py
@@ -30,6 +30,7 @@
         raise SettingsError(
             [f"{name}: {size} bytes; a document has at most {MAX_DOCUMENT_BYTES}, so split it"]
         )
+    _refuse_aliases(text, name)
     document = parse_yaml(text, ServiceDocument, name)
     checker = _Checker(text, name)
     checker.check(document)
@@ -38,6 +39,18 @@
     return document
 
 
+def _refuse_aliases(text: str, name: str) -> None:
+    """Aliases would let a short text stand for a document that exceeds the memory."""
+    try:
+        for event in yaml.parse(text, Loader=yaml.CSafeLoader):
+            if isinstance(event, yaml.AliasEvent):
+                line = event.start_mark.line + 1 if event.start_mark else 1
+                place = f"{name}:{line}: *{event.anchor}"
+                raise SettingsError([f"{place}: aliases are not allowed; write the value out"])
+    except yaml.YAMLError:
+        return  # Reported with its place by the parser of the fields.
+
+
 class _Checker:
     """Collects the semantic problems of one document."""
 
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -71,6 +71,7 @@
         refusal = "the base revision 1 is not the current one, 2"
         self.assertEqual(self.decide(change("b", 1), change("c", 1)), [("b", ""), ("c", refusal)])
         self.assertEqual(self.apply(change("b", 1)), FoldResult())
+        self.assertIn("same id", self.decide(change("b", 2))[0][1])
 
     def test_document_without_owners_or_of_another_service_is_refused(self) -> None:
         for text in (
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -50,6 +50,7 @@
             "8: customers[1].token_sha256[0]: given twice": ("priority", SECOND_CUSTOMER),
             "8: customers[1].requests_per_second: must be": ("priority", SECOND_CUSTOMER),
             "8: customers[1].weight: must be": ("priority", SECOND_CUSTOMER),
+            "4: *a: aliases are not allowed": ("kind: model", "kind: &a model\npool: *a"),
             "7: customers[0].concurrent: must be": ("concurrent: 16, ", ""),
         }
         for expected, (old, new) in cases.items():
