--- a/src/mulberryrill/internal/core/policies.py
+++ b/src/mulberryrill/internal/core/policies.py
@@ -123,7 +123,7 @@
         generator: random.Random,
         now: float,
     ) -> list[Ranked]:
-        """Orders by cost; equal costs by load, then by hash so that gateways agree, or at random."""
+        """Orders by cost, then by load, then by hash so that gateways agree, or else at random."""
         if request.block_keys:
             order = rank_by_hash(request, candidates)
         else:
--- a/tests/common/core.py
+++ b/tests/common/core.py
@@ -81,5 +81,7 @@
     priority: Priority = Priority.INTERACTIVE,
     arrived: float = 0.0,
     deadline: float = 100.0,
+    version: str = MODEL[1],
 ) -> QueueItem:
-    return QueueItem(create_request(request_id, customer, priority), arrived, deadline)
+    request = create_request(request_id, customer, priority, version=version)
+    return QueueItem(request, arrived, deadline)
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -2,8 +2,13 @@
 
 import unittest
 
-from mulberryrill.internal.core.admission import Admission, CustomerLimits, RefusalKind
-from mulberryrill.internal.core.messages import Priority
+from mulberryrill.internal.core.admission import (
+    Admission,
+    CustomerLimits,
+    RefusalKind,
+    share_limits,
+)
+from mulberryrill.internal.core.messages import Priority, QueueItem
 from tests.common.core import create_item
 
 UNLIMITED = CustomerLimits(0, 0)
@@ -41,6 +46,59 @@
         batch = [p for p in popped if p is not None and p.request.priority is Priority.BATCH]
         self.assertEqual(len(batch), 2)
 
+    def test_batch_is_taken_once_it_can_start(self) -> None:
+        """Guards against a batch request that loses its turn because it could not start then."""
+        for n in range(40):
+            self.refuse(f"i{n}", UNLIMITED, 0.0)
+        self.refuse("b", UNLIMITED, 0.0, priority=Priority.BATCH, version="4")
+        for _ in range(15):
+            self.admission.pop(lambda item: item.request.version == "3", 0.0)
+        popped = self.admission.pop(lambda item: True, 0.0)
+        assert popped is not None
+        self.assertEqual(popped.request.request_id, "b")
+
+    def test_batch_leaves_room_for_interactive_requests(self) -> None:
+        results = [
+            self.refuse(f"b{n}", UNLIMITED, 0.0, priority=Priority.BATCH) for n in range(100)
+        ]
+        self.assertEqual(results.count(RefusalKind.QUEUE_FULL), 20)
+        self.assertIsNone(self.refuse("i", UNLIMITED, 0.0))
+
+    def test_request_that_cannot_be_on_time_is_refused_early(self) -> None:
+        """Guards against queueing work that is useless when its turn comes (overload goodput)."""
+        for n in range(30):
+            self.refuse(f"r{n}", UNLIMITED, 0.0)
+        for n in range(10):
+            self.admission.pop(lambda item: True, float(n + 1))
+        self.assertEqual(self.refuse("late", UNLIMITED, 10.0, deadline=25.0), RefusalKind.DEADLINE)
+        self.assertIsNone(self.refuse("patient", UNLIMITED, 10.0, deadline=60.0))
+        self.assertIsNone(self.refuse("other", UNLIMITED, 10.0, customer="small", deadline=25.0))
+
+    def test_blocked_class_is_asked_once_and_does_not_block_others(self) -> None:
+        for n in range(50):
+            self.refuse(f"r{n}", UNLIMITED, 0.0)
+        self.refuse("free", UNLIMITED, 0.0, version="4")
+        asked = []
+
+        def can_start(item: QueueItem) -> bool:
+            asked.append(item.request.request_id)
+            return item.request.version == "4"
+
+        popped = self.admission.pop(can_start, 0.0)
+        assert popped is not None
+        self.assertEqual((popped.request.request_id, len(asked)), ("free", 2))
+
+    def test_removed_request_does_not_count(self) -> None:
+        """Guards against slots of the limit that a caller who gave up keeps for ever."""
+        self.refuse("a", CustomerLimits(0, 1), 0.0)
+        self.admission.finish(create_item("a"))
+        self.assertEqual(self.admission.waiting, 0)
+        self.assertIsNone(self.refuse("b", CustomerLimits(0, 1), 0.0))
+
+    def test_shares_add_up_to_the_limit(self) -> None:
+        share = share_limits(CustomerLimits(20, 16, 2.0), 8)
+        self.assertEqual(share, CustomerLimits(2.5, 2, 2.0))
+
     def test_customers_share_the_queue_by_weight(self) -> None:
         """Guards against one customer's backlog delaying the others."""
         for n in range(30):
