--- a/src/mulberryrill/internal/core/membership.py
+++ b/src/mulberryrill/internal/core/membership.py
@@ -30,6 +30,8 @@
         self._first_listed: dict[str, float] = {}
         self._heartbeats: dict[InstanceId, tuple[float, Heartbeat]] = {}
         self._now = 0.0
+        self._watch_basis: tuple[frozenset[InstanceId], tuple[str, ...]] = (frozenset(), ())
+        self._watched_ids: set[str] = set()
 
     def on_list(self, members: Sequence[Member], now: float) -> None:
         """Replaces the members by those of the platform's list."""
@@ -66,11 +68,17 @@
     def list_watched(self) -> list[Member]:
         """Returns the targets of this data centre that this instance polls."""
         watchers = {i for i in self.list_data_centre() if self._can_watch(i)} | {self._instance}
-        return [
-            member
-            for member in self.list_targets()
-            if self._instance in rank_members(member.id, watchers)[:WATCHERS_PER_TARGET]
-        ]
+        targets = self.list_targets()
+        # Ranking costs a hash for each target and watcher, and both rarely change.
+        basis = (frozenset(watchers), tuple(t.id for t in targets))
+        if basis != self._watch_basis:
+            self._watch_basis = basis
+            self._watched_ids = {
+                id_
+                for id_ in basis[1]
+                if self._instance in rank_members(id_, watchers)[:WATCHERS_PER_TARGET]
+            }
+        return [t for t in targets if t.id in self._watched_ids]
 
     def list_targets(self) -> list[Member]:
         """Returns the listed targets of this data centre, leaving ones included."""
@@ -85,9 +93,7 @@
         live = {
             m.id
             for m in self._members.values()
-            if m.kind == MemberKind.entry
-            and m.state == MemberState.live
-            and not self._is_leaving(InstanceId(m.id))
+            if m.kind == MemberKind.entry and not self._is_leaving(InstanceId(m.id))
         }
         return max(1, len(live))
 
@@ -107,8 +113,11 @@
         return not self._is_silent(instance) and not self._is_leaving(instance)
 
     def _is_leaving(self, instance: InstanceId) -> bool:
+        """Either the list or the instance itself may say so first."""
         heard = self._heartbeats.get(instance)
-        return heard is not None and heard[1].leaving
+        member = self._members.get(instance)
+        is_listed_leaving = member is not None and member.state == MemberState.leaving
+        return is_listed_leaving or (heard is not None and heard[1].leaving)
 
     def _is_silent(self, instance: InstanceId) -> bool:
         """An instance that was listed just now gets time for its first heartbeat."""
