Resume streams across data centres

Cause: a stream that broke while its data centre was drained was dispatched there again, and a stream relayed from another gateway ended with an error when that connection broke. Change: the relaying gateway reads and counts the events too and hands the rest of the stream, with its version, to a gateway in another data centre.

--- a/src/mulberryrill/internal/gateway/attempts.py
+++ b/src/mulberryrill/internal/gateway/attempts.py
@@ -13,7 +13,7 @@
 from .call import Call
 from .caller import encode_json
 from .loop import RelayLoop
-from .streams import BrokenStreamError, EventSplitter, StreamReader
+from .streams import BrokenStreamError, EventSplitter, StreamReader, build_continuation
 from .transfer import Transfer, TransferEnd, TransferRequest
 
 # An answer that is not a stream is kept until it is complete; longer ones are refused.
@@ -333,8 +333,7 @@
     request = call.request
     engine: dict[str, object] = {"priority": _ENGINE_PRIORITIES[request.config.priority]}
     if call.progress.tokens:
-        engine["continue_text"] = call.progress.text
-        engine["continue_tokens"] = call.progress.tokens
+        engine |= build_continuation(call.progress)
     content = {**request.content, "engine": engine}
     if request.is_stream:
         content["stream_options"] = {"include_usage": True}
--- a/src/mulberryrill/internal/gateway/call.py
+++ b/src/mulberryrill/internal/gateway/call.py
@@ -51,6 +51,8 @@
     version: str = ""
     prompt: bytes = b""
     content: dict = field(default_factory=dict)
+    # What the caller of a forwarded stream has received already.
+    continued: StreamProgress | None = None
 
     @property
     def is_model(self) -> bool:
--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -196,7 +196,7 @@
         """Forwards a call that has not been sent anywhere, or refuses it as not run."""
         own = self._options.data_centre
         if call.claim is not None or call.request.hops:
-            self._fail(call, failures.create_drained())
+            self._fail_drained(call)
             return
         call.entries = list_forward_entries(self._snapshot, own, call, self._random)
         call.entries = call.entries[:MAX_FORWARD_TRIES]
@@ -204,7 +204,7 @@
 
     def _forward(self, call: Call) -> None:
         if not call.entries:
-            self._fail(call, failures.create_drained())
+            self._fail_drained(call)
             return
         entry = call.entries.pop(0)
         options = self._options
@@ -217,6 +217,7 @@
             options.settings.peer_ca_file,
         )
         call.state = CallState.RUNNING
+        call.attempts += 1
         call.last_attempt = AttemptId(create_id("fwd"))
         call.tracker.on_start(call.last_attempt)
         call.traces.append(
@@ -242,13 +243,18 @@
         """Begins the caller's answer with the other gateway's status and headers."""
         call = forward.call
         call.tracker.on_answer(call.last_attempt)
-        forward.status = status
-        if not call.answered:
+        if forward.is_stream:
+            return
+        if call.caller.started:
+            forward.stop(f"status {status} instead of the rest of the stream")
+        elif not call.answered:
             call.caller.start_stream(status, headers)
 
     def on_forward_data(self, forward: Forward, data: bytes) -> None:
         """Relays bytes of the answer."""
-        if not forward.call.answered:
+        if forward.is_stream:
+            self._relay(forward.call, forward, data)
+        elif not forward.call.answered:
             forward.call.caller.write(data)
             self._limit_buffer(forward.call, forward)
 
@@ -256,18 +262,44 @@
         """Ends the call, or tries another gateway if nothing was sent."""
         call = forward.call
         self._runs.pop(call, None)
+        call.traces[-1].result = error or "complete"
+        call.traces[-1].ended_s = self._loop.now() - call.received
         if sent and not forward.has_answer:
             call.tracker.on_bytes_sent(call.last_attempt)
         if call.answered:
             self._end(call)
         elif not error:
-            executed = Executed.UNKNOWN if forward.status >= 400 else Executed.YES
-            self._answerer.finish_forward(call, forward.status, executed)
-            self._end(call)
-        elif not sent:
+            self._finish_forward(call, forward)
+        elif self._finish_cut_stream(call):
+            pass
+        elif call.progress.tokens:
+            result = AttemptResult(ResultKind.BROKEN, error, sent)
+            self._resume(call, result, self._loop.now())
+        elif not sent or self._may_forward_again(call):
             self._forward(call)
         else:
-            self._fail(call, failures.create_forward_failed(call))
+            self._fail(call, failures.create_forward_failed(call, error))
+
+    def _may_forward_again(self, call: Call) -> bool:
+        is_possible = not call.caller.started and self._may_retry(call, self._loop.now())
+        return is_possible and self._find_budget(call).try_retry()
+
+    def _finish_forward(self, call: Call, forward: Forward) -> None:
+        if forward.is_stream:
+            self._answerer.finish_stream(call)
+        else:
+            executed = Executed.UNKNOWN if forward.status >= 400 else Executed.YES
+            self._answerer.finish_forward(call, forward.status, executed)
+        self._end(call)
+
+    def _finish_cut_stream(self, call: Call) -> bool:
+        """Completes a stream of which only the end mark is missing."""
+        if not call.caller.started or not _has_all_tokens(call):
+            return False
+        self._answerer.stream(call, b"data: [DONE]\n\n")
+        self._answerer.finish_stream(call)
+        self._end(call)
+        return True
 
     def _enqueue(self, call: Call) -> None:
         now = self._loop.now()
@@ -366,11 +398,24 @@
                 continue
             if now > call.retry_until:
                 self._fail(call, failures.create_no_target(call))
-            elif self._options.data_centre in self._snapshot.drained and not call.progress.tokens:
-                self._fail(call, failures.create_drained(call.tracker.executed))
+            elif self._must_leave(call):
+                self._leave_again(call)
             elif not self._start(call, self._choose_again(call, now)):
                 self._retrying.append(call)
 
+    def _leave_again(self, call: Call) -> None:
+        """Continues in another data centre after a failed attempt, if that is safe."""
+        if call.request.repeatable or call.tracker.executed is Executed.NO:
+            self._leave(call)
+        else:
+            self._fail_drained(call)
+
+    def _fail_drained(self, call: Call) -> None:
+        if call.progress.tokens and call.caller.started:
+            self._fail(call, failures.create_stream_incomplete(call, None))
+        else:
+            self._fail(call, failures.create_drained(call.tracker.executed))
+
     def _choose_again(self, call: Call, now: float) -> Choice:
         """Prefers targets that have not failed this call."""
         choice = self._choose(call, frozenset(call.tried))
@@ -427,15 +472,17 @@
 
     def on_stream_data(self, attempt: Attempt, data: bytes) -> None:
         """Relays verified events."""
-        call = attempt.call
-        call.tracker.on_answer(attempt.attempt_id)
+        attempt.call.tracker.on_answer(attempt.attempt_id)
+        self._relay(attempt.call, attempt, data)
+
+    def _relay(self, call: Call, run: Attempt | Forward, data: bytes) -> None:
         if call.first_token is None and call.progress.tokens:
             call.first_token = self._loop.now()
             histogram = self._metrics.first_token(call.request.config.name)
             histogram.record(call.first_token - call.received)
         if not call.answered:
             self._answerer.stream(call, data)
-            self._limit_buffer(call, attempt)
+            self._limit_buffer(call, run)
 
     def _limit_buffer(self, call: Call, run: Attempt | Forward) -> None:
         if call.caller.buffered > self._options.relay_buffer_bytes:
@@ -545,10 +592,8 @@
         call.tried.add(TargetId(call.traces[-1].target))
         if call.answered:
             self._end(call)
-        elif call.caller.started and _has_all_tokens(call):
-            # Only the end of the stream is missing.
-            self._answerer.stream(call, b"data: [DONE]\n\n")
-            self._complete(call, replace(result, kind=ResultKind.COMPLETE))
+        elif self._finish_cut_stream(call):
+            pass
         elif call.progress.tokens:
             self._resume(call, result, now)
         elif self._may_retry(call, now) and self._find_budget(call).try_retry():
@@ -665,7 +710,8 @@
             return
         limit = self._options.progress_timeout_s
         if isinstance(run, Forward):
-            if run.is_stalled(now, limit) or (not run.has_answer and now > call.deadline):
+            until = run.started + RESUME_WAIT_S if call.progress.tokens else call.deadline
+            if run.is_stalled(now, limit) or (not run.has_answer and now > until):
                 run.stop("no progress")
         elif run.is_stalled(now, limit):
             run.stop(ResultKind.STALLED, f"no progress for {limit:g} s")
--- a/src/mulberryrill/internal/gateway/failures.py
+++ b/src/mulberryrill/internal/gateway/failures.py
@@ -122,15 +122,17 @@
     )
 
 
-def create_forward_failed(call: Call) -> Failure:
+def create_forward_failed(call: Call, error: str) -> Failure:
     """The other data centre's gateway gave no complete answer."""
+    if call.progress.tokens:
+        return create_stream_incomplete(call, None)
     executed = call.tracker.executed
     if executed is Executed.YES:
         executed = Executed.UNKNOWN
     return Failure(
         502,
         "Forwarding failed",
-        "The gateway in another data centre gave no complete answer.",
+        f"The gateway in another data centre gave no complete answer: {error}.",
         executed,
         _find_action(call, executed),
     )
--- a/src/mulberryrill/internal/gateway/forwarding.py
+++ b/src/mulberryrill/internal/gateway/forwarding.py
@@ -1,13 +1,20 @@
-"""Sends a call to a gateway in another data centre and relays its answer unchanged."""
+"""Sends a call to a gateway in another data centre and relays its answer.
+
+A stream's events are read and counted here as well, so that it can be resumed if the other gateway
+fails. Other answers are relayed unchanged.
+"""
 
 import random
+from http import HTTPStatus
 from typing import Protocol
 
 from ..core.messages import MemberState, TargetState
 from ..core.snapshot import EntryMember, Snapshot
 from ..ids import DataCentre
 from .call import Call
+from .caller import encode_json
 from .loop import RelayLoop
+from .streams import BrokenStreamError, EventSplitter, StreamReader, build_continuation
 from .transfer import Transfer, TransferEnd, TransferRequest
 
 HOPS_HEADER = "X-Forwarded-Hops"
@@ -90,6 +97,9 @@
         self.entry = entry
         self.has_answer = False
         self.status = 0
+        self.started = loop.now()
+        self._splitter = EventSplitter()
+        self._reader: StreamReader | None = None
         self._is_over = False
         self._is_paused = False
         self._last_progress = loop.now()
@@ -100,6 +110,8 @@
             (HOPS_HEADER, str(request.hops + 1)),
             *request.headers,
         ]
+        if call.progress.tokens:
+            headers.append(("X-Model-Version", request.version))
         if request.key:
             headers.append(("Idempotency-Key", request.key))
         self._transfer = Transfer(
@@ -107,13 +119,18 @@
                 method=request.method,
                 url=entry.address + request.gateway_path,
                 headers=tuple(headers),
-                body=request.body,
+                body=_build_body(call),
                 connect_timeout_ms=connect_timeout_ms,
                 ca_file=ca_file,
             ),
             self,
         )
 
+    @property
+    def is_stream(self) -> bool:
+        """Tells whether the answer is a stream of events."""
+        return self._reader is not None
+
     @property
     def sent(self) -> bool:
         """Tells whether a byte of the call may have reached the other gateway."""
@@ -159,7 +176,12 @@
             self.stop("the other gateway answered for another request")
             return
         self.has_answer = True
+        self.status = status
         self._last_progress = self._loop.now()
+        request = self.call.request
+        is_events = headers.get("content-type", "").startswith("text/event-stream")
+        if request.is_stream and status == HTTPStatus.OK and is_events:
+            self._reader = StreamReader(self.call.progress, request.wants_usage)
         kept = {name: value for name, value in headers.items() if name not in _DROPPED_HEADERS}
         self._owner.on_forward_start(self, status, kept)
 
@@ -167,10 +189,43 @@
         """Relays bytes."""
         if not self._is_over:
             self._last_progress = self._loop.now()
-            self._owner.on_forward_data(self, data)
+            if self._reader is None:
+                self._owner.on_forward_data(self, data)
+            else:
+                self._relay_events(self._reader, data)
 
     def on_end(self, end: TransferEnd) -> None:
         """Reports the end."""
         if not self._is_over:
             self._is_over = True
-            self._owner.on_forward_end(self, end.error, end.sent)
+            is_done = self._reader is None or self._reader.is_done
+            error = end.error or ("" if is_done else "the stream ended early")
+            if self._reader is not None and is_done:
+                error = ""
+            self._owner.on_forward_end(self, error, end.sent)
+
+    def _relay_events(self, reader: StreamReader, data: bytes) -> None:
+        output = bytearray()
+        problem = ""
+        try:
+            for event in self._splitter.feed(data):
+                output += reader.read(event)
+        except BrokenStreamError as error:
+            problem = str(error)
+            self.call.progress.resumable &= error.resumable
+        if output:
+            self._owner.on_forward_data(self, bytes(output))
+        if problem:
+            self.stop(problem)
+
+
+def _build_body(call: Call) -> bytes:
+    request = call.request
+    if not request.is_stream:
+        return request.body
+    content = {**request.content, "stream_options": {"include_usage": True}}
+    content.pop("engine", None)
+    if call.progress.tokens:
+        # The other gateway continues the stream that broke here.
+        content["engine"] = build_continuation(call.progress)
+    return encode_json(content)
--- a/src/mulberryrill/internal/gateway/frontend.py
+++ b/src/mulberryrill/internal/gateway/frontend.py
@@ -19,6 +19,7 @@
 from .claimdesk import is_valid_key
 from .forwarding import HOPS_HEADER
 from .loop import RelayLoop
+from .streams import StreamProgress
 
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 SERVICE_PREFIX = "/v1/services/"
@@ -115,6 +116,11 @@
         model = content.get("model")
         config, version = _find_model(snapshot, token_hash, model)
         options = content.get("stream_options")
+        hops = _read_hops(request)
+        continued = _read_continuation(content) if hops else None
+        if continued is not None:
+            # A stream is continued on the version that began it.
+            version = request.headers.get("X-Model-Version", version)
         return CallRequest(
             request_id=request_id,
             authorization=request.headers.get("Authorization", ""),
@@ -125,7 +131,7 @@
             target_path=request.path,
             headers=(("Content-Type", "application/json"),),
             body=body,
-            hops=_read_hops(request),
+            hops=hops,
             key="",
             repeatable=True,
             is_stream=bool(content.get("stream")),
@@ -134,6 +140,7 @@
             version=version,
             prompt=_read_prompt(request.path, content),
             content=content,
+            continued=continued,
         )
 
     def _read_service_call(
@@ -191,6 +198,7 @@
             received_wall=self._clock.wall(),
             deadline=received + call_request.config.deadline_s,
             fingerprint=create_fingerprint(call_request),
+            progress=call_request.continued or StreamProgress(),
         )
         self._loop.post(lambda: self._submit(call))
 
@@ -269,6 +277,17 @@
     return json.dumps(prompt, separators=(",", ":")).encode("utf-8")
 
 
+def _read_continuation(content: dict) -> StreamProgress | None:
+    """Returns what another gateway has delivered of a stream that broke there."""
+    engine = content.get("engine")
+    if not isinstance(engine, dict) or not content.get("stream"):
+        return None
+    text, tokens = engine.get("continue_text"), engine.get("continue_tokens")
+    if not isinstance(text, str) or not isinstance(tokens, int) or tokens <= 0:
+        return None
+    return StreamProgress(tokens=tokens, parts=[text])
+
+
 def _list_models(
     request: Request, request_id: RequestId, snapshot: Snapshot, token_hash: str
 ) -> Response:
--- a/src/mulberryrill/internal/gateway/streams.py
+++ b/src/mulberryrill/internal/gateway/streams.py
@@ -55,6 +55,11 @@
         return "".join(self.parts)
 
 
+def build_continuation(progress: StreamProgress) -> dict[str, object]:
+    """Returns the members of "engine" that resume a stream after what was delivered."""
+    return {"continue_text": progress.text, "continue_tokens": progress.tokens}
+
+
 class StreamReader:
     """Reads the events of one attempt and decides which reach the caller."""
 
--- a/tests/process/test_gateway_forwarding.py
+++ b/tests/process/test_gateway_forwarding.py
@@ -1,17 +1,57 @@
 """Calls run in another data centre while their own is drained or has no target (I5)."""
 
 import socket
+import threading
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 
-from mulberryrill.internal.httpclient import HttpResponse
+from mulberryrill.internal.httpclient import HttpClient, HttpResponse
 from mulberryrill.internal.schema.log_pb2 import DRAINED, DataCentreOrder
-from mulberryrill.internal.schema.wire_pb2 import ClaimRequest
-from tests.common.gateway import LOCAL, GatewayTestCase, read_stream, wait_until
+from mulberryrill.internal.schema.wire_pb2 import ClaimRequest, Member, entry
+from tests.common.gateway import LOCAL, ControlDouble, GatewayTestCase, read_stream, wait_until
 from tests.process.test_gateway_calls import expect_text
 from tests.process.test_gateway_claims import PAY, create_key, read_executed
 
 
+class CuttingRelay:
+    """Relays connections to an address and cuts the first one after some bytes."""
+
+    def __init__(self, address: str, limit_bytes: int) -> None:
+        host, port = address.removeprefix("http://").split(":")
+        self._upstream = (host, int(port))
+        self._limit = limit_bytes
+        self._listener = socket.create_server((LOCAL, 0))
+        self.address = f"http://{LOCAL}:{self._listener.getsockname()[1]}"
+        self.connections = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            limit = self._limit if self.connections == 1 else 1 << 30
+            far = socket.create_connection(self._upstream)
+            threading.Thread(target=self._copy, args=(near, far, 1 << 30), daemon=True).start()
+            threading.Thread(target=self._copy, args=(far, near, limit), daemon=True).start()
+
+    def _copy(self, source: socket.socket, sink: socket.socket, limit: int) -> None:
+        try:
+            while limit > 0 and (data := source.recv(min(limit, 4096))):
+                sink.sendall(data)
+                limit -= len(data)
+            for side in (source, sink):
+                side.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
 class GatewayForwardingTest(GatewayTestCase):
     """Guards against lost calls, loops and double runs when calls leave their data centre."""
 
@@ -43,6 +83,9 @@
         self.other.update.members.extend(self.control.update.members)
         self.other.update.targets.extend(self.control.update.targets)
 
+    def wait_for_acks(self, control: ControlDouble, count: int) -> None:
+        wait_until(lambda: len(control.list("snapshot_ack")) == count, "acknowledged")
+
     def pay(self) -> HttpResponse:
         return self.call("POST", PAY, {"batch": 1}, Idempotency_Key=create_key())
 
@@ -57,6 +100,48 @@
             self.assertEqual(trace.request_id, answer.headers["x-request-id"])
         self.assertIn("msasani", self.control.list("request_trace")[0].attempts[0].reason)
 
+    def test_stream_that_breaks_in_a_drained_data_centre_continues_in_another(self) -> None:
+        """Guards against streams that are lost, or new work, in a drained data centre."""
+        self.start_engine()
+        self.start_both()
+        near = self.start_engine("engine-2", decode_ms_per_token=100)
+        self.control.publish()
+        self.wait_for_acks(self.control, 2)
+        with ThreadPoolExecutor(1) as pool:
+            future = pool.submit(self.complete, stream=True)
+            wait_until(self.has_output, "first token")
+            self.control.update.orders.append(
+                DataCentreOrder(data_centre="kariakoo", epoch=1, state=DRAINED)
+            )
+            self.control.publish()
+            self.wait_for_acks(self.control, 3)
+            self.set_faults(near, restart=1)
+            text, done, _ = read_stream(future.result())
+        self.assertEqual((text, done), (expect_text("hello"), True))
+        targets = [a.target for a in self.control.list("request_trace")[0].attempts]
+        self.assertEqual(targets, ["engine-2", "msasani-1"])
+
+    def has_output(self) -> bool:
+        client = HttpClient()
+        try:
+            metrics = client.send("GET", f"{self.admin_url}/metrics").body
+        finally:
+            client.close()
+        return b"time_to_first_token_seconds_count" in metrics
+
+    def test_stream_outlives_the_connection_between_gateways(self) -> None:
+        self.start_engine(decode_ms_per_token=20)
+        self.start_both("kariakoo")
+        member = self.control.update.members[-1]
+        relay = CuttingRelay(member.address, limit_bytes=1200)
+        self.addCleanup(relay.close)
+        member.address = relay.address
+        self.control.publish()
+        self.wait_for_acks(self.control, 2)
+        text, done, _ = read_stream(self.complete(stream=True))
+        self.assertEqual((text, done), (expect_text("hello"), True))
+        self.assertEqual(relay.connections, 2)
+
     def test_call_without_target_here_is_forwarded(self) -> None:
         self.start_engine()
         self.start_both()
@@ -64,12 +149,17 @@
 
     def test_forwarded_call_is_not_forwarded_again(self) -> None:
         self.start_engine()
-        self.add_entry("kariakoo-2", "kariakoo", f"http://{LOCAL}:1")
         self.start_both("msasani")
         self.control.update.ClearField("orders")
         self.control.publish()
-        wait_until(lambda: len(self.control.list("snapshot_ack")) == 2, "return acknowledged")
+        self.other.update.members.append(
+            Member(id="kariakoo-1", kind=entry, data_centre="kariakoo", address=self.url)
+        )
+        self.other.publish()
+        for control in (self.control, self.other):
+            self.wait_for_acks(control, 2)
         self.assertEqual(read_executed(self.complete()), (503, "no"))
+        self.assertEqual(self.other.list("request_trace")[0].attempts[:], [])
 
     def test_drained_everywhere_is_not_run(self) -> None:
         self.start_engine()
@@ -103,7 +193,7 @@
         near = self.start_engine("engine-2")
         self.control.slots = 0
         self.control.publish()
-        wait_until(lambda: len(self.control.list("snapshot_ack")) == 2, "target seen")
+        self.wait_for_acks(self.control, 2)
         with ThreadPoolExecutor(1) as pool:
             future = pool.submit(self.complete)
             wait_until(
