--- a/src/mulberryrill/internal/control/peers.py
+++ b/src/mulberryrill/internal/control/peers.py
@@ -14,6 +14,7 @@
 from .link import ToPeer
 
 HEARTBEAT_S = 1.0
+PROGRESS_HEARTBEAT_S = 0.2
 # An instance that was silent for this time is not asked and not waited for.
 SILENCE_S = 3.0
 # The data centre's progress is sent to others when it changed, but not more often than this.
@@ -25,6 +26,7 @@
 BEHIND_S = 2.0
 # A peer is asked for its state at most this often.
 STATE_REQUEST_S = 1.0
+STATE_REPLY_S = 0.5
 # While the log cannot be read for this time, a new instance asks its peers instead.
 PEER_START_S = 3.0
 
@@ -62,10 +64,12 @@
         self._peers: dict[str, _Peer] = {}
         self._progress: dict[str, Progress] = {}
         self._asked_at: dict[str, float] = {}
+        self._state_sent_at: dict[str, float] = {}
         self._replied: set[str] = set()
         self._started_at = clock.monotonic()
         self._behind_since: float | None = None
         self._beat_at = 0.0
+        self._beat_offset = 0
         # Progress last sent to each recipient in another data centre, and when.
         self._summaries: dict[str, tuple[dict[str, int], float]] = {}
 
@@ -84,6 +88,14 @@
             self._set_progress(item.instance, Progress(item.data_centre, item.in_force_offset, at))
         return is_new
 
+    def may_reply(self, instance: str) -> bool:
+        """Tells whether a state request is answered; a state is long, and requests may pile up."""
+        now = self._clock.monotonic()
+        if now - self._state_sent_at.get(instance, -STATE_REPLY_S) < STATE_REPLY_S:
+            return False
+        self._state_sent_at[instance] = now
+        return True
+
     def on_state_reply(self, instance: str) -> None:
         """Notes that a peer has sent its state since this instance started."""
         self._replied.add(instance)
@@ -140,12 +152,18 @@
             and all(peer.heartbeat.folded_offset <= folded_offset for _, peer in heard)
         )
 
-    def is_due(self) -> bool:
-        """Tells whether the next heartbeat is due, and counts it as sent."""
+    def is_due(self, in_force_offset: int) -> bool:
+        """Tells whether the next heartbeat is due, and counts it as sent.
+
+        Progress is reported at once, because operators wait for it.
+        """
         now = self._clock.monotonic()
-        if now - self._beat_at < HEARTBEAT_S:
+        progressed = in_force_offset != self._beat_offset
+        interval_s = PROGRESS_HEARTBEAT_S if progressed else HEARTBEAT_S
+        if now - self._beat_at < interval_s:
             return False
         self._beat_at = now
+        self._beat_offset = in_force_offset
         return True
 
     def send_heartbeats(self, heartbeat: Heartbeat, recipients: Iterable[tuple[str, str]]) -> None:
--- a/src/mulberryrill/internal/core/slots.py
+++ b/src/mulberryrill/internal/core/slots.py
@@ -173,6 +173,9 @@
         self._promised_until = now + PROMISE_S
         # Own time minus the holder's time, never too small: the smallest seen includes some delay.
         self._offset = 0.0
+        # Reports sent since the promises have had no gap: date to own time. A grant that answers
+        # an earlier one is not valid, and its date cannot be converted with the present offset.
+        self._reports: dict[float, float] = {}
         self._grant: Slots = {}
         self._grant_until = float("-inf")
         self._caps: dict[TargetId, TargetCap] = {}
@@ -207,6 +210,8 @@
         if self.get_holder(now) is None:
             return SlotReport(instance=self._instance, sent_at=UNPROMISED)
         report = SlotReport(instance=self._instance, sent_at=now - self._offset)
+        self._reports = {d: sent for d, sent in self._reports.items() if now - sent < GRANT_S}
+        self._reports[report.sent_at] = now
         uses: dict[SlotKey, TargetUse] = {}
         for gateway in self._gateways.values():
             for key, count in gateway.account.list_left_behind(now).items():
@@ -224,8 +229,11 @@
 
     def on_grant(self, grant: SlotGrant, now: float) -> None:
         """Takes a grant of the promised holder; it ends by this instance's clock."""
-        until = grant.report_sent_at + grant.duration_ms / 1000.0 + self._offset
-        if grant.holder != self.get_holder(now) or until <= self._grant_until:
+        sent = self._reports.get(grant.report_sent_at)
+        if sent is None or grant.holder != self.get_holder(now):
+            return
+        until = sent + grant.duration_ms / 1000.0
+        if until <= self._grant_until:
             return
         self._grant = {
             (TargetId(g.target), Incarnation(g.incarnation)): g.slots for g in grant.grants
@@ -243,6 +251,7 @@
             self._offset = min(self._offset, now - request.sent_at)
         elif not refused:
             self._offset = now - request.sent_at
+            self._reports.clear()
             self._grant, self._grant_until = {}, float("-inf")
         if not refused:
             self._holder = holder
@@ -347,8 +356,10 @@
         self._slow_starts: dict[TargetId, SlowStart] = {}
         # Another instance may have been the holder since the caps were last used.
         self._caps_are_stale = True
+        self._held_since = float("-inf")
         # Sums over all instances.
         self._committed: dict[SlotKey, int] = {}
+        self._in_flight: dict[SlotKey, int] = {}
         self._wanted: dict[TargetId, int] = {}
 
     def tick(
@@ -457,10 +468,12 @@
 
     def _subtract(self, record: _Instance) -> None:
         _add_counts(self._committed, record.account.committed, -1)
+        _add_counts(self._in_flight, record.account.in_flight, -1)
         _add_counts(self._wanted, record.account.wanted, -1)
 
     def _add(self, record: _Instance) -> None:
         _add_counts(self._committed, record.account.committed, 1)
+        _add_counts(self._in_flight, record.account.in_flight, 1)
         _add_counts(self._wanted, record.account.wanted, 1)
 
     def _restore_caps(self, targets: Mapping[TargetId, TargetState], now: float) -> None:
@@ -473,6 +486,7 @@
             if reported:
                 self._slow_starts[target] = SlowStart(state.incarnation, min(reported))
         self._caps_are_stale = False
+        self._held_since = now
 
     def _count_results(self, report: SlotReport, targets: Mapping[TargetId, TargetState]) -> None:
         for use in report.uses:
@@ -501,8 +515,7 @@
         key = (state.target, state.incarnation)
         committed = self._committed.get(key, 0)
         reserved = self._count_reserved(key, cap // self._max_instances, now)
-        # Load that no report explains, for example of an instance this one does not know.
-        reserved += max(0, state.running + state.waiting - committed)
+        reserved += self._count_unexplained(state, now)
         fair = compute_fair_share(
             cap - reserved,
             record.account.wanted.get(state.target, 0),
@@ -512,6 +525,17 @@
         others = committed - record.account.committed.get(key, 0)
         return max(0, min(cap - reserved - others, fair))
 
+    def _count_unexplained(self, state: TargetState, now: float) -> int:
+        """Returns the load that no report explains, for example of an instance not known here.
+
+        The target's own count lags, so it is compared with what may be in flight. A new holder
+        compares it with what is known to be in flight, until earlier requests have mostly ended.
+        """
+        key = (state.target, state.incarnation)
+        is_new = now - self._held_since < SILENCE_S
+        explained = (self._in_flight if is_new else self._committed).get(key, 0)
+        return max(0, state.running + state.waiting - explained)
+
     def _count_reserved(self, key: SlotKey, floor: int, now: float) -> int:
         """Returns the floor shares of the instances that have not promised."""
         if floor == 0:
