Do TLS handshakes outside the accepting thread

Cause: a caller that opened a connection and never finished its TLS handshake kept all others out, because the handshake ran on the accepting thread. A listener that closed also reset the connections that waited at it. Change: the pool thread does the handshake within the read timeout; the closing server takes the waiting connections first. Measured: test_gateway_tls passes with a hanging handshake.

--- a/src/mulberryrill/internal/httpserver.py
+++ b/src/mulberryrill/internal/httpserver.py
@@ -75,10 +75,10 @@
     def __init__(
         self, listen: Listen, app: "WSGIApplication", threads: int, fd: int | None
     ) -> None:
-        context = _create_tls_context(listen)
-        super().__init__(
-            listen.host, listen.port, app, handler=_RequestHandler, ssl_context=context, fd=fd
-        )
+        super().__init__(listen.host, listen.port, app, handler=_RequestHandler, fd=fd)
+        # werkzeug would do the handshake on the accepting thread, where one silent caller could
+        # keep all others out.
+        self.ssl_context = _create_tls_context(listen)
         self._pool = ThreadPoolExecutor(threads, thread_name_prefix="http")
         self._detached: set[int] = set()
 
@@ -89,6 +89,8 @@
     def _handle(self, request, client_address) -> None:  # type: ignore[no-untyped-def]
         try:
             request.settimeout(READ_TIMEOUT_S)
+            if self.ssl_context is not None:
+                request = self.ssl_context.wrap_socket(request, server_side=True)
             self.finish_request(request, client_address)
         except Exception as error:  # A bad connection must not end its pool thread.
             log_event(_LOGGER, logging.DEBUG, Event.HTTP_HANDLER_FAILED, f"connection: {error}")
@@ -102,6 +104,17 @@
         """Leaves the socket open for its new owner when the handler ends."""
         self._detached.add(id(connection))
 
+    def server_close(self) -> None:
+        """Closes the listening socket after taking the connections that wait there, whose callers
+        would otherwise see a reset."""
+        try:
+            self.socket.setblocking(False)
+            while True:
+                self.process_request(*self.socket.accept())
+        except OSError:
+            pass  # No connection waits, or the socket is closed already.
+        super().server_close()
+
     def close_pool(self, wait: bool) -> None:
         """Stops the pool; with ``wait``, after all running handlers."""
         self._pool.shutdown(wait=wait)
