Look up a prompt's blocks once and explain only the next candidates

Cause: Router.choose walked the block keys again for each candidate and put every cost into words. Change: RoutingState.match walks the keys once; reasons are put into words for the chosen target and the next 8; the slot holder assesses what all shares of a grant have in common once.

--- a/src/mulberryrill/internal/core/estimates.py
+++ b/src/mulberryrill/internal/core/estimates.py
@@ -35,6 +35,20 @@
     prefill_until: float = float("-inf")
 
 
+@dataclass(frozen=True)
+class PrefixMatch:
+    """How much of a prompt was computed before, in blocks from its beginning."""
+
+    # By target run; runs that hold nothing are left out.
+    placed: dict[tuple[TargetId, Incarnation], int]
+    # Anywhere, stores included.
+    known: int
+
+    def count_placed(self, target: TargetState) -> int:
+        """Returns the blocks that the target is thought to hold."""
+        return self.placed.get((target.target, target.incarnation), 0)
+
+
 @dataclass
 class Started:
     """A request that runs."""
@@ -66,24 +80,19 @@
         known = self._estimates.get(target.target)
         return max(target.running + target.waiting, known.started if known is not None else 0)
 
-    def count_placed_blocks(self, request: RoutingRequest, target: TargetState) -> int:
-        """Returns the length of the prefix, in blocks, that the target is thought to hold."""
-        place = (target.target, target.incarnation)
-        count = 0
-        for key in request.block_keys:
-            if place not in self._placements.get(key, ()):
-                break
-            count += 1
-        return count
-
-    def count_known_blocks(self, request: RoutingRequest) -> int:
-        """Returns the length of the prefix, in blocks, that was computed before anywhere."""
-        count = 0
-        for key in request.block_keys:
-            if key not in self._placements:
+    def match(self, request: RoutingRequest) -> PrefixMatch:
+        """Looks up the blocks of a prompt."""
+        placed: dict[tuple[TargetId, Incarnation], int] = {}
+        known = 0
+        for position, key in enumerate(request.block_keys):
+            places = self._placements.get(key)
+            if places is None:
                 break
-            count += 1
-        return max([count, *(stored.blocks for stored in request.stored)])
+            known = position + 1
+            for place in places:
+                if placed.get(place, 0) == position:
+                    placed[place] = known
+        return PrefixMatch(placed, max([known, *(stored.blocks for stored in request.stored)]))
 
     def get_link(self, store: str) -> TokenBucket | None:
         """Returns the budget of a store's link; None if it may not be used."""
@@ -102,12 +111,12 @@
 
     def record_start(self, request: RoutingRequest, target: TargetState, now: float) -> None:
         """Counts the request, its expected prefill time, and where its blocks will be."""
-        placed = self.count_placed_blocks(request, target)
-        by_hash = bool(request.block_keys) and self.count_known_blocks(request) == 0
+        match = self.match(request)
+        by_hash = bool(request.block_keys) and match.known == 0
         self._started[(request.request_id, target.target)] = Started(now, by_hash)
         estimate = self.get_estimate(target.target)
         estimate.started += 1
-        tokens = max(0, request.prompt_tokens - placed * TOKENS_PER_BLOCK)
+        tokens = max(0, request.prompt_tokens - match.count_placed(target) * TOKENS_PER_BLOCK)
         prefill_s = tokens / estimate.prefill_tokens_per_s
         estimate.prefill_until = max(estimate.prefill_until, now) + prefill_s
         self._place(request.block_keys, target)
--- a/src/mulberryrill/internal/core/policies.py
+++ b/src/mulberryrill/internal/core/policies.py
@@ -2,11 +2,12 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
-from .estimates import TOKENS_PER_BLOCK, RoutingState
+from .estimates import TOKENS_PER_BLOCK, PrefixMatch, RoutingState
 from .messages import RoutingRequest, StoredPrefix, TargetState
 from .rendezvous import rank_members
 
@@ -16,10 +17,10 @@
 
 @dataclass(frozen=True)
 class Ranked:
-    """A candidate and the reason for its place."""
+    """A candidate and the reason for its place, which is put into words only if it is needed."""
 
     target: TargetState
-    reason: str
+    explain: Callable[[], str]
     imported: StoredPrefix | None = None
 
 
@@ -52,9 +53,7 @@
         """Orders by load."""
         shuffled = generator.sample(list(candidates), len(candidates))
         shuffled.sort(key=lambda t: get_utilization(t, state))
-        return [
-            Ranked(t, f"load {state.get_load(t)} of {t.max_concurrency} requests") for t in shuffled
-        ]
+        return [Ranked(t, partial(describe_load, t, state.get_load(t))) for t in shuffled]
 
 
 class Affinity:
@@ -71,9 +70,9 @@
         """Orders by placed prefix, then by rendezvous hash; candidates with too much load last."""
         if not request.block_keys:
             return LeastLoaded().rank(request, candidates, state, generator, now)
-        placed = {t.target: state.count_placed_blocks(request, t) for t in candidates}
+        match = state.match(request)
         order = rank_by_hash(request, candidates)
-        order.sort(key=lambda t: -placed[t.target])
+        order.sort(key=match.count_placed, reverse=True)
         total = sum(state.get_load(t) for t in candidates) + 1
         capacity = sum(max(1, t.max_concurrency) for t in candidates)
         within: list[Ranked] = []
@@ -82,11 +81,10 @@
             part = total * max(1, target.max_concurrency) / capacity
             load = state.get_load(target)
             if load + 1 <= math.ceil(LOAD_BOUND * part):
-                reason = f"{placed[target.target]} of {len(request.block_keys)} blocks placed there"
-                within.append(Ranked(target, reason if placed[target.target] else "first by hash"))
+                placed = match.count_placed(target)
+                within.append(Ranked(target, partial(describe_placed, request, placed)))
             else:
-                reason = f"passed over: load {load} is above {LOAD_BOUND} times its part {part:.1f}"
-                above.append(Ranked(target, reason))
+                above.append(Ranked(target, partial(describe_excess, load, part)))
         return within + above
 
 
@@ -128,34 +126,56 @@
             order = rank_by_hash(request, candidates)
         else:
             order = generator.sample(list(candidates), len(candidates))
-        is_unknown = bool(request.block_keys) and state.count_known_blocks(request) == 0
+        match = state.match(request)
+        is_unknown = bool(request.block_keys) and match.known == 0
         costs: list[tuple[TargetState, Cost]] = []
         for position, target in enumerate(order):
-            tokens = float(state.count_placed_blocks(request, target) * TOKENS_PER_BLOCK)
+            tokens = float(match.count_placed(target) * TOKENS_PER_BLOCK)
             if is_unknown and position == 0:
                 blocks = len(request.block_keys)
                 tokens = state.hash_hit_share * blocks * TOKENS_PER_BLOCK
-            costs.append((target, self._find_best(request, target, tokens, state, now)))
+            costs.append((target, self._find_best(request, target, tokens, match, state, now)))
         costs.sort(key=lambda entry: (entry[1].total, get_utilization(entry[0], state)))
-        return [Ranked(target, cost.describe(), cost.imported) for target, cost in costs]
+        return [Ranked(target, cost.describe, cost.imported) for target, cost in costs]
 
     def _find_best(
         self,
         request: RoutingRequest,
         target: TargetState,
         cached_tokens: float,
+        match: PrefixMatch,
         state: RoutingState,
         now: float,
     ) -> Cost:
         """Compares computing everything that is not cached with each possible import."""
-        options = [compute_cost(request, target, cached_tokens, None, state, now)]
+        known_tokens = min(request.prompt_tokens, match.known * TOKENS_PER_BLOCK)
+        options = [
+            compute_cost(request, target, cached_tokens, known_tokens, None, state, now),
+        ]
         for stored in request.stored:
             part = limit_import(stored, cached_tokens, state, now)
             if part is not None:
-                options.append(compute_cost(request, target, cached_tokens, part, state, now))
+                options.append(
+                    compute_cost(request, target, cached_tokens, known_tokens, part, state, now)
+                )
         return min(options, key=lambda cost: cost.total)
 
 
+def describe_load(target: TargetState, load: int) -> str:
+    """Returns the reason of the least-loaded policy."""
+    return f"load {load} of {target.max_concurrency} requests"
+
+
+def describe_placed(request: RoutingRequest, blocks: int) -> str:
+    """Returns the reason for an affine target."""
+    return f"{blocks} of {len(request.block_keys)} blocks placed there" if blocks else "by hash"
+
+
+def describe_excess(load: int, part: float) -> str:
+    """Returns the reason for passing a target over."""
+    return f"passed over: load {load} is above {LOAD_BOUND} times its part {part:.1f}"
+
+
 def get_utilization(target: TargetState, state: RoutingState) -> float:
     """Returns the load in relation to the target's concurrency."""
     return state.get_load(target) / max(1, target.max_concurrency)
@@ -190,6 +210,7 @@
     request: RoutingRequest,
     target: TargetState,
     cached_tokens: float,
+    known_tokens: int,
     imported: StoredPrefix | None,
     state: RoutingState,
     now: float,
@@ -209,7 +230,6 @@
     compute_s = max(0.0, request.prompt_tokens - ready_tokens) / rate
     # Running requests share the accelerator with the prompt.
     queue_s += compute_s * min(1.0, get_utilization(target, state))
-    known_tokens = min(request.prompt_tokens, state.count_known_blocks(request) * TOKENS_PER_BLOCK)
     recomputed_s = max(0.0, known_tokens - ready_tokens) / rate
     weights = request.weights
     total = (
--- a/src/mulberryrill/internal/core/routing.py
+++ b/src/mulberryrill/internal/core/routing.py
@@ -15,6 +15,10 @@
     "least-loaded": LeastLoaded,
 }
 
+# Candidates after the chosen one whose reasons are given; to put hundreds of costs into words would
+# take longer than computing them.
+MAX_EXPLAINED = 8
+
 
 def create_policy(name: str) -> Policy:
     """Returns the policy named in the settings; raises CoreError for another name."""
@@ -60,11 +64,16 @@
         ranked = self._policy.rank(request, candidates, self._state, self._generator, now)
         for position, entry in enumerate(ranked):
             if free_slots(entry.target) <= 0:
-                rejected.append(Rejection(entry.target.target, f"no free slot ({entry.reason})"))
+                rejected.append(Rejection(entry.target.target, "no free slot"))
                 continue
             self._reserve_import(entry, now)
-            rejected.extend(Rejection(e.target.target, e.reason) for e in ranked[position + 1 :])
-            return Choice(entry.target, entry.reason, tuple(rejected), entry.imported)
+            next_best = ranked[position + 1 : position + 1 + MAX_EXPLAINED]
+            rejected.extend(Rejection(e.target.target, e.explain()) for e in next_best)
+            reason = entry.explain()
+            others = len(ranked) - position - 1 - len(next_best)
+            if others > 0:
+                reason += f"; {others} more candidates ranked lower"
+            return Choice(entry.target, reason, tuple(rejected), entry.imported)
         reason = "all candidates are full" if ranked else "no target can serve the request"
         return Choice(None, reason, tuple(rejected))
 
--- a/src/mulberryrill/internal/core/slots.py
+++ b/src/mulberryrill/internal/core/slots.py
@@ -332,6 +332,19 @@
         return self.account.reported_at >= self.promised_since
 
 
+@dataclass(frozen=True)
+class _Situation:
+    """What the shares of all targets in one grant have in common."""
+
+    # Number of instances that divide the caps.
+    required: int
+    # Number of instances that may exist without being known here.
+    unknown: int
+    unpromised: list[_Instance]
+    # The holder has been in office for less than the longest run it can account for.
+    is_new: bool
+
+
 class SlotHolder:
     """Divides the caps of the data centre's targets while every instance has promised to it."""
 
@@ -417,9 +430,10 @@
             holder=self._instance, report_sent_at=report.sent_at, duration_ms=duration_ms
         )
         slots: Slots = {}
+        situation = self._assess(now)
         for target, state in sorted(targets.items()):
             cap = self._get_cap(state)
-            share = self._compute_share(record, state, cap, now)
+            share = self._compute_share(record, state, cap, situation)
             if share > 0:
                 slots[(target, state.incarnation)] = share
                 grant.grants.add(target=target, incarnation=state.incarnation, slots=share)
@@ -510,40 +524,48 @@
     def _get_cap(self, state: TargetState) -> int:
         return min(self._get_slow_start(state).cap, max(1, state.max_concurrency))
 
-    def _compute_share(self, record: _Instance, state: TargetState, cap: int, now: float) -> int:
+    def _assess(self, now: float) -> _Situation:
+        return _Situation(
+            required=len(self._list_required(now)),
+            unknown=max(0, self._max_instances - len(self._instances)),
+            unpromised=[r for r in self._instances.values() if r.promised_until <= now],
+            is_new=now - self._held_since < SILENCE_S,
+        )
+
+    def _compute_share(
+        self, record: _Instance, state: TargetState, cap: int, situation: _Situation
+    ) -> int:
         """Returns the slots of one instance: at most what the others, known or not, leave."""
         key = (state.target, state.incarnation)
         committed = self._committed.get(key, 0)
-        reserved = self._count_reserved(key, cap // self._max_instances, now)
-        reserved += self._count_unexplained(state, now)
+        reserved = self._count_reserved(key, cap // self._max_instances, situation)
+        reserved += self._count_unexplained(state, situation.is_new)
         fair = compute_fair_share(
             cap - reserved,
             record.account.wanted.get(state.target, 0),
             self._wanted.get(state.target, 0),
-            len(self._list_required(now)),
+            situation.required,
         )
         others = committed - record.account.committed.get(key, 0)
         return max(0, min(cap - reserved - others, fair))
 
-    def _count_unexplained(self, state: TargetState, now: float) -> int:
+    def _count_unexplained(self, state: TargetState, is_new: bool) -> int:
         """Returns the load that no report explains, for example of an instance not known here.
 
         The target's own count lags, so it is compared with what may be in flight. A new holder
         compares it with what is known to be in flight, until earlier requests have mostly ended.
         """
         key = (state.target, state.incarnation)
-        is_new = now - self._held_since < SILENCE_S
         explained = (self._in_flight if is_new else self._committed).get(key, 0)
         return max(0, state.running + state.waiting - explained)
 
-    def _count_reserved(self, key: SlotKey, floor: int, now: float) -> int:
+    def _count_reserved(self, key: SlotKey, floor: int, situation: _Situation) -> int:
         """Returns the floor shares of the instances that have not promised."""
         if floor == 0:
             return 0
-        reserved = floor * max(0, self._max_instances - len(self._instances))
-        for record in self._instances.values():
-            if record.promised_until <= now:
-                reserved += max(0, floor - record.account.committed.get(key, 0))
+        reserved = floor * situation.unknown
+        for record in situation.unpromised:
+            reserved += max(0, floor - record.account.committed.get(key, 0))
         return reserved
 
 
