Withdraw claims that a reader with a gap cannot decide

Cause: after a gap in the stream, a claim whose key may have had earlier claims was answered as outside the window and left in the log. Other instances could see it as the first, so the key was blocked with executed: unknown, although the caller had been told executed: no.

Change: such a claim is undecided: refused as unavailable and withdrawn.

Conclusion: a refused claim no longer blocks its key after a gap.

--- a/src/mulberryrill/internal/core/claims.py
+++ b/src/mulberryrill/internal/core/claims.py
@@ -67,6 +67,8 @@
     WON = "won"
     LOST = "lost"
     OUT_OF_WINDOW = "out of window"
+    # Earlier claims of the key may have been missed; other instances may see it as the first.
+    UNDECIDED = "undecided"
     VOIDED = "voided"
     OUTCOME = "outcome"
 
@@ -158,7 +160,7 @@
         self._outcomes: deque[_PackedKey] = deque()
         self._outcome_bytes = 0
         self._folded: Offset | None = None
-        # Claims before this time may be missing; keys that could have had them win nothing.
+        # Claims before this time may be missing; claims of keys that old stay undecided.
         self._missing_until_ms = -1
         self.last_time_ms = 0
         self.corrupt_records = 0
@@ -214,6 +216,8 @@
         key_id = _identify(claim)
         if not claim.claim_id or not self._is_valid(key_id.key, record.time_ms):
             return ClaimEvent(ClaimEventKind.OUT_OF_WINDOW, claim.claim_id, key_id, record.offset)
+        if self._may_miss_claims(key_id.key):
+            return ClaimEvent(ClaimEventKind.UNDECIDED, claim.claim_id, key_id, record.offset)
         state = self._get_state(key_id)
         if state.claim_id == claim.claim_id:
             return None
@@ -226,10 +230,13 @@
 
     def _is_valid(self, key: str, time_ms: int) -> bool:
         created_ms = read_key_time_ms(key)
-        if created_ms is None or created_ms - KEY_LEAD_MS <= self._missing_until_ms:
+        if created_ms is None:
             return False
         return created_ms - KEY_LEAD_MS <= time_ms <= created_ms + self._window_ms
 
+    def _may_miss_claims(self, key: str) -> bool:
+        return (read_key_time_ms(key) or 0) - KEY_LEAD_MS <= self._missing_until_ms
+
     def _apply_void(self, void: ClaimVoid, record: Record) -> ClaimEvent | None:
         key_id = _identify(void)
         if not self._is_valid(key_id.key, record.time_ms):
@@ -457,6 +464,8 @@
                 actions += self._grant_if_certain(waiting)
             elif event.kind == ClaimEventKind.LOST:
                 actions += self._settle(waiting, self._answer_held)
+            elif event.kind == ClaimEventKind.UNDECIDED:
+                actions += self._give_up(waiting)
             elif event.kind == ClaimEventKind.OUT_OF_WINDOW:
                 actions += self._settle(waiting, lambda r: _create_reply(r, EXPIRED))
         return actions + self._flush(now)
