--- a/src/mulberryrill/internal/control/slots.py
+++ b/src/mulberryrill/internal/control/slots.py
@@ -21,6 +21,8 @@
 REPORT_S = 0.3
 # Waiting requests and failures are reported at once, but not more often than this.
 URGENT_REPORT_S = 0.1
+# The holder answers at most about this many reports a second, because each costs it milliseconds.
+HOLDER_REPORTS_PER_SECOND = 100
 
 
 class Slots:
@@ -41,7 +43,7 @@
         self._holder = holder
         self._send = send
         self._clock = clock
-        self._identities: dict[str, str] = {}
+        self._senders: dict[str, str] = {}
         self._reported_at = 0.0
         self._is_urgent = False
 
@@ -50,9 +52,9 @@
         promised = self._client.get_holder(self._clock.monotonic())
         return promised or choose_member(self._data_centre, listed) or ""
 
-    def on_gateway_report(self, identity: str, report: GatewayReport) -> None:
-        """Takes a gateway's report; ``identity`` is its connection."""
-        self._identities[report.gateway] = identity
+    def on_gateway_report(self, sender: str, report: GatewayReport) -> None:
+        """Takes a gateway's report; ``sender`` is the name that messages to it are sent to."""
+        self._senders[report.gateway] = sender
         self._client.on_gateway_report(report, self._clock.monotonic())
         if any(use.demand or use.failures for use in report.uses):
             self._is_urgent = True
@@ -88,9 +90,9 @@
         """Renews the gateways' parts, or their floor shares while there is no grant."""
         now = self._clock.monotonic()
         for update in self._client.list_gateway_grants(now):
-            identity = self._identities.get(update.gateway)
-            if identity is not None:
-                self._send(ToGateway(identity, Envelope(grant_update=update)))
+            sender = self._senders.get(update.gateway)
+            if sender is not None:
+                self._send(ToGateway(sender, Envelope(grant_update=update)))
 
     def tick(
         self,
@@ -105,7 +107,8 @@
             else:
                 self._send(ToPeer(recipient, Envelope(slot_promise_request=request)))
         age = now - self._reported_at
-        if age >= REPORT_S or (self._is_urgent and age >= URGENT_REPORT_S):
+        shortest_s = max(URGENT_REPORT_S, len(listed) / HOLDER_REPORTS_PER_SECOND)
+        if age >= max(REPORT_S, shortest_s) or (self._is_urgent and age >= shortest_s):
             self._reported_at = now
             self._is_urgent = False
             self._report(now, listed, list_targets)
