--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -12,6 +12,7 @@
 
 from mulberryrill.internal.control.program import ControlProgram
 from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.schema.log_pb2 import Claim
 from mulberryrill.internal.schema.settings_pb2 import (
     ControlSettings,
     KeyPair,
@@ -20,7 +21,14 @@
     PlatformSettings,
     SiteOperator,
 )
-from mulberryrill.internal.schema.wire_pb2 import Envelope, GatewayReport, SnapshotAck, TargetUse
+from mulberryrill.internal.schema.wire_pb2 import (
+    ClaimReply,
+    ClaimRequest,
+    Envelope,
+    GatewayReport,
+    SnapshotAck,
+    TargetUse,
+)
 from mulberryrill.internal.standins.platform import PlatformStandin
 from mulberryrill.internal.transport import decode_envelope, encode_envelope, open_client
 
@@ -100,6 +108,27 @@
                 version = envelope.snapshot_update.version
                 self.send(snapshot_ack=SnapshotAck(gateway=self.name, version=version))
 
+    def ask_claim(self, claim_id: str, key: str, digest: bytes = b"digest") -> None:
+        claim = Claim(
+            claim_id=claim_id,
+            customer="kariakoo",
+            service="pay",
+            key=key,
+            request_digest=digest,
+            instance=self._instance,
+        )
+        self.send(claim_request=ClaimRequest(request_id=f"req-{claim_id}", claim=claim))
+
+    def find_claim(self, claim_id: str) -> ClaimReply | None:
+        replies = [e.claim_reply for e in self.others if e.claim_reply.claim_id == claim_id]
+        return replies[0] if replies else None
+
+    def wait_for_claim(self, claim_id: str) -> ClaimReply:
+        self.wait_for(lambda: self.find_claim(claim_id) is not None, f"a reply to {claim_id}")
+        reply = self.find_claim(claim_id)
+        assert reply is not None
+        return reply
+
     def wait_for(self, condition: Callable[[], bool], what: str) -> None:
         def step() -> bool:
             self.exchange()
--- a/tests/process/test_control_alone.py
+++ b/tests/process/test_control_alone.py
@@ -7,7 +7,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from mulberryrill.internal.httpclient import HttpClient
-from mulberryrill.internal.schema.log_pb2 import Claim, Outcome
+from mulberryrill.internal.schema.log_pb2 import Outcome
 from mulberryrill.internal.schema.settings_pb2 import Listen, PlatformSettings
 from mulberryrill.internal.schema.wire_pb2 import (
     ClaimReply,
@@ -188,27 +188,8 @@
         self.assertEqual((shown["status"], shown["received_unix_ms"]), (200, 5))
 
     def claim(self, claim_id: str, key: str, digest: bytes = b"digest") -> ClaimReply:
-        claim = Claim(
-            claim_id=claim_id,
-            customer="kariakoo",
-            service="pay",
-            key=key,
-            request_digest=digest,
-            instance=self.settings.instance,
-        )
-        self.gateway.send(claim_request=ClaimRequest(request_id=f"req-{claim_id}", claim=claim))
-        found: list[ClaimReply] = []
-
-        def is_answered() -> bool:
-            found.extend(
-                envelope.claim_reply
-                for envelope in self.gateway.others
-                if envelope.claim_reply.claim_id == claim_id
-            )
-            return bool(found)
-
-        self.gateway.wait_for(is_answered, f"a reply to {claim_id}")
-        return found[0]
+        self.gateway.ask_claim(claim_id, key, digest)
+        return self.gateway.wait_for_claim(claim_id)
 
 
 class ControlRetentionTest(ControlTestCase):
--- a/tests/process/test_control_peers.py
+++ b/tests/process/test_control_peers.py
@@ -8,6 +8,8 @@
 from mulberryrill.internal.schema.log_pb2 import DRAINED, DataCentreOrder
 from mulberryrill.internal.schema.settings_pb2 import EngineSettings, Listen
 from mulberryrill.internal.schema.wire_pb2 import (
+    ClaimStatus,
+    CrashReport,
     Envelope,
     GatewayReport,
     Heartbeat,
@@ -16,7 +18,7 @@
 )
 from mulberryrill.internal.standins.engine import EngineStandin
 from mulberryrill.internal.transport import encode_envelope, open_client
-from tests.common.control import ControlTestCase, introduce, wait_for
+from tests.common.control import ControlTestCase, Gateway, create_key, introduce, wait_for
 
 DRAIN = b'{"state": "drained", "reason": "power"}'
 
@@ -120,6 +122,43 @@
         # A cold target bears one request, so both instances together never have more.
         self.assertEqual(most, 1)
 
+    def test_one_of_two_instances_wins_each_key(self) -> None:
+        """Guards against a payment that runs twice because its caller retried elsewhere."""
+        self.first.claim_streams = self.second.claim_streams = 2
+        gateways = [
+            self.connect_gateway(self.start_control(settings), settings)
+            for settings in (self.first, self.second)
+        ]
+        keys = [create_key() for _ in range(20)]
+        for number, key in enumerate(keys):
+            for side, gateway in enumerate(gateways):
+                gateway.ask_claim(f"c-{number}-{side}", key)
+        for number in range(len(keys)):
+            replies = [g.wait_for_claim(f"c-{number}-{side}") for side, g in enumerate(gateways)]
+            statuses = sorted(reply.status for reply in replies)
+            self.assertEqual(statuses, [ClaimStatus.GRANTED, ClaimStatus.IN_PROGRESS])
+
+    def test_crash_reports_reach_all_gateways_and_new_instances(self) -> None:
+        """Guards against a request that crashes one target after another through retries."""
+        first, second = self.start_control(self.first), self.start_control(self.second)
+        gateways = [
+            self.connect_gateway(first, self.first),
+            self.connect_gateway(second, self.second),
+        ]
+        wait_for(lambda: "k-2" in self.list_live(first), "heartbeats")
+        for target in ("e-0", "e-1"):
+            report = CrashReport(fingerprint="f", target=target)
+            gateways[0].send(crash_report=report)
+
+        def list_crashes(gateway: Gateway) -> list[int]:
+            return [q.crashes for s in gateway.snapshots[-1:] for q in s.quarantine]
+
+        for gateway in gateways:
+            gateway.wait_for(lambda g=gateway: list_crashes(g) == [2], "the entry")  # type: ignore[misc]
+        remote = self.start_control(self.remote)
+        newcomer = self.connect_gateway(remote, self.remote)
+        newcomer.wait_for(lambda: list_crashes(newcomer) == [2], "the entry from the log")
+
     def test_messages_in_the_name_of_another_instance_are_rejected(self) -> None:
         """Guards against an instance that acts for another one, or as its gateway."""
         first = self.start_control(self.first)
