--- a/tests/common/gateway.py
+++ b/tests/common/gateway.py
@@ -98,6 +98,8 @@
         self.answer_claim: Callable[[ClaimRequest], ClaimReply | None] = grant_claim
         self.update = SnapshotUpdate(epoch="run-1", ready=True, live_instances=1, max_instances=1)
         self.slots = 8
+        # Whether each report is answered with new slots.
+        self.renews = True
         self._keys = keys
         self._context = zmq.Context()
         self._authenticator = Authenticator(self._context, [keys.public_key])
@@ -148,7 +150,7 @@
                 self._identities.add(identity)
                 envelope = decode_envelope(frame)
                 self.received.append(envelope)
-                if envelope.WhichOneof("body") == "gateway_report":
+                if envelope.WhichOneof("body") == "gateway_report" and self.renews:
                     self.send_grant()
                 if envelope.WhichOneof("body") == "claim_request":
                     reply = self.answer_claim(envelope.claim_request)
--- a/tests/process/test_gateway_claims.py
+++ b/tests/process/test_gateway_claims.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 import time
 import uuid
 
@@ -17,7 +18,7 @@
     ClaimRequest,
     Envelope,
 )
-from tests.common.gateway import LOCAL, GatewayTestCase, grant_claim, wait_until
+from tests.common.gateway import LOCAL, TOKEN, GatewayTestCase, grant_claim, wait_until
 
 PAY = "/v1/services/sugar/pay"
 
@@ -133,6 +134,20 @@
         self.assertEqual(read_executed(self.pay(create_key())), (503, "no"))
         wait_until(lambda: self.control.list("claim_abandon"), "claim abandoned")
 
+    def test_run_whose_caller_leaves_records_its_outcome(self) -> None:
+        """Guards against a run that is cancelled halfway, whose outcome nobody knows."""
+        self.start_gateway()
+        self.set_faults(self.service, delay_ms=500)
+        head = (
+            f"POST {PAY} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {TOKEN}\r\n"
+            f"Idempotency-Key: {create_key()}\r\nContent-Length: 0\r\n\r\n"
+        )
+        with socket.create_connection((LOCAL, int(self.url.rsplit(":", 1)[1]))) as connection:
+            connection.sendall(head.encode())
+            wait_until(lambda: self.count_executions() == 1, "call runs")
+        wait_until(lambda: self.control.list("outcome_report"), "outcome reported")
+        self.assertEqual(self.control.list("request_trace")[0].status, 499)
+
     def test_run_outlives_its_caller_and_records_its_outcome(self) -> None:
         self.start_gateway()
         self.set_faults(self.service, delay_ms=1500)
--- a/tests/process/test_gateway_faults.py
+++ b/tests/process/test_gateway_faults.py
@@ -4,9 +4,11 @@
 import socket
 import time
 from collections.abc import Callable
+from unittest import mock
 
 from werkzeug.wrappers import Request, Response
 
+from mulberryrill.internal.gateway.caller import CallerConnection
 from mulberryrill.internal.httpclient import HttpResponse
 from mulberryrill.internal.httpserver import HttpServer
 from mulberryrill.internal.schema.settings_pb2 import Listen
@@ -135,6 +137,14 @@
     def test_slow_caller_gets_everything(self) -> None:
         self.start_engine(decode_ms_per_token=0)
         self.start_gateway(relay_buffer_bytes=2000)
+        sizes: list[int] = []
+        write = CallerConnection.write
+
+        def record(connection: CallerConnection, data: bytes) -> None:
+            write(connection, data)
+            sizes.append(connection.buffered)
+
+        self.enterContext(mock.patch.object(CallerConnection, "write", record))
         body = json.dumps(
             {"model": "flavour-7b", "prompt": "x", "max_tokens": 40_000, "stream": True}
         ).encode()
@@ -151,3 +161,5 @@
                 received += data
         self.assertEqual(received.count(b'"text"'), 40_000)
         self.assertIn(b"data: [DONE]", received)
+        # One read of libcurl after the limit, and the framing of its events.
+        self.assertLess(max(sizes), 200_000)
--- a/tests/process/test_gateway_load.py
+++ b/tests/process/test_gateway_load.py
@@ -4,6 +4,7 @@
 import socket
 import tempfile
 import threading
+import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from mulberryrill.internal.httpclient import HttpClient, HttpResponse
@@ -87,6 +88,7 @@
         self.start_gateway()
         self.assertEqual(self.complete().status, 200)
         standin.close()
+        self.control.renews = False
         before = len(self.control.list("gateway_report"))
         future = self.call_together(1)[0]
         wait_until(
@@ -97,9 +99,14 @@
             ),
             "failure reported",
         )
+        # Enough time for all attempts, if the gateway used its old slots again.
+        time.sleep(1.5)
         self.control.update.targets[0].health = HEALTHY
         self.control.publish()
         self.assertEqual(future.result().status, 200)
+        wait_until(lambda: len(self.control.list("request_trace")) == 2, "trace sent")
+        attempts = self.control.list("request_trace")[1].attempts
+        self.assertEqual([a.target for a in attempts], ["engine-2", "engine-1"])
 
 
 class CustomerLimitTest(GatewayTestCase):
@@ -132,7 +139,7 @@
     def test_shutdown_fails_readiness_first_and_interrupts_no_call(self) -> None:
         """Guards against calls that a graceful shutdown cuts (I10)."""
         self.start_engine(decode_ms_per_token=50)
-        program = self.start_gateway(balancer_lag_ms=500)
+        program = self.start_gateway(balancer_lag_ms=1500)
         with ThreadPoolExecutor(3) as pool:
             running = pool.submit(self.complete, stream=True, max_tokens=40)
             wait_until(
@@ -147,6 +154,8 @@
             wait_until(
                 lambda: client.send("GET", f"{self.admin_url}/readyz").status == 503, "not ready"
             )
+            # Longer than a server without the lag needs to close its listener.
+            time.sleep(0.5)
             self.assertEqual(self.complete(max_tokens=1).status, 200)
             self.assertFalse(closing.done())
             self.assertIn(b"data: [DONE]", running.result().body)
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -93,6 +93,13 @@
         self.reader.read(forged)
         self.assertFalse(self.progress.resumable)
 
+    def test_event_that_is_not_json_is_never_delivered(self) -> None:
+        first = create_token("a")
+        self.reader.read(first)
+        for token in (b"\n", b"\x00", b"\x7f\x1f", b'"', b"\\"):
+            with self.subTest(token=token), self.assertRaises(BrokenStreamError):
+                self.reader.read(first.replace(b'"a"', b'"%b"' % token))
+
     def test_output_that_text_cannot_express_is_not_resumed(self) -> None:
         self.reader.read(create_token("a", index=1))
         self.assertFalse(self.progress.resumable)
