Bound what one read of a transfer collects, and split the dispatcher

Cause: libcurl reads up to a hundred times from one connection before it returns, so a slow caller's buffer grew far beyond its limit: 683,441 bytes with a limit of 2,000 in one run of test_slow_caller_gets_everything. Change: a transfer pauses itself after 64 KiB until the bytes have been passed on. What concerns targets has moved from the dispatcher to targets.py; tests wait for traces instead of expecting them at once (one had failed for that).

--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -1,47 +1,40 @@
 """Takes each call from its arrival to its answer: claim, queue, attempts, retries and resumes."""
 
 import logging
-import random
-from collections import Counter
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ..clock import Clock
 from ..core.admission import Admission, CustomerLimits, share_limits
 from ..core.cachekeys import list_block_keys
-from ..core.messages import Choice, QueueItem, RoutingRequest, TargetState
+from ..core.messages import QueueItem, RoutingRequest
 from ..core.quarantine import Quarantine
 from ..core.retries import RetryBudget
 from ..core.routing import Router
 from ..core.slots import GatewaySlots
-from ..core.snapshot import EntryMember, Snapshot
+from ..core.snapshot import Snapshot
 from ..events import Event
-from ..ids import AttemptId, Executed, InstanceId, RequestId, ServiceName, TargetId, create_id
+from ..ids import AttemptId, Executed, RequestId, ServiceName, TargetId, create_id
 from ..logs import log_event
-from ..schema.wire_pb2 import GRANTED, AttemptTrace, ClaimReply, Envelope, GrantUpdate
+from ..schema.wire_pb2 import GRANTED, AttemptTrace, ClaimReply, GrantUpdate
 from . import failures
 from .answerer import Answerer
 from .answers import Failure
 from .attempts import Attempt, AttemptResult, ResultKind
 from .call import Call, CallState
 from .claimdesk import ClaimDesk, build_refusal, can_abandon, create_unavailable
-from .forwarding import Forward, has_usable_target, is_usable, list_forward_entries
+from .forwarding import Forward
 from .history import GatewayHistory
 from .loop import RelayLoop
 from .messages import SendMessage
 from .metrics import GatewayMetrics
 from .options import GatewayOptions
-from .suspects import CrashSuspects
+from .targets import TargetPool
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 0.2
-# Slots end 2 s after the last grant. A gateway without its control process then sends repeatable
-# calls to a sibling, instead of letting them wait until their deadline.
-CONTROL_SILENCE_S = 2.0
 MAX_ATTEMPTS = 5
 # Attempts that broke a connection before any output; the request may be what crashes targets.
 MAX_BREAKS = 2
-# Time after which a target that failed this request may be tried again if no other is free.
-SAME_TARGET_DELAY_S = 0.2
 # A broken stream waits this long for a target that can continue it.
 RESUME_WAIT_S = 10.0
 # A call that may not be repeated runs on this long after its caller was told that it is unknown.
@@ -58,9 +51,6 @@
         ResultKind.MISMATCHED,
     }
 )
-# Results after which a target gets less load, because it refused or reset the call or hangs.
-_FAILED_TARGET = frozenset({ResultKind.REJECTED, ResultKind.REFUSED, ResultKind.BROKEN})
-_LOST_TARGET = frozenset({ResultKind.REFUSED, ResultKind.BROKEN})
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -90,22 +80,19 @@
         send: SendMessage,
     ) -> None:
         self._loop = loop
-        self._clock = clock
         self._options = options
-        self._parts = parts
+        self._admission = parts.admission
+        self._block_secret = parts.block_secret
         self._history = history
         self._metrics = metrics
-        self._send = send
         self._answerer = Answerer(clock, history, metrics, send)
         self._claims = ClaimDesk(options.instance, send)
-        self._suspects = CrashSuspects(parts.quarantine, send)
-        self._random = random.Random(options.settings.seed)
-        self._snapshot = Snapshot()
-        self._control_heard = loop.now()
+        self._targets = TargetPool(
+            clock, options, parts.router, parts.slots, parts.quarantine, send
+        )
         self._calls: dict[RequestId, Call] = {}
         self._runs: dict[Call, Attempt | Forward] = {}
         self._retrying: list[Call] = []
-        self._full_groups: set[tuple[str, str, str]] = set()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._is_pump_due = False
         self._is_report_due = False
@@ -144,18 +131,12 @@
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Uses a new snapshot from now on."""
-        self._snapshot = snapshot
-        now = self._loop.now()
-        for entry in snapshot.quarantine:
-            self._parts.quarantine.adopt(entry)
-        for target in snapshot.targets.values():
-            self._suspects.on_seen(target, now, self._unix_ms())
+        self._targets.use_snapshot(snapshot, self._loop.now())
         self._request_pump()
 
     def on_grant(self, grant: GrantUpdate) -> None:
         """Uses new slots."""
-        self._control_heard = self._loop.now()
-        self._parts.slots.update(grant)
+        self._targets.use_grant(grant, self._loop.now())
         self._request_pump()
 
     def on_claim_reply(self, reply: ClaimReply) -> None:
@@ -175,48 +156,24 @@
             self._end(call)
 
     def _accept(self, call: Call) -> None:
-        now_ms = self._unix_ms()
-        held = self._suspects.is_held(call.fingerprint, self._loop.now())
-        if held or self._parts.quarantine.is_quarantined(call.fingerprint, now_ms):
+        now = self._loop.now()
+        if self._targets.is_refused(call, now):
             self._fail(call, failures.create_quarantined())
-        elif self._must_leave(call):
+        elif self._targets.must_leave(call, now):
             self._leave(call)
         elif call.request.repeatable:
             self._enqueue(call)
         else:
             call.state = CallState.CLAIMING
-            if not self._claims.request(call, self._loop.now()):
+            if not self._claims.request(call, now):
                 self._fail(call, create_unavailable())
 
-    def _must_leave(self, call: Call) -> bool:
-        """Tells whether the call cannot run in this data centre."""
-        own = self._options.data_centre
-        if own in self._snapshot.drained:
-            return True
-        if call.request.hops:
-            return False
-        has_slots = call.claim is not None or not self._has_lost_control()
-        if has_slots and has_usable_target(self._snapshot, own, call):
-            return False
-        return bool(self._list_entries(call))
-
-    def _has_lost_control(self) -> bool:
-        """Tells whether the control process is silent, so that the slots have ended."""
-        return self._loop.now() - self._control_heard > CONTROL_SILENCE_S
-
-    def _list_entries(self, call: Call) -> list[EntryMember]:
-        options = self._options
-        sibling_of = InstanceId(options.settings.instance) if self._has_lost_control() else None
-        return list_forward_entries(
-            self._snapshot, options.data_centre, call, self._random, sibling_of
-        )
-
     def _leave(self, call: Call) -> None:
         """Forwards a call that has not been sent anywhere, or refuses it as not run."""
         if call.claim is not None or call.request.hops:
             self._fail_drained(call)
             return
-        call.entries = self._list_entries(call)[:MAX_FORWARD_TRIES]
+        call.entries = self._targets.list_entries(call, self._loop.now())[:MAX_FORWARD_TRIES]
         self._forward(call)
 
     def _forward(self, call: Call) -> None:
@@ -325,8 +282,8 @@
         call.item = QueueItem(call.routing, call.received, call.deadline)
         customer = request.customer
         limits = CustomerLimits(customer.requests_per_second, customer.concurrent, customer.weight)
-        share = share_limits(limits, self._snapshot.live_instances)
-        refusal = self._parts.admission.admit(call.item, share, now)
+        share = share_limits(limits, self._targets.snapshot.live_instances)
+        refusal = self._admission.admit(call.item, share, now)
         if refusal is not None:
             call.item = None
             self._fail(call, failures.create_refused(refusal))
@@ -340,7 +297,7 @@
         if request.is_model:
             customer = f"{request.config.name}/{request.customer.name}"
             keys = list_block_keys(
-                self._parts.block_secret, customer, request.model, request.version, request.prompt
+                self._block_secret, customer, request.model, request.version, request.prompt
             )
         return RoutingRequest(
             request_id=request.request_id,
@@ -365,48 +322,24 @@
         self._is_pump_due = False
         now = self._loop.now()
         self._start_retries(now)
-        while (item := self._parts.admission.pop(self._can_start, now)) is not None:
+        while (item := self._admission.pop(self._can_start, now)) is not None:
             call = self._calls.get(item.request.request_id)
             if call is None:
-                self._parts.admission.finish(item)
-            elif self._must_leave(call):
+                self._admission.finish(item)
+            elif self._targets.must_leave(call, now):
                 self._release_item(call)
                 self._leave(call)
-            elif not self._start(call, self._choose(call, frozenset())):
+            elif not self._start(call):
                 self._retry_later(call, call.deadline)
-        self._full_groups.clear()
+        self._targets.forget_full()
 
     def _can_start(self, item: QueueItem) -> bool:
-        """Tells whether some target could take the call now.
-
-        Starting calls only uses up slots, so a group of calls without a free target stays so until
-        the end of the pump, and a long queue is not compared with every target again and again.
-        """
+        """Tells whether the call can go on now, here or elsewhere."""
         call = self._calls.get(item.request.request_id)
-        if call is None:
-            return True
-        group = _get_group(call)
-        if group in self._full_groups:
-            return False
         now = self._loop.now()
-        has_free = any(
-            is_usable(target, call) and self._parts.slots.count_free(target, now) > 0
-            for target in self._list_own_targets()
-        )
-        if has_free or self._must_leave(call):
+        if call is None or self._targets.has_free(call, now):
             return True
-        self._full_groups.add(group)
-        return False
-
-    def _choose(self, call: Call, excluded: frozenset[TargetId]) -> Choice:
-        assert call.routing is not None
-        now = self._loop.now()
-        targets = self._list_own_targets()
-        routing = replace(call.routing, excluded=excluded)
-        slots = self._parts.slots
-        return self._parts.router.choose(
-            routing, targets, lambda target: slots.count_free(target, now), now
-        )
+        return self._targets.must_leave(call, now)
 
     def _start_retries(self, now: float) -> None:
         waiting, self._retrying = self._retrying, []
@@ -415,9 +348,9 @@
                 continue
             if now > call.retry_until:
                 self._fail(call, failures.create_no_target(call))
-            elif self._must_leave(call):
+            elif self._targets.must_leave(call, now):
                 self._leave_again(call)
-            elif not self._start(call, self._choose_again(call, now)):
+            elif not self._start(call):
                 self._retrying.append(call)
 
     def _leave_again(self, call: Call) -> None:
@@ -433,27 +366,19 @@
         else:
             self._fail(call, failures.create_drained(call.tracker.executed))
 
-    def _choose_again(self, call: Call, now: float) -> Choice:
-        """Prefers targets that have not failed this call."""
-        choice = self._choose(call, frozenset(call.tried))
-        is_due = now - call.last_failure >= SAME_TARGET_DELAY_S
-        if choice.target is None and call.tried and is_due:
-            return self._choose(call, frozenset())
-        return choice
-
     def _retry_later(self, call: Call, until: float) -> None:
         call.state = CallState.RETRYING
         call.retry_until = until
         self._retrying.append(call)
         self._request_pump()
 
-    def _start(self, call: Call, choice: Choice) -> bool:
-        """Sends the call to the chosen target if a slot is free."""
+    def _start(self, call: Call) -> bool:
+        """Sends the call to the best target with a free slot; False if there is none."""
         now = self._loop.now()
+        choice = self._targets.choose(call, now)
         target = choice.target
-        if target is None or not self._parts.slots.acquire(target, now):
+        if target is None or not self._targets.acquire(call, target, now):
             return False
-        assert call.routing is not None
         attempt_id = AttemptId(create_id("att"))
         attempt = Attempt(
             self._loop, self, call, target, attempt_id, self._options.connect_timeout_ms
@@ -466,7 +391,6 @@
             call.dispatched = now
             histogram = self._metrics.added_latency(call.request.config.name)
             histogram.record(now - call.received)
-        self._parts.router.record_start(call.routing, target, now)
         self._runs[call] = attempt
         call.traces.append(
             AttemptTrace(
@@ -511,8 +435,8 @@
         self._runs.pop(call, None)
         self._track(call, attempt, result)
         self._trace(call, attempt, result)
-        self._free(attempt, result.kind not in _FAILED_TARGET)
-        self._judge_target(call, attempt, result)
+        if self._targets.release(attempt, result, self._loop.now()):
+            self._request_report()
         if result.kind is ResultKind.COMPLETE:
             self._complete(call, result)
         else:
@@ -547,41 +471,6 @@
                 target=attempt.target.target,
             )
 
-    def _free(self, attempt: Attempt, succeeded: bool) -> None:
-        call = attempt.call
-        assert call.routing is not None
-        now = self._loop.now()
-        self._parts.slots.release(attempt.target.target, succeeded)
-        first = attempt.first_byte
-        first_s = first - attempt.started if first is not None else None
-        self._parts.router.record_end(
-            call.routing, attempt.target, call.progress.cached_tokens, first_s, now
-        )
-
-    def _judge_target(self, call: Call, attempt: Attempt, result: AttemptResult) -> None:
-        """Draws conclusions about the target from how an attempt ended."""
-        target = attempt.target
-        now, now_ms = self._loop.now(), self._unix_ms()
-        restarted = attempt.incarnation != target.incarnation
-        if result.kind is ResultKind.BROKEN and not call.progress.tokens:
-            call.breaks += 1
-            self._suspects.add(call.fingerprint, target.target, attempt.incarnation, now)
-        if result.kind is ResultKind.REFUSED:
-            self._suspects.on_gone(target.target, now, now_ms)
-        if restarted:
-            seen = replace(target, incarnation=attempt.incarnation)
-            self._suspects.on_seen(seen, now, now_ms)
-        if result.kind in _LOST_TARGET or restarted:
-            self._parts.slots.drop(target.target)
-            log_event(
-                _LOGGER,
-                logging.WARNING,
-                Event.GATEWAY_TARGET_LOST,
-                "restarted" if restarted else result.detail,
-                target=target.target,
-            )
-            self._request_report()
-
     def _complete(self, call: Call, result: AttemptResult) -> None:
         name = call.request.config.name
         if call.request.is_model:
@@ -671,7 +560,7 @@
 
     def _release_item(self, call: Call) -> None:
         if call.item is not None:
-            self._parts.admission.finish(call.item)
+            self._admission.finish(call.item)
             call.item = None
 
     def _on_gone(self, call: Call) -> None:
@@ -693,8 +582,7 @@
         run.cancel()
         self._runs.pop(call, None)
         if isinstance(run, Attempt):
-            # That the caller left says nothing against the target.
-            self._free(run, True)
+            self._targets.release_cancelled(run, self._loop.now())
 
     def _on_drained(self, call: Call) -> None:
         run = self._runs.get(call)
@@ -703,14 +591,14 @@
 
     def _tick(self) -> None:
         now = self._loop.now()
-        for item in self._parts.admission.expire(now):
+        for item in self._admission.expire(now):
             call = self._calls.get(item.request.request_id)
             if call is not None and call.item is item:
                 call.item = None
                 self._fail(call, failures.create_expired())
         for call in list(self._calls.values()):
             self._check(call, now)
-        self._suspects.expire(now)
+        self._targets.expire(now)
         self._claims.forget_old(now)
         self._request_pump()
 
@@ -753,43 +641,16 @@
     def _report(self) -> None:
         """Reports use and demand to the control process."""
         self._is_report_due = False
-        report = self._parts.slots.report(
-            self._options.gateway, self._count_demand(), self._loop.now()
-        )
-        self._send(Envelope(gateway_report=report))
+        self._targets.report(self._calls.values(), self._loop.now())
 
     def _request_report(self) -> None:
         if not self._is_report_due:
             self._is_report_due = True
             self._loop.call_soon(self._report)
 
-    def _count_demand(self) -> dict[TargetId, int]:
-        """Counts for each target here the calls that wait and that it could run."""
-        waiting = (CallState.QUEUED, CallState.RETRYING)
-        groups: Counter[tuple[str, str, str]] = Counter()
-        examples: dict[tuple[str, str, str], Call] = {}
-        for call in self._calls.values():
-            if call.state in waiting:
-                group = _get_group(call)
-                groups[group] += 1
-                examples[group] = call
-        demand: Counter[TargetId] = Counter()
-        for target in self._list_own_targets():
-            for group, count in groups.items():
-                if is_usable(target, examples[group]):
-                    demand[target.target] += count
-        return dict(demand)
-
-    def _list_own_targets(self) -> list[TargetState]:
-        own = self._options.data_centre
-        return [t for t in self._snapshot.targets.values() if t.data_centre == own]
-
     def _find_budget(self, call: Call) -> RetryBudget:
         return self._budgets.setdefault(call.request.config.name, RetryBudget())
 
-    def _unix_ms(self) -> int:
-        return round(self._clock.wall() * 1000)
-
 
 def _has_all_tokens(call: Call) -> bool:
     """Tells whether the caller has the complete output of a stream that ended early."""
@@ -798,8 +659,3 @@
     return progress.verified or (
         is_cut_to_length and progress.tokens == call.request.content.get("max_tokens")
     )
-
-
-def _get_group(call: Call) -> tuple[str, str, str]:
-    """Returns what decides which targets can run a call."""
-    return (call.request.config.pool, call.request.model, call.request.version)
--- a/src/mulberryrill/internal/gateway/transfer.py
+++ b/src/mulberryrill/internal/gateway/transfer.py
@@ -11,6 +11,11 @@
 UNACKNOWLEDGED_LIMIT_MS = 5000
 
 
+# libcurl may read a hundred times from one connection before it returns; beyond this size it is
+# paused until the bytes have been passed on.
+MAX_COLLECTED_BYTES = 64 * 1024
+
+
 @dataclass(frozen=True)
 class TransferRequest:
     """What to send. Header names and values are text; ``ca_file`` is for TLS."""
@@ -66,6 +71,9 @@
         self._headers_complete = False
         self._headers_delivered = False
         self._chunks: list[bytes] = []
+        self._collected = 0
+        # Paused because too many bytes were collected in one turn.
+        self._is_full = False
         self._paused = False
         self._closed = False
         self._configure(request)
@@ -84,7 +92,7 @@
     def resume(self) -> None:
         """Continues reading from the connection."""
         if self._paused and not self._closed:
-            self._paused = False
+            self._paused = self._is_full = False
             self._set_pause(pycurl.PAUSE_CONT)
 
     def close(self) -> None:
@@ -99,7 +107,11 @@
             self.listener.on_headers(*_parse_headers(self._lines))
         if self._chunks and self.listener is not None:
             data, self._chunks = b"".join(self._chunks), []
+            self._collected = 0
             self.listener.on_data(data)
+        if self._is_full and not self._paused and not self._closed:
+            self._is_full = False
+            self._set_pause(pycurl.PAUSE_CONT)
 
     def build_end(self, code: int, message: str) -> TransferEnd:
         """Describes the end that libcurl reported."""
@@ -146,9 +158,14 @@
             self._headers_complete = True
             self.on_dirty(self)
 
-    def _collect_data(self, data: bytes) -> None:
+    def _collect_data(self, data: bytes) -> int | None:
+        if self._collected >= MAX_COLLECTED_BYTES:
+            self._is_full = True
+            return pycurl.WRITEFUNC_PAUSE
+        self._collected += len(data)
         self._chunks.append(data)
         self.on_dirty(self)
+        return None
 
 
 def _parse_headers(lines: list[bytes]) -> tuple[int, dict[str, str]]:
--- a/tests/common/gateway.py
+++ b/tests/common/gateway.py
@@ -11,7 +11,6 @@
 
 from mulberryrill.internal.gateway.program import GatewayProgram
 from mulberryrill.internal.httpclient import HttpClient, HttpResponse
-from mulberryrill.internal.schema.log_pb2 import DataCentreOrder
 from mulberryrill.internal.schema.settings_pb2 import (
     EngineSettings,
     GatewaySettings,
@@ -28,6 +27,7 @@
     GrantUpdate,
     Member,
     ModelView,
+    RequestTrace,
     ServiceView,
     SnapshotUpdate,
     TargetGrant,
@@ -296,9 +296,16 @@
             Member(id=name, kind=entry, data_centre=data_centre, address=address, state=live)
         )
 
-    def order(self, **fields: object) -> None:
-        """Adds a data centre order to the snapshot."""
-        self.control.update.orders.append(DataCentreOrder(**fields))  # type: ignore[arg-type]
+    def read_trace(self, index: int = 0, control: ControlDouble | None = None) -> RequestTrace:
+        """Waits for a request's trace."""
+        sender = control or self.control
+        wait_until(lambda: len(sender.list("request_trace")) > index, "trace sent")
+        trace: RequestTrace = sender.list("request_trace")[index]
+        return trace
+
+    def list_results(self, index: int = 0) -> list[str]:
+        """Returns the results of a request's attempts."""
+        return [attempt.result.split(":")[0] for attempt in self.read_trace(index).attempts]
 
     def call(
         self,
--- a/tests/process/test_gateway_claims.py
+++ b/tests/process/test_gateway_claims.py
@@ -146,7 +146,7 @@
             connection.sendall(head.encode())
             wait_until(lambda: self.count_executions() == 1, "call runs")
         wait_until(lambda: self.control.list("outcome_report"), "outcome reported")
-        self.assertEqual(self.control.list("request_trace")[0].status, 499)
+        self.assertEqual(self.read_trace().status, 499)
 
     def test_run_outlives_its_caller_and_records_its_outcome(self) -> None:
         self.start_gateway()
--- a/tests/process/test_gateway_faults.py
+++ b/tests/process/test_gateway_faults.py
@@ -26,12 +26,6 @@
 class GatewayFaultTest(GatewayTestCase):
     """Guards against lost, mixed-up and cut answers (I6) and false "not run" (I7)."""
 
-    def list_results(self) -> list[str]:
-        """Returns the results of the attempts of the last request."""
-        wait_until(lambda: self.control.list("request_trace"), "trace sent")
-        trace = self.control.list("request_trace")[-1]
-        return [attempt.result.split(":")[0] for attempt in trace.attempts]
-
     def test_cut_stream_is_resumed_from_the_last_token(self) -> None:
         first, second = self.start_engine("engine-1"), self.start_engine("engine-2")
         for standin in (first, second):
@@ -52,12 +46,12 @@
     def test_answer_of_another_attempt_is_dropped(self) -> None:
         standin = self.start_engine()
         self.start_gateway()
-        for stream in (False, True):
+        for index, stream in enumerate((False, True)):
             self.set_faults(standin, wrong_attempt=1)
             with self.subTest(stream=stream):
                 answer = self.complete(stream=stream)
                 self.assertEqual(answer.status, 200)
-                self.assertEqual(self.list_results(), ["mismatched", "complete"])
+                self.assertEqual(self.list_results(index), ["mismatched", "complete"])
 
     def test_rejection_is_retried_and_finally_reported_as_not_run(self) -> None:
         standin = self.start_engine()
@@ -93,8 +87,7 @@
             self.set_faults(standin, poison="boom")
         self.start_gateway()
         self.assertEqual(self.complete("boom").status, 502)
-        wait_until(lambda: self.control.list("request_trace"), "trace sent")
-        crashed = {a.target for a in self.control.list("request_trace")[0].attempts}
+        crashed = {attempt.target for attempt in self.read_trace().attempts}
         self.assertEqual(len(crashed), 2)
         self.assertEqual(self.complete("boom").status, 422)
         for view in self.control.update.targets:
--- a/tests/process/test_gateway_forwarding.py
+++ b/tests/process/test_gateway_forwarding.py
@@ -3,7 +3,6 @@
 import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from functools import partial
 
 from mulberryrill.internal.httpclient import HttpClient, HttpResponse
 from mulberryrill.internal.schema.log_pb2 import DRAINED, DataCentreOrder
@@ -95,10 +94,9 @@
         answer = self.complete(stream=True)
         self.assertEqual(read_stream(answer)[:2], (expect_text("hello"), True))
         for control in (self.control, self.other):
-            wait_until(partial(control.list, "request_trace"), "trace sent")
-            trace = control.list("request_trace")[0]
+            trace = self.read_trace(control=control)
             self.assertEqual(trace.request_id, answer.headers["x-request-id"])
-        self.assertIn("msasani", self.control.list("request_trace")[0].attempts[0].reason)
+        self.assertIn("msasani", self.read_trace().attempts[0].reason)
 
     def test_stream_that_breaks_in_a_drained_data_centre_continues_in_another(self) -> None:
         """Guards against streams that are lost, or new work, in a drained data centre."""
@@ -118,7 +116,7 @@
             self.set_faults(near, restart=1)
             text, done, _ = read_stream(future.result())
         self.assertEqual((text, done), (expect_text("hello"), True))
-        targets = [a.target for a in self.control.list("request_trace")[0].attempts]
+        targets = [attempt.target for attempt in self.read_trace().attempts]
         self.assertEqual(targets, ["engine-2", "msasani-1"])
 
     def has_output(self) -> bool:
@@ -159,7 +157,7 @@
         for control in (self.control, self.other):
             self.wait_for_acks(control, 2)
         self.assertEqual(read_executed(self.complete()), (503, "no"))
-        self.assertEqual(self.other.list("request_trace")[0].attempts[:], [])
+        self.assertEqual(self.read_trace(control=self.other).attempts[:], [])
 
     def test_drained_everywhere_is_not_run(self) -> None:
         self.start_engine()
@@ -207,6 +205,5 @@
             )
             self.control.publish()
             self.assertEqual(future.result().status, 200)
-        wait_until(lambda: self.control.list("request_trace"), "trace sent")
-        self.assertEqual(self.control.list("request_trace")[-1].attempts[0].target, "msasani-1")
+        self.assertEqual(self.read_trace().attempts[0].target, "msasani-1")
         near.close()
--- a/tests/process/test_gateway_load.py
+++ b/tests/process/test_gateway_load.py
@@ -104,9 +104,7 @@
         self.control.update.targets[0].health = HEALTHY
         self.control.publish()
         self.assertEqual(future.result().status, 200)
-        wait_until(lambda: len(self.control.list("request_trace")) == 2, "trace sent")
-        attempts = self.control.list("request_trace")[1].attempts
-        self.assertEqual([a.target for a in attempts], ["engine-2", "engine-1"])
+        self.assertEqual([a.target for a in self.read_trace(1).attempts], ["engine-2", "engine-1"])
 
 
 class CustomerLimitTest(GatewayTestCase):
@@ -180,8 +178,7 @@
         )
         self.assertNotIn("secret-of-kariakoo", metrics)
         self.assertEqual(client.send("GET", f"{self.admin_url}/healthz").status, 200)
-        wait_until(lambda: self.control.list("request_trace"), "trace sent")
-        trace = self.control.list("request_trace")[0]
+        trace = self.read_trace()
         self.assertEqual((trace.request_id, trace.status, trace.executed), (request_id, 200, "yes"))
         self.assertEqual((trace.revision, trace.attempts[0].target), (1, "engine-1"))
         with open(path, encoding="utf-8") as file:
