--- a/tests/process/test_gateway_faults.py
+++ b/tests/process/test_gateway_faults.py
@@ -4,9 +4,11 @@
 import socket
 import time
 from collections.abc import Callable
+from unittest import mock
 
 from werkzeug.wrappers import Request, Response
 
+from mulberryrill.internal.gateway.caller import CallerConnection
 from mulberryrill.internal.httpclient import HttpResponse
 from mulberryrill.internal.httpserver import HttpServer
 from mulberryrill.internal.schema.settings_pb2 import Listen
@@ -24,12 +26,6 @@
 class GatewayFaultTest(GatewayTestCase):
     """Guards against lost, mixed-up and cut answers (I6) and false "not run" (I7)."""
 
-    def list_results(self) -> list[str]:
-        """Returns the results of the attempts of the last request."""
-        wait_until(lambda: self.control.list("request_trace"), "trace sent")
-        trace = self.control.list("request_trace")[-1]
-        return [attempt.result.split(":")[0] for attempt in trace.attempts]
-
     def test_cut_stream_is_resumed_from_the_last_token(self) -> None:
         first, second = self.start_engine("engine-1"), self.start_engine("engine-2")
         for standin in (first, second):
@@ -50,12 +46,12 @@
     def test_answer_of_another_attempt_is_dropped(self) -> None:
         standin = self.start_engine()
         self.start_gateway()
-        for stream in (False, True):
+        for index, stream in enumerate((False, True)):
             self.set_faults(standin, wrong_attempt=1)
             with self.subTest(stream=stream):
                 answer = self.complete(stream=stream)
                 self.assertEqual(answer.status, 200)
-                self.assertEqual(self.list_results(), ["mismatched", "complete"])
+                self.assertEqual(self.list_results(index), ["mismatched", "complete"])
 
     def test_rejection_is_retried_and_finally_reported_as_not_run(self) -> None:
         standin = self.start_engine()
@@ -91,8 +87,7 @@
             self.set_faults(standin, poison="boom")
         self.start_gateway()
         self.assertEqual(self.complete("boom").status, 502)
-        wait_until(lambda: self.control.list("request_trace"), "trace sent")
-        crashed = {a.target for a in self.control.list("request_trace")[0].attempts}
+        crashed = {attempt.target for attempt in self.read_trace().attempts}
         self.assertEqual(len(crashed), 2)
         self.assertEqual(self.complete("boom").status, 422)
         for view in self.control.update.targets:
@@ -135,6 +130,14 @@
     def test_slow_caller_gets_everything(self) -> None:
         self.start_engine(decode_ms_per_token=0)
         self.start_gateway(relay_buffer_bytes=2000)
+        sizes: list[int] = []
+        write = CallerConnection.write
+
+        def record(connection: CallerConnection, data: bytes) -> None:
+            write(connection, data)
+            sizes.append(connection.buffered)
+
+        self.enterContext(mock.patch.object(CallerConnection, "write", record))
         body = json.dumps(
             {"model": "flavour-7b", "prompt": "x", "max_tokens": 40_000, "stream": True}
         ).encode()
@@ -151,3 +154,5 @@
                 received += data
         self.assertEqual(received.count(b'"text"'), 40_000)
         self.assertIn(b"data: [DONE]", received)
+        # One read of libcurl after the limit, and the framing of its events.
+        self.assertLess(max(sizes), 200_000)
