Export process metrics and bytes between instances

Cause: the idle measurement read 0 for all processes, because the metrics pages used registries without a process collector, and nothing counted the bytes that the budget of 5 KB/s is about.

--- a/src/mulberryrill/internal/control/link.py
+++ b/src/mulberryrill/internal/control/link.py
@@ -23,7 +23,7 @@
     open_server,
 )
 from .messages import GatewayMessage, Inbox, PeerMessage
-from .metrics import MESSAGES, MESSAGES_DROPPED, MESSAGES_REJECTED
+from .metrics import MESSAGES, MESSAGES_DROPPED, MESSAGES_REJECTED, PEER_BYTES
 from .task import Task
 
 POLL_MS = 500
@@ -233,17 +233,22 @@
         try:
             if isinstance(outgoing, ToGateway):
                 self._send_to_gateway(outgoing.gateway, frame)
-            elif outgoing.instance in self._clients:
-                self._clients[outgoing.instance].send(frame, zmq.NOBLOCK)
-            elif outgoing.instance in self._identities:
-                identity = self._identities[outgoing.instance]
-                self._peers.send_multipart([identity, frame], zmq.NOBLOCK)
             else:
-                MESSAGES_DROPPED.inc()
+                self._send_to_peer(outgoing.instance, frame)
         except zmq.ZMQError as error:
             MESSAGES_DROPPED.inc()
             log_event(_LOGGER, logging.DEBUG, Event.MESSAGE_DROPPED, f"not sent: {error}")
 
+    def _send_to_peer(self, instance: str, frame: bytes) -> None:
+        if instance in self._clients:
+            self._clients[instance].send(frame, zmq.NOBLOCK)
+        elif instance in self._identities:
+            self._peers.send_multipart([self._identities[instance], frame], zmq.NOBLOCK)
+        else:
+            MESSAGES_DROPPED.inc()
+            return
+        PEER_BYTES.labels("sent").inc(len(frame))
+
     def _send_to_gateway(self, gateway: str, frame: bytes) -> None:
         identity = self._gateway_identities.get(gateway)
         if identity is None:
@@ -325,6 +330,7 @@
         envelope = decode_envelope(frame)
         _raise_refusal(check_peer_message(instance, envelope))
         MESSAGES.labels(envelope.WhichOneof("body")).inc()
+        PEER_BYTES.labels("received").inc(len(frame))
         self._inbox.put(PeerMessage(instance, envelope))
 
 
--- a/src/mulberryrill/internal/control/metrics.py
+++ b/src/mulberryrill/internal/control/metrics.py
@@ -1,8 +1,9 @@
 """Metrics of the control process in the Prometheus text format."""
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, ProcessCollector
 
 REGISTRY = CollectorRegistry()
+ProcessCollector(registry=REGISTRY)
 
 TASK_FAILURES = Counter(
     "control_task_failures", "Steps or handlers that raised.", ["task"], registry=REGISTRY
@@ -14,6 +15,9 @@
 MESSAGES_DROPPED = Counter(
     "control_messages_dropped", "Messages that no connection could take.", registry=REGISTRY
 )
+PEER_BYTES = Counter(
+    "control_peer_bytes", "Bytes of messages between instances.", ["direction"], registry=REGISTRY
+)
 RECORDS = Counter("control_log_records", "Log records read.", ["stream"], registry=REGISTRY)
 RECORDS_CORRUPT = Counter(
     "control_log_records_corrupt", "Log records skipped as corrupt.", registry=REGISTRY
--- a/src/mulberryrill/internal/gateway/metrics.py
+++ b/src/mulberryrill/internal/gateway/metrics.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable, Iterable
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    ProcessCollector,
+    generate_latest,
+)
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client.registry import Collector
 
@@ -77,6 +83,7 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
         self.requests = Counter(
             "mulberryrill_requests",
             "Answered requests",
