Tell callers the truth about old keys, and do not refuse early from one sample

A key older than the window was answered 'executed: no', although its call may have run while its claim was still known; a caller that takes a new key could then pay twice. The answer is now 'unknown', and the answer without a log says to repeat with the same key.

The estimate is now used only after 8 pops.

--- a/src/mulberryrill/internal/core/admission.py
+++ b/src/mulberryrill/internal/core/admission.py
@@ -22,6 +22,8 @@
 MAX_CLASSES = 1000
 # Weight of a new sample in the average time between two pops.
 SAMPLE_WEIGHT = 0.1
+# Pops after which the average is used. The first ones include the start of a cold target.
+MIN_SAMPLES = 8
 
 CustomerKey = tuple[ServiceName, CustomerName]
 # Requests of one class can start on the same targets.
@@ -80,6 +82,7 @@
     customers: dict[CustomerKey, int] = field(default_factory=dict)
     # Average time between two pops while requests wait; None until measured.
     interval_s: float | None = None
+    samples: int = 0
     # Last pop, or arrival at the empty queue.
     last: float = 0.0
 
@@ -91,7 +94,7 @@
 
     def estimate_wait(self, ahead: int, now: float) -> float:
         """Returns the expected seconds until ``ahead`` requests have left."""
-        if ahead == 0 or self.interval_s is None:
+        if ahead == 0 or self.interval_s is None or self.samples < MIN_SAMPLES:
             return 0.0
         return ahead * max(self.interval_s, now - self.last)
 
@@ -116,6 +119,7 @@
         sample = now - self.last
         if self.interval_s is None:
             self.interval_s = sample
+        self.samples += 1
         self.interval_s += SAMPLE_WEIGHT * (sample - self.interval_s)
         self.last = now
 
--- a/src/mulberryrill/internal/gateway/claimdesk.py
+++ b/src/mulberryrill/internal/gateway/claimdesk.py
@@ -149,8 +149,10 @@
         return Failure(
             400,
             "Key outside its window",
-            "The time in the Idempotency-Key is too old or in the future. Use a new UUIDv7.",
-            Executed.NO,
+            "The time in the Idempotency-Key is too old or in the future. An old key may have been "
+            "used before: find out whether its call ran before you send it with a new UUIDv7.",
+            # Claims of an old key are forgotten, so an earlier run cannot be excluded.
+            Executed.UNKNOWN,
             Action.CHANGE_REQUEST,
         )
     return create_unavailable()
@@ -161,7 +163,8 @@
     return Failure(
         503,
         "Claims unavailable",
-        "The platform's log cannot record that this call starts, so it was not started.",
+        "The platform's log cannot record that this call starts, so it was not started. Repeat it "
+        "with the same key, because an earlier call with this key may have run.",
         Executed.NO,
         retry_after_s=1,
     )
