Let gateways use floor shares while their control process is down

Cause: floor shares came only from a running control process. Pauses of 20 s in the simulated data centre also showed that a paused control process forgot its gateways when it went on and could promise before it knew their requests again. Change: GrantUpdate carries the gateway's floor share and the time from which it may be used, 15 s after the update; GatewayReport confirms that time, and the instance promises only while all its gateways are confirmed to wait; a gateway that was paused waits again; a control process that was paused gives its gateways time to report. Conclusion: not covered: the connection between a gateway and its control process on one host is cut for more than 15 s while both run; then the gateway's floor share is not counted.

--- a/src/mulberryrill/internal/core/slots.py
+++ b/src/mulberryrill/internal/core/slots.py
@@ -18,7 +18,7 @@
 whatever the delay of the request, and shows under which promise the report was sent.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -31,6 +31,7 @@
     SlotPromiseRequest,
     SlotReport,
     TargetCap,
+    TargetGrant,
     TargetUse,
 )
 from .allotments import Account, Allotment, SlotKey, Slots, compute_fair_share
@@ -51,6 +52,12 @@
 FLOOR_DELAY_S = PROMISE_S
 # A gateway or instance that is silent for this long has failed, and its connections are closed.
 SILENCE_S = 10.0
+# A gateway that hears nothing from its control process uses its floor share after this time. By
+# then the control process, if it runs, has forgotten the gateway, which held up no promise.
+FLOOR_WAIT_S = SILENCE_S + PROMISE_S + 2.0
+# Processes act several times a second; after a longer gap they were paused, and what they know may
+# have been replaced by messages that they have not read yet.
+PAUSE_S = 1.0
 # Date of a report that is not sent under a promise; it only makes the sender known to the holder.
 UNPROMISED = 0.0
 
@@ -67,29 +74,33 @@
 
 
 class GatewaySlots:
-    """The slots of one gateway. Requests in flight count against the grant."""
+    """The slots of one gateway. Requests in flight count against the grant.
+
+    The floor shares come from the control process, which divides them by ``max_instances``.
+    """
 
     def __init__(self, max_instances: int) -> None:
-        self._max_instances = max_instances
         # Incarnations are kept in the order in which they were first used.
         self._uses: dict[TargetId, dict[Incarnation, _Use]] = {}
         self._grants: Slots = {}
         self._valid_until = float("-inf")
+        self._floors: Slots = {}
+        self._floors_from = 0.0
+        self._reported_at = float("-inf")
 
     def update(self, grant: GrantUpdate) -> None:
         """Replaces the grant; an update that ends no later than the current one is ignored."""
+        if grant.floors_from > self._floors_from:
+            self._floors_from = grant.floors_from
+            self._floors = _read_slots(grant.floors)
         if grant.valid_until <= self._valid_until:
             return
         self._valid_until = grant.valid_until
-        self._grants = {
-            (TargetId(g.target), Incarnation(g.incarnation)): g.slots for g in grant.grants
-        }
+        self._grants = _read_slots(grant.grants)
 
     def count_free(self, target: TargetState, now: float) -> int:
         """Returns how many requests may be started on the target now."""
-        if now >= self._valid_until:
-            return 0
-        granted = self._grants.get((target.target, target.incarnation), 0)
+        granted = self._get_usable(now).get((target.target, target.incarnation), 0)
         use = self._uses.get(target.target, {}).get(target.incarnation)
         return max(0, granted - (use.in_flight if use is not None else 0))
 
@@ -120,14 +131,18 @@
 
     def drop(self, target: TargetId) -> None:
         """Gives up the grant for a target that restarted or refused a connection."""
-        for key in [key for key in self._grants if key[0] == target]:
-            del self._grants[key]
+        for slots in (self._grants, self._floors):
+            for key in [key for key in slots if key[0] == target]:
+                del slots[key]
 
     def report(
         self, gateway: GatewayId, demand: Mapping[TargetId, int], now: float
     ) -> GatewayReport:
         """Returns the report for the control process; counts of results start again at 0."""
-        report = GatewayReport(gateway=gateway, sent_at=now)
+        if now - self._reported_at > PAUSE_S and self._floors_from > 0:
+            self._floors_from = max(self._floors_from, now + FLOOR_WAIT_S)
+        self._reported_at = now
+        report = GatewayReport(gateway=gateway, sent_at=now, floors_from=self._floors_from)
         for target, uses in sorted(self._uses.items()):
             for incarnation, use in uses.items():
                 report.uses.add(
@@ -144,6 +159,14 @@
         self._forget_idle()
         return report
 
+    def _get_usable(self, now: float) -> Slots:
+        if now < self._valid_until:
+            return self._grants
+        was_paused = now - self._reported_at > PAUSE_S
+        if self._floors_from == 0 or now < self._floors_from or was_paused:
+            return {}
+        return self._floors
+
     def _forget_idle(self) -> None:
         for target in list(self._uses):
             uses = self._uses[target]
@@ -160,7 +183,9 @@
     account: Account
     received: float
     # End of the last update, so that each later one ends later.
-    granted_until: float = float("-inf")
+    granted_until: float = 0.0
+    # Time from which it may use its floor share, as it confirmed it; 0: it has none.
+    floors_from: float = 0.0
 
 
 class SlotClient:
@@ -170,6 +195,7 @@
         self._instance = instance
         self._max_instances = max_instances
         self._started = now
+        self._last_call = now
         self._gateways: dict[GatewayId, _Gateway] = {}
         # None until the first promise. An earlier run of this process may have promised just now.
         self._holder: InstanceId | None = None
@@ -192,10 +218,12 @@
 
     def on_gateway_report(self, report: GatewayReport, now: float) -> None:
         """Keeps the newest report of a gateway and adds up its results."""
+        self._notice_pause(now)
         gateway = self._gateways.setdefault(GatewayId(report.gateway), _Gateway(Account(), now))
         if not gateway.account.accept_report(report.sent_at, report.uses):
             return
         gateway.received = now
+        gateway.floors_from = report.floors_from
         for use in report.uses:
             key = (TargetId(use.target), Incarnation(use.incarnation))
             if use.completions or use.failures:
@@ -240,19 +268,19 @@
         until = sent + grant.duration_ms / 1000.0
         if until <= self._grant_until:
             return
-        self._grant = {
-            (TargetId(g.target), Incarnation(g.incarnation)): g.slots for g in grant.grants
-        }
+        self._grant = _read_slots(grant.grants)
         self._grant_until = until
         for cap in grant.caps:
             self._caps[TargetId(cap.target)] = cap
 
     def on_promise_request(self, request: SlotPromiseRequest, now: float) -> SlotPromise:
         """Promises to one holder at a time; refuses another one until the promise has ended."""
+        self._notice_pause(now)
         holder = InstanceId(request.holder)
         continued = holder == self.get_holder(now)
-        refused = not continued and (now < self._promised_until or not self._knows_gateways())
-        if continued:
+        is_taken = not continued and now < self._promised_until
+        refused = is_taken or not self._knows_gateways() or not self._do_gateways_wait(now)
+        if continued and not refused:
             self._offset = min(self._offset, now - request.sent_at)
         elif not refused:
             self._offset = now - request.sent_at
@@ -284,21 +312,25 @@
             self._participants[instance] = max(heard, self._participants.get(instance, heard))
 
     def list_gateway_grants(self, now: float) -> list[GrantUpdate]:
-        """Returns updates for the gateways whose present grant should be renewed."""
+        """Returns an update for each gateway."""
         self._forget_gateways(now)
         slots, until = self._get_usable(now)
         until = min(until, now + GATEWAY_GRANT_S)
         updates: list[GrantUpdate] = []
         for name, gateway in sorted(self._gateways.items()):
+            update = GrantUpdate(gateway=name, floors_from=now + FLOOR_WAIT_S)
+            updates.append(update)
+            for (target, incarnation), floor in self._list_floors().items():
+                share = floor // len(self._gateways)
+                if share > 0:
+                    update.floors.add(target=target, incarnation=incarnation, slots=share)
             if until <= max(now, gateway.granted_until):
                 continue
             shares = {key: self._compute_share(gateway, key, total) for key, total in slots.items()}
             gateway.account.add(Allotment(until, shares))
-            gateway.granted_until = until
-            update = GrantUpdate(gateway=name, valid_until=until)
+            update.valid_until = gateway.granted_until = until
             for (target, incarnation), share in shares.items():
                 update.grants.add(target=target, incarnation=incarnation, slots=share)
-            updates.append(update)
         return updates
 
     def _get_usable(self, now: float) -> tuple[Slots, float]:
@@ -307,12 +339,15 @@
             return self._grant, self._grant_until
         if now < self._promised_until + FLOOR_DELAY_S or not self._knows_gateways():
             return {}, float("-inf")
+        return self._list_floors(), float("inf")
+
+    def _list_floors(self) -> Slots:
         floors: Slots = {}
         for cap in self._caps.values():
             floor = cap.cap // self._max_instances
             if floor > 0:
                 floors[(TargetId(cap.target), Incarnation(cap.incarnation))] = floor
-        return floors, float("inf")
+        return floors
 
     def _compute_share(self, gateway: _Gateway, key: SlotKey, total: int) -> int:
         accounts = [g.account for g in self._gateways.values()]
@@ -327,7 +362,20 @@
         ended = self._started + GATEWAY_GRANT_S
         return all(g.account.reported_at >= ended for g in self._gateways.values())
 
+    def _do_gateways_wait(self, now: float) -> bool:
+        """A gateway must not use its floor share, which the holder does not count, meanwhile."""
+        ends = now + PROMISE_S
+        return all(g.floors_from == 0 or g.floors_from >= ends for g in self._gateways.values())
+
+    def _notice_pause(self, now: float) -> None:
+        """After a pause it is this process that was silent, not its gateways."""
+        if now - self._last_call > PAUSE_S:
+            for gateway in self._gateways.values():
+                gateway.received = now
+        self._last_call = now
+
     def _forget_gateways(self, now: float) -> None:
+        self._notice_pause(now)
         for name, gateway in list(self._gateways.items()):
             if now - gateway.received > SILENCE_S:
                 del self._gateways[name]
@@ -638,6 +686,10 @@
             sums.pop(key, None)
 
 
+def _read_slots(grants: Iterable[TargetGrant]) -> Slots:
+    return {(TargetId(g.target), Incarnation(g.incarnation)): g.slots for g in grants}
+
+
 def _get_use(uses: dict[SlotKey, TargetUse], key: SlotKey) -> TargetUse:
     if key not in uses:
         uses[key] = TargetUse(target=key[0], incarnation=key[1])
--- a/tests/unit/test_slots.py
+++ b/tests/unit/test_slots.py
@@ -4,6 +4,7 @@
 
 from mulberryrill.internal.core.rendezvous import rank_members
 from mulberryrill.internal.core.slots import (
+    FLOOR_WAIT_S,
     GRANT_S,
     PROMISE_S,
     SILENCE_S,
@@ -248,3 +249,61 @@
         self.assertEqual(self.count_free(), 0)
         self.now += 3.0
         self.assertEqual(self.count_free(), 3)
+
+    def tell_floors(self) -> None:
+        """Gives the gateway a floor share of 3 and lets the client know that it has it."""
+        self.promise("h", 10.0)
+        self.grant(self.client.build_report(self.now), 6)
+        self.count_free()
+        self.now += 0.1
+        self.report()
+
+    def report(self) -> None:
+        report = self.gateway.report(GATEWAY, {}, self.now)
+        self.client.on_gateway_report(report, self.now)
+
+    def run_gateway(self, seconds: float) -> None:
+        """Lets the gateway go on without news of its control process."""
+        ends = self.now + seconds
+        while self.now + 0.5 < ends:
+            self.now += 0.5
+            self.report()
+        self.now = ends
+
+    def test_gateway_uses_its_floor_share_without_control_process(self) -> None:
+        self.tell_floors()
+        target = create_target(TARGET)
+        self.run_gateway(FLOOR_WAIT_S - 0.2)
+        self.assertEqual(self.gateway.count_free(target, self.now), 0)
+        self.run_gateway(0.2)
+        self.assertEqual(self.gateway.count_free(target, self.now), 3)
+        self.gateway.drop(TARGET)
+        self.assertEqual(self.gateway.count_free(target, self.now), 0)
+
+    def test_no_promise_while_a_gateway_may_use_its_floor_share(self) -> None:
+        """Guards against floor shares in use that the holder does not count."""
+        self.tell_floors()
+        self.run_gateway(FLOOR_WAIT_S - PROMISE_S + 0.5)
+        request = SlotPromiseRequest(holder="h", sent_at=22.0)
+        self.assertTrue(self.client.on_promise_request(request, self.now).refused)
+        self.count_free()
+        self.now += 0.1
+        self.report()
+        self.assertFalse(self.client.on_promise_request(request, self.now).refused)
+
+    def test_paused_gateway_does_not_use_its_floor_share(self) -> None:
+        """Guards against old floor shares in use before the waiting messages are read."""
+        self.tell_floors()
+        self.now += FLOOR_WAIT_S + 1.0
+        target = create_target(TARGET)
+        self.assertEqual(self.gateway.count_free(target, self.now), 0)
+        self.report()
+        self.assertEqual(self.gateway.count_free(target, self.now), 0)
+
+    def test_paused_client_does_not_forget_its_gateways(self) -> None:
+        """Guards against a promise before the gateways' requests are known again."""
+        self.tell_floors()
+        self.now += FLOOR_WAIT_S + 1.0
+        self.client.build_report(self.now)
+        request = SlotPromiseRequest(holder="h", sent_at=26.0)
+        self.assertTrue(self.client.on_promise_request(request, self.now).refused)
