Wait until instances use targets of their own data centre before faults

Cause: the partition test failed in 2 of 14 runs: its link was cut before the instance had read a list with targets of its data centre, so it rightly forwarded the call to the other one, which could claim it (status 200 instead of 503). Change: wait_serving asks for an answer from a target of the instance's own data centre. Conclusion: the fault was in the harness, not in the forwarding.

--- a/tests/common/deployment.py
+++ b/tests/common/deployment.py
@@ -265,15 +265,21 @@
         return revisions
 
     def wait_serving(self, timeout_s: float = READY_TIMEOUT_S) -> None:
-        """Waits until every instance has heard of targets: readiness only covers the log."""
+        """Waits until every instance uses targets of its data centre.
+
+        Readiness only covers the log; an instance without a list forwards its calls elsewhere.
+        """
         for instance in self.plan.instances:
-            name = instance.name
+            name, prefix = instance.name, f"{instance.data_centre}-"
 
-            def serves(name: str = name) -> bool:
+            def serves(name: str = name, prefix: str = prefix) -> bool:
                 answer = self.call(name, "stock", "/lookup", b"serving?")
-                return answer is not None and answer.status == 200
+                if answer is None or answer.status != 200:
+                    return False
+                body = answer.parse_json()
+                return isinstance(body, dict) and str(body["service"]).startswith(prefix)
 
-            wait_until(serves, timeout_s, f"{name} serves")
+            wait_until(serves, timeout_s, f"{name} serves with targets of its data centre")
 
     def apply(self, instance: str, service: str, text: bytes, base_revision: int) -> int:
         """Applies a document and returns its revision."""
