--- a/tests/process/test_control_peers.py
+++ b/tests/process/test_control_peers.py
@@ -155,6 +155,8 @@
 
         for gateway in gateways:
             gateway.wait_for(lambda g=gateway: list_crashes(g) == [2], "the entry")  # type: ignore[misc]
+        for program in (first, second):
+            program.close()
         remote = self.start_control(self.remote)
         newcomer = self.connect_gateway(remote, self.remote)
         newcomer.wait_for(lambda: list_crashes(newcomer) == [2], "the entry from the log")
