Withdraw views of targets that an instance no longer polls

When the watchers of a target changed, the last healthy view of a former one outweighed the news of the new ones for up to 15 s, so a crash in that time stayed unseen. A watcher now withdraws its view, which then counts only while there is no other. Unchanged views can therefore be repeated every 10 s instead of 5.

The new unit test fails without the withdrawal.

--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -541,10 +541,13 @@
         watched = tuple(membership.list_watched())
         if watched != self._watched:
             self._watched = watched
+            self._targets.watch(member.id for member in watched)
             self._ports.watch(watched)
         self._listed_here = membership.list_data_centre()
         self._targets_here = membership.list_targets()
+        # Which views count may have changed with the watchers that are alive.
         self._states_built_at = None
+        self._snapshots.mark_load_changed()
         live_count = membership.count_live_instances()
         if live_count != self._live_count:
             self._live_count = live_count
--- a/src/mulberryrill/internal/control/targets.py
+++ b/src/mulberryrill/internal/control/targets.py
@@ -1,6 +1,6 @@
 """State of the data centre's targets, merged from own polls and the notices of other watchers."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -10,11 +10,12 @@
 from ..schema.wire_pb2 import Health, Member, MemberState, TargetNotice, TargetView
 
 # A view without news for this time is dropped.
-VIEW_EXPIRY_S = 15.0
+VIEW_EXPIRY_S = 25.0
 # Views of an instance that was silent for this time count only if there is no other.
 WATCHER_SILENCE_S = 3.0
-# Unchanged views are repeated this often, in case a notice was lost.
-REFRESH_S = 5.0
+# Unchanged views are repeated this often, in case a notice was lost. At the planned scale each
+# repetition costs an instance about 35 KB.
+REFRESH_S = 10.0
 
 
 class Audience(Enum):
@@ -32,6 +33,8 @@
 class _Sighting:
     view: TargetView
     seen_at: float
+    # Its watcher no longer polls the target, so it counts only if there is no other.
+    withdrawn: bool = False
     # What each audience was told last, and when.
     notified: dict["Audience", tuple[TargetView, float]] = field(default_factory=dict)
 
@@ -54,8 +57,19 @@
         self._sightings: dict[str, dict[str, _Sighting]] = {}
         # The sightings of this instance's own polls, a small part of all.
         self._own: dict[str, _Sighting] = {}
+        self._watched: frozenset[str] = frozenset()
         self._heard: dict[str, float] = {}
 
+    def watch(self, targets: Iterable[str]) -> None:
+        """Sets the targets that this instance polls; views of others are withdrawn.
+
+        Otherwise the last view of a target that has crashed since would stay beside the news of its
+        new watchers. The withdrawal is a view without health.
+        """
+        self._watched = frozenset(targets)
+        for target, own in self._own.items():
+            own.withdrawn = own.withdrawn or target not in self._watched
+
     def on_sign_of_life(self, watcher: str, now: float) -> None:
         """Notes that another instance, which may be a watcher, is alive."""
         self._heard[watcher] = now
@@ -65,30 +79,41 @@
         service = load = False
         self._heard[watcher] = now
         for view in views:
+            # A poll that ended after its target got other watchers.
+            if watcher == self._instance and view.target not in self._watched:
+                continue
             before = self.find_view(view.target, now)
-            by_watcher = self._sightings.setdefault(view.target, {})
-            sighting = by_watcher.get(watcher)
-            if sighting is None:
-                by_watcher[watcher] = _Sighting(view, now)
-                if watcher == self._instance:
-                    self._own[view.target] = by_watcher[watcher]
-            else:
-                sighting.view, sighting.seen_at = view, now
+            self._adopt(watcher, view, now)
             after = self.find_view(view.target, now)
-            assert after is not None
-            if before is None or not has_same_service(before, after):
+            if before is None or after is None:
+                service = service or before is not after
+            elif not has_same_service(before, after):
                 service = True
             elif before != after:
                 load = True
         return service, load
 
+    def _adopt(self, watcher: str, view: TargetView, now: float) -> None:
+        sighting = self._sightings.get(view.target, {}).get(watcher)
+        if view.health == Health.HEALTH_UNSPECIFIED:
+            if sighting is not None:
+                sighting.withdrawn = True
+            return
+        if sighting is not None:
+            sighting.view, sighting.seen_at, sighting.withdrawn = view, now, False
+            return
+        sighting = _Sighting(view, now)
+        self._sightings.setdefault(view.target, {})[watcher] = sighting
+        if watcher == self._instance:
+            self._own[view.target] = sighting
+
     def find_view(self, target: str, now: float) -> TargetView | None:
         """Returns the newest view; one watcher that reaches a target outweighs those that do not.
 
         A path between one watcher and the target may be broken while the others work.
         """
         fresh = [
-            (now - self._heard[watcher] < WATCHER_SILENCE_S, sighting)
+            (self._is_watching(watcher, sighting, now), sighting)
             for watcher, sighting in self._sightings.get(target, {}).items()
             if now - sighting.seen_at < VIEW_EXPIRY_S
         ]
@@ -96,11 +121,14 @@
             return None
 
         def rank(item: tuple[bool, _Sighting]) -> tuple[bool, bool, float]:
-            is_alive, sighting = item
-            return is_alive, sighting.view.health == Health.HEALTHY, sighting.seen_at
+            is_watching, sighting = item
+            return is_watching, sighting.view.health == Health.HEALTHY, sighting.seen_at
 
         return max(fresh, key=rank)[1].view
 
+    def _is_watching(self, watcher: str, sighting: _Sighting, now: float) -> bool:
+        return not sighting.withdrawn and now - self._heard[watcher] < WATCHER_SILENCE_S
+
     def list_views(self, now: float) -> list[TargetView]:
         """Returns one view for each target with fresh news; expired ones are dropped."""
         views = []
@@ -116,15 +144,20 @@
     def take_notice(self, now: float, audience: Audience) -> TargetNotice | None:
         """Returns what an audience should learn now from this instance's own polls."""
         notice = TargetNotice(instance=self._instance)
-        for own in self._own.values():
-            if _is_due(own, audience, now):
+        for target, own in self._own.items():
+            told = own.notified.get(audience)
+            if own.withdrawn:
+                if told is not None:
+                    del own.notified[audience]
+                    notice.targets.add(target=target)
+            elif told is None or _is_due(own.view, told, audience, now):
                 own.notified[audience] = own.view, now
                 notice.targets.append(own.view)
         return notice if notice.targets else None
 
     def build_full_notice(self) -> TargetNotice:
         """Returns all own views, for an instance that has just appeared."""
-        views = [sighting.view for sighting in self._own.values()]
+        views = [own.view for own in self._own.values() if not own.withdrawn]
         return TargetNotice(instance=self._instance, targets=views)
 
     def list_states(self, members: Sequence[Member], now: float) -> dict[TargetId, TargetState]:
@@ -155,9 +188,11 @@
     )
 
 
-def _is_due(sighting: _Sighting, audience: Audience, now: float) -> bool:
-    view, told_at = sighting.notified.get(audience, (None, 0.0))
-    if view is None or not has_same_service(view, sighting.view):
+def _is_due(
+    view: TargetView, told: tuple[TargetView, float], audience: Audience, now: float
+) -> bool:
+    told_view, told_at = told
+    if not has_same_service(told_view, view):
         return True
     age = now - told_at
-    return age >= REFRESH_S or (view != sighting.view and age >= audience.value)
+    return age >= REFRESH_S or (told_view != view and age >= audience.value)
--- a/tests/unit/test_control_state.py
+++ b/tests/unit/test_control_state.py
@@ -97,6 +97,7 @@
 class TargetsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.targets = Targets("k-1")
+        self.targets.watch(["e"])
 
     def test_one_watcher_without_a_path_does_not_hide_a_target(self) -> None:
         self.targets.on_views("k-1", [create_view()], 100.0)
@@ -113,6 +114,27 @@
         assert view is not None
         self.assertEqual(view.health, Health.UNREACHABLE)
 
+    def test_withdrawn_view_does_not_outlive_a_crash(self) -> None:
+        """Guards against a healthy view that a watcher left behind when others took over."""
+        other = Targets("k-2")
+        self.targets.on_views("k-1", [create_view()], 100.0)
+        first = self.targets.take_notice(100.0, Audience.DATA_CENTRE)
+        self.targets.watch([])
+        self.targets.on_views("k-1", [create_view(running=1)], 100.1)
+        second = self.targets.take_notice(100.1, Audience.DATA_CENTRE)
+        assert first is not None and second is not None
+        self.assertIsNone(self.targets.take_notice(100.2, Audience.DATA_CENTRE))
+        for notice in (first, second):
+            other.on_views("k-1", notice.targets, 100.2)
+        for targets in (self.targets, other):
+            view = targets.find_view("e", 100.3)
+            assert view is not None  # Until another watcher has polled.
+            self.assertEqual(view.health, Health.HEALTHY)
+            targets.on_views("k-3", [create_view("", Health.UNREACHABLE)], 100.4)
+            view = targets.find_view("e", 100.5)
+            assert view is not None
+            self.assertEqual(view.health, Health.UNREACHABLE)
+
     def test_load_goes_to_the_holder_at_once_and_a_restart_to_all(self) -> None:
         self.targets.on_views("k-1", [create_view()], 100.0)
         for audience in Audience:
