--- a/src/mulberryrill/internal/control/operators.py
+++ b/src/mulberryrill/internal/control/operators.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import logging
 import re
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as FutureTimeoutError
@@ -11,8 +12,10 @@
 from werkzeug.wrappers import Request, Response
 
 from ...errors import SettingsError
+from ..events import Event
 from ..httpserver import create_problem
 from ..ids import Executed, create_id
+from ..logs import log_event
 from ..schema.log_pb2 import DataCentreState
 from ..schema.settings_pb2 import SiteOperator
 from ..settings.documents import MAX_DOCUMENT_BYTES, check_document
@@ -31,6 +34,7 @@
 )
 from .metrics import CALLS
 
+_LOGGER = logging.getLogger(__name__)
 # Longer than the main task takes to decide or to give up on reading back.
 CALL_TIMEOUT_S = 20.0
 # Four bytes each in UTF-8 at most; a change's fields have 600 bytes at most.
@@ -87,6 +91,14 @@
         """Answers one request."""
         response = self._answer(request)
         CALLS.labels(str(response.status_code)).inc()
+        if response.status_code >= 400:
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.CONTROL_CALL_REFUSED,
+                f"{request.method} {request.path}: status {response.status_code}",
+                author=self._authenticate(request),
+            )
         return response
 
     def _answer(self, request: Request) -> Response:
--- a/src/mulberryrill/internal/control/program.py
+++ b/src/mulberryrill/internal/control/program.py
@@ -10,7 +10,6 @@
 from ..core.membership import Membership
 from ..core.quarantine import Quarantine
 from ..core.slots import SlotClient, SlotHolder
-from ..history.writer import HistoryWriter
 from ..httpserver import HttpServer
 from ..ids import DataCentre, InstanceId
 from ..platform.listclient import ListClient
@@ -21,6 +20,7 @@
 from .claims import list_claim_streams
 from .documents import STREAM
 from .follower import Follower
+from .history import ControlHistory
 from .link import Link
 from .lister import Lister
 from .main import Core, MainTask, Ports
@@ -85,7 +85,7 @@
         self._inbox: Inbox = Inbox()
         self._closed = False
         process = f"{settings.instance}/control"
-        self._history = HistoryWriter(settings.history_file, process, self._clock)
+        self._history = ControlHistory(settings.history_file, process, self._clock)
         self._link = Link(settings, self._inbox, self._clock)
         self._writer = self._create_writer("writer")
         self._claim_streams = list_claim_streams(settings.claim_streams)
--- a/src/mulberryrill/internal/control/snapshots.py
+++ b/src/mulberryrill/internal/control/snapshots.py
@@ -1,13 +1,17 @@
 """Builds versioned snapshots for this instance's gateways and tracks what they have in force."""
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..clock import Clock
+from ..events import Event
+from ..logs import log_event
 from ..schema.wire_pb2 import Envelope, SnapshotUpdate
 from .link import ToGateway
 from .metrics import IN_FORCE_OFFSET, SNAPSHOTS
 
+_LOGGER = logging.getLogger(__name__)
 # Load figures of targets alone are sent this often, other changes at once.
 LOAD_INTERVAL_S = 0.5
 MIN_INTERVAL_S = 0.05
@@ -109,6 +113,13 @@
         self._offsets[self._version] = snapshot.folded_offset
         if len(self._offsets) > KEPT_VERSIONS:
             del self._offsets[min(self._offsets)]
+        log_event(
+            _LOGGER,
+            logging.DEBUG,
+            Event.SNAPSHOT_SENT,
+            f"snapshot {self._version} for {len(self._gateways)} gateways",
+            offset=snapshot.folded_offset,
+        )
         for name, gateway in self._gateways.items():
             self._send_current(name, gateway)
 
--- a/src/mulberryrill/internal/control/targets.py
+++ b/src/mulberryrill/internal/control/targets.py
@@ -1,14 +1,18 @@
 """State of the data centre's targets, merged from own polls and the notices of other watchers."""
 
+import logging
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
 from ..core.messages import MemberState as CoreState
 from ..core.messages import TargetState
+from ..events import Event
 from ..ids import DataCentre, Incarnation, PoolName, TargetId
+from ..logs import log_event
 from ..schema.wire_pb2 import Health, Member, MemberState, TargetNotice, TargetView
 
+_LOGGER = logging.getLogger(__name__)
 # A view without news for this time is dropped.
 VIEW_EXPIRY_S = 25.0
 # Views of an instance that was silent for this time count only if there is no other.
@@ -85,10 +89,10 @@
             before = self.find_view(view.target, now)
             self._adopt(watcher, view, now)
             after = self.find_view(view.target, now)
-            if before is None or after is None:
-                service = service or before is not after
-            elif not has_same_service(before, after):
-                service = True
+            if before is None or after is None or not has_same_service(before, after):
+                if before is not after:
+                    service = True
+                    _log_change(view.target, before, after)
             elif before != after:
                 load = True
         return service, load
@@ -188,6 +192,22 @@
     )
 
 
+def _log_change(target: str, before: TargetView | None, after: TargetView | None) -> None:
+    def summarize(view: TargetView | None) -> str:
+        if view is None:
+            return "unknown"
+        return f"{Health.Name(view.health).lower()} {view.incarnation}".strip()
+
+    log_event(
+        _LOGGER,
+        logging.INFO,
+        Event.TARGET_CHANGED,
+        f"{target} is {summarize(after)}",
+        target=target,
+        before=summarize(before),
+    )
+
+
 def _is_due(
     view: TargetView, told: tuple[TargetView, float], audience: Audience, now: float
 ) -> bool:
--- a/tests/unit/test_control_tasks.py
+++ b/tests/unit/test_control_tasks.py
@@ -8,6 +8,7 @@
 from mulberryrill.internal.clock import ManualClock
 from mulberryrill.internal.control.claims import Claims
 from mulberryrill.internal.control.follower import Follower
+from mulberryrill.internal.control.history import ControlHistory
 from mulberryrill.internal.control.messages import (
     AppendRequest,
     AppendResult,
@@ -97,6 +98,14 @@
             task._thread.join(10)
         self.assertEqual(len(steps), 3)
 
+    def test_full_disk_does_not_fail_the_handler_that_writes_history(self) -> None:
+        """Guards against a change that is folded but not answered because its event failed."""
+        history = ControlHistory("/dev/full", "k-1", self.clock)
+        with self.assertLogs(level="ERROR") as logs:
+            history.write("order")
+        self.assertEqual(vars(logs.records[0])["event_name"], "HISTORY_WRITE_FAILED")
+        history.close()
+
     def test_all_instances_together_keep_the_append_budget(self) -> None:
         """Guards against 340 instances that append more often than the log can take."""
         appended: list[AppendRequest] = []
