Do not show documents before the configuration is complete

An instance that had just started answered 404 for a document that exists. It now answers 503, so that the command line asks another instance. The test saw 404 before and sees 503 now.

--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -432,6 +432,12 @@
             if isinstance(request, SubmitDocument):
                 self._configuration.submit(call, request)
                 return
+            if not self._ready and isinstance(request, ShowDocument | ShowHistory | ShowInForce):
+                # An incomplete configuration would show an existing document as unknown.
+                detail = "This instance has not read the configuration yet; ask another one."
+                body: dict[str, object] = {"title": "Not ready", "detail": detail}
+                call.future.set_result(CallAnswer(503, body))
+                return
             call.future.set_result(self._call_handlers[type(request)](request))
         except Exception as error:
             call.future.set_exception(error)
--- a/tests/process/test_control_peers.py
+++ b/tests/process/test_control_peers.py
@@ -46,6 +46,9 @@
         self.set_faults(log="down")
         second = self.start_control(self.second)
         self.assertFalse(self.read(second, "/v1/status")["ready"])
+        # Not 404: the document exists, this instance only does not know it yet.
+        path = "/v1/documents/flavour-questions"
+        self.assertEqual(self.call(second, "GET", path).status, 503)
         self.wait_ready(second)
         shown = self.read(second, "/v1/documents/flavour-questions")
         self.assertEqual(shown["revision"], revision)
