Keep calls that must run once while the control process is silent

Cause: such a call was sent to a sibling once the control process had been silent for 2 s, although it is to be refused as not run; test_path failed with 400 for its old key when the machine was slow. Change: only repeatable calls leave for that reason. After: test_path and test_claims, 14 passed.

--- a/src/mulberryrill/internal/gateway/targets.py
+++ b/src/mulberryrill/internal/gateway/targets.py
@@ -85,7 +85,9 @@
             return True
         if call.request.hops:
             return False
-        has_slots = call.claim is not None or not self._has_lost_control(now)
+        # A call that must run once stays: this instance's control process refuses its claim, or,
+        # if it is silent, the call is refused as not run.
+        has_slots = not call.request.repeatable or not self._has_lost_control(now)
         if has_slots and has_usable_target(self.snapshot, own, call):
             return False
         return bool(self.list_entries(call, now))
