--- a/tests/common/gateway.py
+++ b/tests/common/gateway.py
@@ -2,15 +2,18 @@
 
 import hashlib
 import json
+import socket
 import threading
 import time
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import zmq
 
 from mulberryrill.internal.gateway.program import GatewayProgram
 from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.schema.log_pb2 import DRAINED, DataCentreOrder
 from mulberryrill.internal.schema.settings_pb2 import (
     EngineSettings,
     GatewaySettings,
@@ -45,6 +48,7 @@
     encode_envelope,
     open_server,
 )
+from tests.common.control import create_keys
 
 TOKEN = "secret-of-kariakoo"
 MODEL = "flavour-7b"
@@ -84,12 +88,6 @@
         time.sleep(0.01)
 
 
-def create_keys() -> KeyPair:
-    """Returns a new CURVE key pair."""
-    public, secret = zmq.curve_keypair()
-    return KeyPair(public_key=public.decode(), secret_key=secret.decode())
-
-
 class ControlDouble:
     """Plays the control process: sends snapshots and grants, keeps what the gateway sends."""
 
@@ -216,11 +214,7 @@
         self.control.publish()
         self.url = f"http://{LOCAL}:{program.port}"
         self.admin_url = f"http://{LOCAL}:{program.admin_port}"
-        client = HttpClient()
-        self.addCleanup(client.close)
-        wait_until(
-            lambda: client.send("GET", f"{self.admin_url}/readyz").status == 200, "gateway ready"
-        )
+        wait_until(lambda: self.ask_admin("/readyz").status == 200, "gateway ready")
         wait_until(lambda: self.control.list("snapshot_ack"), "snapshot acknowledged")
         return program
 
@@ -261,14 +255,8 @@
         self, name: str, address: str, is_engine: bool = True, data_centre: str = "kariakoo"
     ) -> None:
         """Lists a target; its incarnation is read from its state if it has one."""
-        incarnation = "unknown"
-        client = HttpClient()
-        try:
-            state = client.send("GET", f"{address}/v1/state").parse_json()
-            assert isinstance(state, dict)
-            incarnation = str(state["incarnation"])
-        finally:
-            client.close()
+        state = send("GET", f"{address}/v1/state").parse_json()
+        assert isinstance(state, dict)
         self.control.update.members.append(
             Member(
                 id=name,
@@ -283,7 +271,7 @@
         self.control.update.targets.append(
             TargetView(
                 target=name,
-                incarnation=incarnation,
+                incarnation=state["incarnation"],
                 health=HEALTHY,
                 max_concurrency=8,
                 models=models,
@@ -316,19 +304,36 @@
         **headers: str,
     ) -> HttpResponse:
         """Calls the gateway."""
-        client = HttpClient()
         data = b"" if body is None else json.dumps(body).encode()
         names = {name.replace("_", "-"): value for name, value in headers.items()}
-        try:
-            return client.send(
-                method,
-                self.url + path,
-                data,
-                {"Authorization": f"Bearer {token}", **names},
-                timeout_s=WAIT_S,
-            )
-        finally:
-            client.close()
+        names["Authorization"] = f"Bearer {token}"
+        return send(method, self.url + path, data, names)
+
+    @contextmanager
+    def leave_open(self, path: str, body: bytes, headers: str = "") -> Iterator[socket.socket]:
+        """Sends a call on a plain socket, which stays open until the block ends."""
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {TOKEN}\r\n"
+            f"Content-Length: {len(body)}\r\n{headers}\r\n"
+        )
+        with socket.create_connection((LOCAL, int(self.url.rsplit(":", 1)[1]))) as connection:
+            connection.sendall(head.encode() + body)
+            yield connection
+
+    def ask_admin(self, path: str) -> HttpResponse:
+        """Reads from the admin port."""
+        return send("GET", self.admin_url + path)
+
+    def sum_uses(self, field: str) -> int:
+        """Adds up a field of the uses in the gateway's last report."""
+        reports = self.control.list("gateway_report")
+        return sum(getattr(use, field) for use in reports[-1].uses) if reports else 0
+
+    def drain(self, *controls: ControlDouble, data_centre: str = "kariakoo") -> None:
+        """Adds the order to drain to snapshots."""
+        for control in controls:
+            order = DataCentreOrder(data_centre=data_centre, epoch=1, state=DRAINED)
+            control.update.orders.append(order)
 
     def complete(self, prompt: str = "hello", **fields: object) -> HttpResponse:
         """Sends a completion request."""
@@ -340,13 +345,29 @@
 
     def set_faults(self, standin: EngineStandin | ServiceStandin, **faults: object) -> None:
         """Makes a stand-in fail."""
-        client = HttpClient()
-        try:
-            url = f"http://{LOCAL}:{standin.port}/v1/faults"
-            answer = client.send("POST", url, json.dumps(faults).encode())
-        finally:
-            client.close()
-        self.assertEqual(answer.status, 200)
+        url = f"http://{LOCAL}:{standin.port}/v1/faults"
+        self.assertEqual(send("POST", url, json.dumps(faults).encode()).status, 200)
+
+
+def send(method: str, url: str, body: bytes = b"", headers: dict | None = None) -> HttpResponse:
+    """Sends one request on a new connection."""
+    client = HttpClient()
+    try:
+        return client.send(method, url, body, headers, timeout_s=WAIT_S)
+    finally:
+        client.close()
+
+
+def read_problem(answer: HttpResponse) -> dict:
+    """Returns the members of a JSON answer."""
+    content = answer.parse_json()
+    assert isinstance(content, dict)
+    return content
+
+
+def read_executed(answer: HttpResponse) -> tuple[int, str]:
+    """Returns the status of an error and what it says about the run."""
+    return answer.status, read_problem(answer)["executed"]
 
 
 def read_stream(answer: HttpResponse) -> tuple[str, bool, list[dict]]:
--- a/tests/process/test_gateway_claims.py
+++ b/tests/process/test_gateway_claims.py
@@ -1,12 +1,9 @@
 """Calls that must run at most once run at most once, whatever is lost (I7, I8)."""
 
 import json
-import os
-import socket
-import time
 import uuid
 
-from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.httpclient import HttpResponse
 from mulberryrill.internal.schema.log_pb2 import Outcome
 from mulberryrill.internal.schema.wire_pb2 import (
     EXPIRED,
@@ -18,24 +15,20 @@
     ClaimRequest,
     Envelope,
 )
-from tests.common.gateway import LOCAL, TOKEN, GatewayTestCase, grant_claim, wait_until
+from tests.common.control import create_key
+from tests.common.gateway import (
+    LOCAL,
+    GatewayTestCase,
+    grant_claim,
+    read_executed,
+    read_problem,
+    send,
+    wait_until,
+)
 
 PAY = "/v1/services/sugar/pay"
 
 
-def create_key() -> str:
-    """Returns a UUIDv7 for now."""
-    value = (int(time.time() * 1000) << 80) | int.from_bytes(os.urandom(10), "big")
-    value = value & ~(0xF << 76) | 7 << 76
-    return str(uuid.UUID(int=value & ~(0x3 << 62) | 2 << 62))
-
-
-def read_executed(answer: HttpResponse) -> tuple[int, str]:
-    content = answer.parse_json()
-    assert isinstance(content, dict)
-    return answer.status, content["executed"]
-
-
 class GatewayClaimTest(GatewayTestCase):
     deadline_ms = 800
 
@@ -47,10 +40,7 @@
         return self.call("POST", PAY, {"batch": 1}, Idempotency_Key=key)
 
     def count_executions(self) -> int:
-        client = HttpClient()
-        self.addCleanup(client.close)
-        state = client.send("GET", f"http://{LOCAL}:{self.service.port}/v1/state").parse_json()
-        assert isinstance(state, dict)
+        state = read_problem(send("GET", f"http://{LOCAL}:{self.service.port}/v1/state"))
         return state["executions"].get("/pay", 0)
 
     def reply_with(self, kind: int, **outcome: object) -> None:
@@ -138,12 +128,7 @@
         """Guards against a run that is cancelled halfway, whose outcome nobody knows."""
         self.start_gateway()
         self.set_faults(self.service, delay_ms=500)
-        head = (
-            f"POST {PAY} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {TOKEN}\r\n"
-            f"Idempotency-Key: {create_key()}\r\nContent-Length: 0\r\n\r\n"
-        )
-        with socket.create_connection((LOCAL, int(self.url.rsplit(":", 1)[1]))) as connection:
-            connection.sendall(head.encode())
+        with self.leave_open(PAY, b"", f"Idempotency-Key: {create_key()}\r\n"):
             wait_until(lambda: self.count_executions() == 1, "call runs")
         wait_until(lambda: self.control.list("outcome_report"), "outcome reported")
         self.assertEqual(self.read_trace().status, 499)
--- a/tests/process/test_gateway_faults.py
+++ b/tests/process/test_gateway_faults.py
@@ -9,20 +9,13 @@
 from werkzeug.wrappers import Request, Response
 
 from mulberryrill.internal.gateway.caller import CallerConnection
-from mulberryrill.internal.httpclient import HttpResponse
 from mulberryrill.internal.httpserver import HttpServer
 from mulberryrill.internal.schema.settings_pb2 import Listen
 from mulberryrill.internal.schema.wire_pb2 import UNREACHABLE
-from tests.common.gateway import LOCAL, GatewayTestCase, read_stream, wait_until
+from tests.common.gateway import LOCAL, GatewayTestCase, read_executed, read_stream, wait_until
 from tests.process.test_gateway_calls import expect_text
 
 
-def read_problem(answer: HttpResponse) -> dict:
-    content = answer.parse_json()
-    assert isinstance(content, dict)
-    return content
-
-
 class GatewayFaultTest(GatewayTestCase):
     """Guards against lost, mixed-up and cut answers (I6) and false "not run" (I7)."""
 
@@ -59,8 +52,7 @@
         self.set_faults(standin, reject=1)
         self.assertEqual(self.complete().status, 200)
         self.set_faults(standin, reject=50)
-        answer = self.complete()
-        self.assertEqual((answer.status, read_problem(answer)["executed"]), (503, "no"))
+        self.assertEqual(read_executed(self.complete()), (503, "no"))
 
     def test_stream_that_cannot_be_resumed_ends_with_an_error(self) -> None:
         self.add_scripted(short_stream)
@@ -77,8 +69,7 @@
         standin = self.start_engine()
         self.control.update.members[0].address = f"http://{LOCAL}:{port}"
         self.start_gateway()
-        answer = self.complete()
-        self.assertEqual(read_problem(answer)["executed"], "no")
+        self.assertEqual(read_executed(self.complete()), (503, "no"))
         standin.close()
 
     def test_request_that_crashes_targets_is_stopped_after_two(self) -> None:
@@ -141,14 +132,9 @@
         body = json.dumps(
             {"model": "flavour-7b", "prompt": "x", "max_tokens": 40_000, "stream": True}
         ).encode()
-        head = (
-            "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
-            f"secret-of-kariakoo\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
         received = bytearray()
-        with socket.create_connection((LOCAL, int(self.url.rsplit(":", 1)[1]))) as connection:
+        with self.leave_open("/v1/completions", body) as connection:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 300_000)
-            connection.sendall(head.encode() + body)
             time.sleep(1.0)
             while data := connection.recv(1 << 20):
                 received += data
--- a/tests/process/test_gateway_forwarding.py
+++ b/tests/process/test_gateway_forwarding.py
@@ -1,54 +1,22 @@
 """Calls run in another data centre while their own is drained or has no target (I5)."""
 
 import socket
-import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from mulberryrill.internal.httpclient import HttpClient, HttpResponse
-from mulberryrill.internal.schema.log_pb2 import DRAINED, DataCentreOrder
+from mulberryrill.internal.httpclient import HttpResponse
 from mulberryrill.internal.schema.wire_pb2 import ClaimRequest, Member, entry
-from tests.common.gateway import LOCAL, ControlDouble, GatewayTestCase, read_stream, wait_until
+from tests.common.control import create_key
+from tests.common.gateway import (
+    LOCAL,
+    ControlDouble,
+    GatewayTestCase,
+    read_executed,
+    read_stream,
+    wait_until,
+)
+from tests.common.links import Link, LinkState
 from tests.process.test_gateway_calls import expect_text
-from tests.process.test_gateway_claims import PAY, create_key, read_executed
-
-
-class CuttingRelay:
-    """Relays connections to an address and cuts the first one after some bytes."""
-
-    def __init__(self, address: str, limit_bytes: int) -> None:
-        host, port = address.removeprefix("http://").split(":")
-        self._upstream = (host, int(port))
-        self._limit = limit_bytes
-        self._listener = socket.create_server((LOCAL, 0))
-        self.address = f"http://{LOCAL}:{self._listener.getsockname()[1]}"
-        self.connections = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                near, _ = self._listener.accept()
-            except OSError:
-                return
-            self.connections += 1
-            limit = self._limit if self.connections == 1 else 1 << 30
-            far = socket.create_connection(self._upstream)
-            threading.Thread(target=self._copy, args=(near, far, 1 << 30), daemon=True).start()
-            threading.Thread(target=self._copy, args=(far, near, limit), daemon=True).start()
-
-    def _copy(self, source: socket.socket, sink: socket.socket, limit: int) -> None:
-        try:
-            while limit > 0 and (data := source.recv(min(limit, 4096))):
-                sink.sendall(data)
-                limit -= len(data)
-            for side in (source, sink):
-                side.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
+from tests.process.test_gateway_claims import PAY
 
 
 class GatewayForwardingTest(GatewayTestCase):
@@ -63,9 +31,7 @@
     def start_both(self, *drained: str) -> None:
         """Starts a gateway here and one in msasani, which has the targets."""
         for name in drained:
-            order = DataCentreOrder(data_centre=name, epoch=1, state=DRAINED)
-            self.control.update.orders.append(order)
-            self.other.update.orders.append(order)
+            self.drain(self.control, self.other, data_centre=name)
         self.move_targets()
         far = self.start_silent_gateway(
             self.other, instance="msasani-1", data_centre="msasani", name="gateway-0"
@@ -108,9 +74,7 @@
         with ThreadPoolExecutor(1) as pool:
             future = pool.submit(self.complete, stream=True)
             wait_until(self.has_output, "first token")
-            self.control.update.orders.append(
-                DataCentreOrder(data_centre="kariakoo", epoch=1, state=DRAINED)
-            )
+            self.drain(self.control)
             self.control.publish()
             self.wait_for_acks(self.control, 3)
             self.set_faults(near, restart=1)
@@ -120,25 +84,25 @@
         self.assertEqual(targets, ["engine-2", "msasani-1"])
 
     def has_output(self) -> bool:
-        client = HttpClient()
-        try:
-            metrics = client.send("GET", f"{self.admin_url}/metrics").body
-        finally:
-            client.close()
-        return b"time_to_first_token_seconds_count" in metrics
+        return b"time_to_first_token_seconds_count" in self.ask_admin("/metrics").body
 
     def test_stream_outlives_the_connection_between_gateways(self) -> None:
-        self.start_engine(decode_ms_per_token=20)
+        self.start_engine(decode_ms_per_token=100)
         self.start_both("kariakoo")
         member = self.control.update.members[-1]
-        relay = CuttingRelay(member.address, limit_bytes=1200)
-        self.addCleanup(relay.close)
-        member.address = relay.address
+        link = Link(LOCAL, int(member.address.rsplit(":", 1)[1]))
+        self.addCleanup(link.close)
+        member.address = f"http://{LOCAL}:{link.port}"
         self.control.publish()
         self.wait_for_acks(self.control, 2)
-        text, done, _ = read_stream(self.complete(stream=True))
+        with ThreadPoolExecutor(1) as pool:
+            future = pool.submit(self.complete, stream=True)
+            wait_until(self.has_output, "first token")
+            link.set_state(LinkState.CUT)
+            link.set_state(LinkState.OPEN)
+            text, done, _ = read_stream(future.result())
         self.assertEqual((text, done), (expect_text("hello"), True))
-        self.assertEqual(relay.connections, 2)
+        self.assertEqual(len(self.read_trace().attempts), 2)
 
     def test_call_without_target_here_is_forwarded(self) -> None:
         self.start_engine()
@@ -168,9 +132,7 @@
         with socket.create_server((LOCAL, 0)) as closed:
             port = closed.getsockname()[1]
         self.add_entry("msasani-1", "msasani", f"http://{LOCAL}:{port}")
-        self.control.update.orders.append(
-            DataCentreOrder(data_centre="kariakoo", epoch=1, state=DRAINED)
-        )
+        self.drain(self.control)
         self.start_gateway()
         self.assertEqual(read_executed(self.complete()), (503, "no"))
 
@@ -194,15 +156,8 @@
         self.wait_for_acks(self.control, 2)
         with ThreadPoolExecutor(1) as pool:
             future = pool.submit(self.complete)
-            wait_until(
-                lambda: any(
-                    use.demand for r in self.control.list("gateway_report")[-1:] for use in r.uses
-                ),
-                "call waits",
-            )
-            self.control.update.orders.append(
-                DataCentreOrder(data_centre="kariakoo", epoch=1, state=DRAINED)
-            )
+            wait_until(lambda: self.sum_uses("demand"), "call waits")
+            self.drain(self.control)
             self.control.publish()
             self.assertEqual(future.result().status, 200)
         self.assertEqual(self.read_trace().attempts[0].target, "msasani-1")
--- a/tests/process/test_gateway_load.py
+++ b/tests/process/test_gateway_load.py
@@ -7,15 +7,9 @@
 import time
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from mulberryrill.internal.httpclient import HttpClient, HttpResponse
+from mulberryrill.internal.httpclient import HttpResponse
 from mulberryrill.internal.schema.wire_pb2 import HEALTHY, UNREACHABLE
-from tests.common.gateway import LOCAL, GatewayTestCase, wait_until
-
-
-def read_problem(answer: HttpResponse) -> dict:
-    content = answer.parse_json()
-    assert isinstance(content, dict)
-    return content
+from tests.common.gateway import LOCAL, GatewayTestCase, read_executed, read_problem, wait_until
 
 
 class GatewayLoadTest(GatewayTestCase):
@@ -40,46 +34,35 @@
             "all completions reported",
         )
 
+    def shorten_deadline(self) -> None:
+        view = self.control.update.services[0]
+        view.document = view.document.replace("deadline_ms: 10000", "deadline_ms: 300")
+
     def test_call_that_cannot_start_by_its_deadline_is_not_run(self) -> None:
-        self.control.update.services[0].document = self.control.update.services[0].document.replace(
-            "deadline_ms: 10000", "deadline_ms: 300"
-        )
+        self.shorten_deadline()
         self.start_engine()
         self.control.slots = 0
         self.start_gateway()
         answer = self.complete()
-        self.assertEqual((answer.status, read_problem(answer)["executed"]), (503, "no"))
+        self.assertEqual(read_executed(answer), (503, "no"))
         self.assertEqual(answer.headers["x-should-retry"], "true")
 
     def test_call_after_its_deadline_is_unknown(self) -> None:
         """Guards against "not run" for a call that a target has received (I7)."""
-        self.control.update.services[0].document = self.control.update.services[0].document.replace(
-            "deadline_ms: 10000", "deadline_ms: 300"
-        )
+        self.shorten_deadline()
         self.start_engine(decode_ms_per_token=200)
         self.start_gateway()
-        answer = self.complete()
-        self.assertEqual((answer.status, read_problem(answer)["executed"]), (504, "unknown"))
+        self.assertEqual(read_executed(self.complete()), (504, "unknown"))
 
     def test_caller_that_leaves_frees_its_slot(self) -> None:
         self.start_engine(decode_ms_per_token=100)
         self.control.slots = 1
         self.start_gateway()
         body = json.dumps({"model": "flavour-7b", "prompt": "x", "max_tokens": 10_000}).encode()
-        head = (
-            "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "
-            f"secret-of-kariakoo\r\nContent-Length: {len(body)}\r\n\r\n"
-        )
-        port = int(self.url.rsplit(":", 1)[1])
-        with socket.create_connection((LOCAL, port)) as connection:
-            connection.sendall(head.encode() + body)
-            wait_until(self.has_running, "call started")
+        with self.leave_open("/v1/completions", body):
+            wait_until(lambda: self.sum_uses("in_flight"), "call started")
         self.assertEqual(self.complete(max_tokens=1).status, 200)
 
-    def has_running(self) -> bool:
-        reports = self.control.list("gateway_report")
-        return bool(reports) and any(use.in_flight for use in reports[-1].uses)
-
     def test_refused_connection_gives_up_the_slots_at_once(self) -> None:
         """Guards against a burst of calls on a target that restarts (I4)."""
         self.start_engine("engine-1")
@@ -117,16 +100,10 @@
         threads = [threading.Thread(target=self.complete) for _ in range(2)]
         for thread in threads:
             thread.start()
-        wait_until(
-            lambda: any(
-                use.in_flight == 2 for r in self.control.list("gateway_report") for use in r.uses
-            ),
-            "both calls started",
-        )
+        wait_until(lambda: self.sum_uses("in_flight") == 2, "both calls started")
         answer = self.complete()
-        problem = read_problem(answer)
-        self.assertEqual((answer.status, problem["executed"]), (429, "no"))
-        self.assertEqual(problem["error"]["type"], "rate_limit_error")
+        self.assertEqual(read_executed(answer), (429, "no"))
+        self.assertEqual(read_problem(answer)["error"]["type"], "rate_limit_error")
         self.assertIn("retry-after", answer.headers)
         for thread in threads:
             thread.join()
@@ -140,18 +117,9 @@
         program = self.start_gateway(balancer_lag_ms=1500)
         with ThreadPoolExecutor(3) as pool:
             running = pool.submit(self.complete, stream=True, max_tokens=40)
-            wait_until(
-                lambda: any(
-                    u.in_flight for r in self.control.list("gateway_report")[-1:] for u in r.uses
-                ),
-                "call started",
-            )
+            wait_until(lambda: self.sum_uses("in_flight"), "call started")
             closing = pool.submit(program.close)
-            client = HttpClient()
-            self.addCleanup(client.close)
-            wait_until(
-                lambda: client.send("GET", f"{self.admin_url}/readyz").status == 503, "not ready"
-            )
+            wait_until(lambda: self.ask_admin("/readyz").status == 503, "not ready")
             # Longer than a server without the lag needs to close its listener.
             time.sleep(0.5)
             self.assertEqual(self.complete(max_tokens=1).status, 200)
@@ -169,15 +137,13 @@
         self.start_gateway(history_file=path)
         answer = self.complete(stream=True)
         request_id = answer.headers["x-request-id"]
-        client = HttpClient()
-        self.addCleanup(client.close)
-        metrics = client.send("GET", f"{self.admin_url}/metrics").body.decode()
+        metrics = self.ask_admin("/metrics").body.decode()
         self.assertIn('mulberryrill_token_events_total{service="flavour"} 8.0', metrics)
         self.assertIn(
             'mulberryrill_time_to_first_token_seconds_count{service="flavour"} 1', metrics
         )
         self.assertNotIn("secret-of-kariakoo", metrics)
-        self.assertEqual(client.send("GET", f"{self.admin_url}/healthz").status, 200)
+        self.assertEqual(self.ask_admin("/healthz").status, 200)
         trace = self.read_trace()
         self.assertEqual((trace.request_id, trace.status, trace.executed), (request_id, 200, "yes"))
         self.assertEqual((trace.revision, trace.attempts[0].target), (1, "engine-1"))
