Add store settings and batch lookup of blocks

Cause: gateways share no key for block keys, so a store's blocks could not be found by another gateway. Change: cache_key_secret and store_link_bytes_per_second in the gateway's settings, a batch lookup in the store stand-in, and an offset for exports. The stores are not connected yet.

--- a/src/mulberryrill/internal/core/snapshot.py
+++ b/src/mulberryrill/internal/core/snapshot.py
@@ -59,6 +59,15 @@
     address: str
 
 
+@dataclass(frozen=True)
+class StoreMember:
+    """A KV cache store's base URL, by data centre."""
+
+    store: str
+    data_centre: DataCentre
+    address: str
+
+
 @dataclass(frozen=True)
 class Snapshot:
     """The configuration, orders, members and targets in force at one moment."""
@@ -73,6 +82,8 @@
     drained: frozenset[DataCentre] = frozenset()
     targets: Mapping[TargetId, TargetState] = field(default_factory=dict)
     entries: tuple[EntryMember, ...] = ()
+    # Live stores of all data centres.
+    stores: tuple[StoreMember, ...] = ()
     quarantine: tuple[log_pb2.QuarantineEntry, ...] = ()
     # Problems of documents that could not be read; the last readable one stays in force.
     problems: tuple[str, ...] = ()
@@ -169,6 +180,7 @@
         drained=_list_drained(update),
         targets=_join_targets(update),
         entries=_list_entries(update),
+        stores=_list_stores(update),
         quarantine=tuple(update.quarantine),
         problems=tuple(problems),
     )
@@ -248,3 +260,11 @@
         for member in update.members
         if member.kind == wire_pb2.entry and member.state != wire_pb2.leaving and member.address
     )
+
+
+def _list_stores(update: wire_pb2.SnapshotUpdate) -> tuple[StoreMember, ...]:
+    return tuple(
+        StoreMember(member.id, DataCentre(member.data_centre), member.address.rstrip("/"))
+        for member in update.members
+        if member.kind == wire_pb2.store and member.state != wire_pb2.leaving and member.address
+    )
--- a/src/mulberryrill/internal/gateway/metrics.py
+++ b/src/mulberryrill/internal/gateway/metrics.py
@@ -110,6 +110,24 @@
             ["service", "kind"],
             registry=self._registry,
         )
+        self.store_lookups = Counter(
+            "mulberryrill_store_lookups",
+            "Prompts looked up in KV cache stores by result",
+            ["result"],
+            registry=self._registry,
+        )
+        self.kv_blocks = Counter(
+            "mulberryrill_kv_blocks",
+            "Cache blocks that engines were told to import or export",
+            ["service", "direction"],
+            registry=self._registry,
+        )
+        self.link_bytes = Counter(
+            "mulberryrill_store_link_bytes",
+            "Bytes taken from the budgets of store links",
+            ["service", "direction"],
+            registry=self._registry,
+        )
         self.running = Gauge(
             "mulberryrill_running_requests", "Requests in this gateway", registry=self._registry
         )
--- a/src/mulberryrill/internal/gateway/options.py
+++ b/src/mulberryrill/internal/gateway/options.py
@@ -30,6 +30,8 @@
     connect_timeout_ms: int
     balancer_lag_s: float
     policy: str
+    # This gateway's share of each store's link; 0: no stores.
+    store_link_bytes_per_s: float
 
 
 def read_options(settings: GatewaySettings) -> GatewayOptions:
@@ -58,6 +60,7 @@
             ("stream_progress_timeout_ms", settings.stream_progress_timeout_ms),
             ("connect_timeout_ms", settings.connect_timeout_ms),
             ("balancer_lag_ms", settings.balancer_lag_ms),
+            ("store_link_bytes_per_second", settings.store_link_bytes_per_second),
         )
         if value < 0
     ]
@@ -79,4 +82,5 @@
         connect_timeout_ms=settings.connect_timeout_ms or DEFAULT_CONNECT_TIMEOUT_MS,
         balancer_lag_s=settings.balancer_lag_ms / 1000,
         policy=policy,
+        store_link_bytes_per_s=float(settings.store_link_bytes_per_second),
     )
--- a/src/mulberryrill/internal/gateway/program.py
+++ b/src/mulberryrill/internal/gateway/program.py
@@ -171,10 +171,11 @@
 
 def create_parts(options: GatewayOptions) -> DecisionParts:
     """Returns the core's classes for one gateway."""
+    secret = options.settings.cache_key_secret
     return DecisionParts(
         router=Router(create_policy(options.policy), options.data_centre, options.settings.seed),
         slots=GatewaySlots(max_instances=1),
         admission=Admission(),
         quarantine=Quarantine(),
-        block_secret=secrets.token_bytes(BLOCK_SECRET_BYTES),
+        block_secret=bytes.fromhex(secret) or secrets.token_bytes(BLOCK_SECRET_BYTES),
     )
--- a/src/mulberryrill/internal/settings/checks.py
+++ b/src/mulberryrill/internal/settings/checks.py
@@ -62,6 +62,7 @@
 # ZeroMQ's text form of a 32-byte CURVE key: 40 characters of the Z85 alphabet.
 _CURVE_KEY = re.compile(r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
 _TOKEN_HASH = re.compile(r"[0-9a-f]{64}")
+_CACHE_KEY_SECRET = re.compile(r"[0-9a-fA-F]{64}")
 # Names are parts of messages' senders, separated by "/".
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _NAME_FIELDS = ("instance", "data_centre", "name", "id")
@@ -119,6 +120,9 @@
         if not _CURVE_KEY.fullmatch(value):
             # The value is not shown, because it may be a secret.
             yield path, "not a CURVE key; give the 40 characters of its Z85 form"
+    elif name == "cache_key_secret" and not _CACHE_KEY_SECRET.fullmatch(value):
+        # The value is not shown, because it is a secret.
+        yield path, "not a key; give 64 random hexadecimal digits, the same to all gateways"
     elif name == "token_sha256" and not _TOKEN_HASH.fullmatch(value):
         yield path, "not a SHA-256; give 64 hexadecimal digits in lower case"
     elif name.endswith("_url") and not _is_address(value, ("http", "https")):
@@ -164,6 +168,11 @@
             yield f"{prefix}{name}", "missing; create a CURVE key pair, for example with pyzmq"
 
 
+def _check_gateway(message: GatewaySettings, prefix: str) -> Problems:
+    if message.store_link_bytes_per_second and not message.cache_key_secret:
+        yield f"{prefix}cache_key_secret", "missing; gateways that use stores need a common key"
+
+
 def _check_control(message: ControlSettings, prefix: str) -> Problems:
     names = [peer.instance for peer in message.peers]
     keys = [peer.public_key for peer in message.peers]
@@ -188,5 +197,6 @@
 _MESSAGE_CHECKS: dict[type[Message], Callable[..., Problems]] = {
     Listen: _check_listen,
     KeyPair: _check_keys,
+    GatewaySettings: _check_gateway,
     ControlSettings: _check_control,
 }
--- a/src/mulberryrill/internal/standins/kvtransfer.py
+++ b/src/mulberryrill/internal/standins/kvtransfer.py
@@ -66,9 +66,10 @@
 
     def _export(self, run: Run, target: Mapping[str, object]) -> None:
         client = HttpClient()
-        keys = target.get("keys")
+        keys, first = target.get("keys"), target.get("first_block", 0)
         try:
-            for key, chain_key in zip(keys or [], run.block_keys, strict=False):  # type: ignore[call-overload]
+            chain_keys = run.block_keys[first:]  # type: ignore[misc]
+            for key, chain_key in zip(keys or [], chain_keys, strict=False):  # type: ignore[call-overload]
                 _write_block(client, str(target["store"]), str(key), create_block(chain_key))
         except (HttpError, KeyError, TypeError) as error:
             log_event(_LOGGER, logging.INFO, Event.STANDIN_BLOCK_IMPORT_FAILED, f"export: {error}")
--- a/src/mulberryrill/internal/standins/site.py
+++ b/src/mulberryrill/internal/standins/site.py
@@ -32,6 +32,7 @@
 
 HOST = "127.0.0.1"
 PRIVATE_MODE = 0o600
+CACHE_KEY_SECRET_BYTES = 32
 TOKEN_BYTES = 24
 
 
@@ -187,6 +188,9 @@
         self._instances: list[InstancePlan] = []
         self._ports = iter(find_free_ports(self._count_ports()))
         self._platform_url = ""
+        self._cache_key_secret = site.gateway.cache_key_secret or secrets.token_hex(
+            CACHE_KEY_SECRET_BYTES
+        )
 
     def _count_ports(self) -> int:
         ports = 1
@@ -319,6 +323,7 @@
             settings.admin.CopyFrom(self._listen())
         gateway.name = gateway.name or "gateway-0"
         gateway.callers.CopyFrom(self._listen())
+        gateway.cache_key_secret = self._cache_key_secret
         control.operators.CopyFrom(self._listen())
         control.peer_endpoint = f"tcp://{HOST}:{next(self._ports)}"
         control.gateway_endpoint = f"tcp://{HOST}:{next(self._ports)}"
--- a/src/mulberryrill/internal/standins/store.py
+++ b/src/mulberryrill/internal/standins/store.py
@@ -101,6 +101,8 @@
 
     def _serve_block(self, request: Request, parts: list[str]) -> Response:
         match request.method, parts:
+            case "POST", ["lookup"]:
+                return self._look_up(request)
             case "POST", [key]:
                 if self._faults.full:
                     raise StoreError(507, "The store is full.")
@@ -126,6 +128,20 @@
                 return create_json_response({})
         raise MethodNotAllowed(description=f"{request.method} is not possible here.")
 
+    def _look_up(self, request: Request) -> Response:
+        keys = read_json_object(request).get("keys")
+        if not isinstance(keys, list):
+            raise BadRequest('"keys" must be a list.')
+        blocks = []
+        for key in keys:
+            try:
+                block, _ = self._blocks.describe(str(key))
+            except StoreError:
+                break
+            state = {"key": key, "generation": block.generation, "length": len(block.data)}
+            blocks.append({**state, "digest": block.digest})
+        return create_json_response({"blocks": blocks})
+
     def _read(self, key: str, generation: int) -> Response:
         block, tier = self._blocks.read(key, generation)
         data = block.data
