Import returning prompts from the KV cache stores

Cause: the router could weigh imports, but no gateway asked a store, so a prompt that returned after its blocks had left the engine's memory was always computed again. Seen before: with the import switched off in stores.py, test_stores fails with 0 cached tokens, not 8192. With block keys that leave out the customer it fails with a foreign block. Conclusion: a prompt exported through one gateway is imported through another one after the engine has restarted, so the cache key secret of the settings is in use in both.

--- a/src/mulberryrill/internal/gateway/attempts.py
+++ b/src/mulberryrill/internal/gateway/attempts.py
@@ -334,6 +334,7 @@
     engine: dict[str, object] = {"priority": _ENGINE_PRIORITIES[request.config.priority]}
     if call.progress.tokens:
         engine |= build_continuation(call.progress)
+    engine |= call.kv_fields
     content = {**request.content, "engine": engine}
     if request.is_stream:
         content["stream_options"] = {"include_usage": True}
--- a/src/mulberryrill/internal/gateway/call.py
+++ b/src/mulberryrill/internal/gateway/call.py
@@ -10,6 +10,7 @@
 from ..schema.log_pb2 import Claim
 from ..schema.wire_pb2 import AttemptTrace
 from .caller import CallerConnection
+from .stores import PromptBlocks
 from .streams import StreamProgress
 
 
@@ -74,6 +75,10 @@
     progress: StreamProgress = field(default_factory=StreamProgress)
     routing: RoutingRequest | None = None
     item: QueueItem | None = None
+    # What the prompt's store holds; None: this call uses no store.
+    blocks: PromptBlocks | None = None
+    # Members of the next attempt's ``engine`` extension that name blocks to import and export.
+    kv_fields: dict[str, object] = field(default_factory=dict)
     claim: Claim | None = None
     fingerprint: str = ""
     tried: set[TargetId] = field(default_factory=set)
--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -1,7 +1,7 @@
 """Takes each call from its arrival to its answer: claim, queue, attempts, retries and resumes."""
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..clock import Clock
 from ..core.admission import Admission, CustomerLimits, share_limits
@@ -28,6 +28,7 @@
 from .messages import SendMessage
 from .metrics import GatewayMetrics
 from .options import GatewayOptions
+from .stores import PromptBlocks, StorePool, can_use_stores
 from .targets import TargetPool
 
 TICK_S = 0.1
@@ -90,6 +91,7 @@
         self._targets = TargetPool(
             clock, options, parts.router, parts.slots, parts.quarantine, send
         )
+        self._stores = StorePool(loop, options, parts.router, metrics)
         self._calls: dict[RequestId, Call] = {}
         self._runs: dict[Call, Attempt | Forward] = {}
         self._retrying: list[Call] = []
@@ -131,7 +133,9 @@
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Uses a new snapshot from now on."""
-        self._targets.use_snapshot(snapshot, self._loop.now())
+        now = self._loop.now()
+        self._targets.use_snapshot(snapshot, now)
+        self._stores.use_snapshot(snapshot, now)
         self._request_pump()
 
     def on_grant(self, grant: GrantUpdate) -> None:
@@ -276,10 +280,28 @@
         return True
 
     def _enqueue(self, call: Call) -> None:
-        now = self._loop.now()
         request = call.request
         call.routing = self._build_routing(call)
-        call.item = QueueItem(call.routing, call.received, call.deadline)
+        is_asked = can_use_stores(request.target_path, request.content) and self._stores.look_up(
+            call.routing, lambda blocks: self._on_lookup(call, blocks)
+        )
+        if not is_asked:
+            self._admit(call, call.routing)
+
+    def _on_lookup(self, call: Call, blocks: PromptBlocks | None) -> None:
+        """Goes on with what the prompt's store holds; None after a failed lookup."""
+        if call.state is CallState.DONE:
+            return
+        assert call.routing is not None
+        if blocks is not None:
+            call.blocks = blocks
+            call.routing = replace(call.routing, stored=blocks.list_prefixes())
+        self._admit(call, call.routing)
+
+    def _admit(self, call: Call, routing: RoutingRequest) -> None:
+        now = self._loop.now()
+        request = call.request
+        call.item = QueueItem(routing, call.received, call.deadline)
         customer = request.customer
         limits = CustomerLimits(customer.requests_per_second, customer.concurrent, customer.weight)
         share = share_limits(limits, self._targets.snapshot.live_instances)
@@ -379,6 +401,9 @@
         target = choice.target
         if target is None or not self._targets.acquire(call, target, now):
             return False
+        call.kv_fields = {}
+        if call.blocks is not None and call.routing is not None:
+            call.kv_fields = self._stores.plan(call.blocks, call.routing, choice.imported, now)
         attempt_id = AttemptId(create_id("att"))
         attempt = Attempt(
             self._loop, self, call, target, attempt_id, self._options.connect_timeout_ms
@@ -440,9 +465,17 @@
         if result.kind is ResultKind.COMPLETE:
             self._complete(call, result)
         else:
+            if result.sent:
+                self._forget_blocks(call)
             self._recover(call, result)
         self._request_pump()
 
+    def _forget_blocks(self, call: Call) -> None:
+        """Goes on without stores, because an import may have made the attempt fail."""
+        call.blocks = None
+        if call.routing is not None:
+            call.routing = replace(call.routing, stored=())
+
     def _track(self, call: Call, attempt: Attempt, result: AttemptResult) -> None:
         if result.kind is ResultKind.COMPLETE:
             call.tracker.on_answer(attempt.attempt_id)
@@ -480,6 +513,9 @@
             self._metrics.prompt_tokens.labels(name, "cached").inc(cached)
             computed = max(0, progress.prompt_tokens - cached)
             self._metrics.prompt_tokens.labels(name, "computed").inc(computed)
+            has_run = progress.prompt_tokens > 0
+            if has_run and call.blocks is not None and call.routing is not None:
+                self._stores.on_complete(call.blocks, call.routing, cached)
         if result.answer is None:
             if not call.answered:
                 self._answerer.finish_stream(call)
--- a/src/mulberryrill/internal/standins/kvtransfer.py
+++ b/src/mulberryrill/internal/standins/kvtransfer.py
@@ -68,7 +68,9 @@
         client = HttpClient()
         keys, first = target.get("keys"), target.get("first_block", 0)
         try:
-            chain_keys = run.block_keys[first:]  # type: ignore[misc]
+            if not isinstance(first, int) or first < 0:
+                raise TypeError("kv_export.first_block must be a whole number")
+            chain_keys = run.block_keys[first:]
             for key, chain_key in zip(keys or [], chain_keys, strict=False):  # type: ignore[call-overload]
                 _write_block(client, str(target["store"]), str(key), create_block(chain_key))
         except (HttpError, KeyError, TypeError) as error:
--- /dev/null
+++ b/tests/process/test_stores.py
@@ -0,0 +1,113 @@
+"""Prompts that return after they have left an engine's memory are imported from a store."""
+
+import unittest
+from functools import partial
+
+from mulberryrill.internal.history.reading import HistoryEvent, read_history
+from mulberryrill.internal.standins.enginemodel import BLOCK_TOKENS
+from mulberryrill.internal.standins.prefixcache import BLOCK_BYTES
+from mulberryrill.internal.standins.pseudotext import digest_text, list_tokens
+from mulberryrill.internal.standins.site import SiteDataCentre
+from tests.common.deployment import Deployment, create_site, wait_until
+from tests.common.verification import check_histories
+
+GATEWAYS = ("kariakoo-1", "kariakoo-2")
+ENGINE, STORE = "kariakoo-engine-1", "kariakoo-store-1"
+OWNER, OTHER = "kariakoo-market", "msasani-slipway"
+BLOCKS = 4
+TOKENS = 10
+LINK_BYTES_PER_S = 8_000_000
+WAIT_S = 20
+# A lookup on a busy machine may take longer than its timeout, after which the store is left alone
+# and the prompt is computed. An import in one of these rounds shows that the mechanism works.
+MAX_ROUNDS = 8
+
+
+def create_prompt(topic: str) -> str:
+    """Returns a prompt of BLOCKS whole blocks and a rest."""
+    line = f"sales history of {topic}: "
+    return (line * (BLOCKS * BLOCK_BYTES // len(line) + 9))[: BLOCKS * BLOCK_BYTES + 100]
+
+
+class StoresTest(unittest.TestCase):
+    """Guards against stores that are connected and never used, or used for the wrong prompt."""
+
+    def setUp(self) -> None:
+        site = create_site(data_centres=1)
+        site.data_centres[0] = SiteDataCentre("kariakoo", 2, engines=1, services=1, stores=1)
+        site.gateway.store_link_bytes_per_second = LINK_BYTES_PER_S
+        self.deployment = Deployment(site)
+        self.addCleanup(self.deployment.close)
+        self.deployment.start()
+        self.deployment.apply_documents()
+        self.deployment.wait_serving()
+        self.probes = 0
+
+    def test_returning_prompt_is_imported_by_another_gateway_and_only_for_its_customer(
+        self,
+    ) -> None:
+        prompt = create_prompt("vanilla")
+        self.fill_store(prompt)
+        self.assertEqual(self.import_prompt(prompt), BLOCKS * BLOCK_TOKENS)
+        # The store and the engine hold the blocks of the same prompt, but of another customer.
+        self.assertEqual(self.complete(GATEWAYS[0], prompt, OTHER), 0)
+        check_histories(self, self.deployment, blocks=4, owners=4)
+
+    def test_store_that_is_killed_costs_only_the_cache(self) -> None:
+        prompt = create_prompt("coconut")
+        self.fill_store(prompt)
+        self.empty_engine()
+        self.deployment.kill(STORE)
+        self.assertEqual(self.complete(GATEWAYS[1], prompt), 0)
+        self.assertEqual(self.complete(GATEWAYS[0], prompt), BLOCKS * BLOCK_TOKENS)
+        check_histories(self, self.deployment, blocks=3, owners=3)
+
+    def fill_store(self, prompt: str) -> None:
+        """Sends the prompt until the store holds all its blocks."""
+
+        def is_filled() -> bool:
+            self.complete(GATEWAYS[0], prompt)
+            return self.count_written() >= BLOCKS
+
+        wait_until(is_filled, WAIT_S, "all blocks are in the store")
+
+    def import_prompt(self, prompt: str) -> int:
+        """Returns the cached tokens of the first run on an empty engine that has any."""
+        for _ in range(MAX_ROUNDS):
+            self.empty_engine()
+            cached = self.complete(GATEWAYS[1], prompt)
+            if cached:
+                return cached
+        return 0
+
+    def complete(self, gateway: str, prompt: str, customer: str = OWNER) -> int:
+        """Sends a prompt, checks its text and returns how many of its tokens were cached."""
+        text = self.deployment.complete(gateway, prompt, TOKENS, customer=customer)
+        digest = digest_text(prompt)
+        self.assertEqual(text, "".join(list_tokens("flavour-7b", "3", digest, TOKENS)))
+        runs = [e for e in self.list_events("execution") if e.get("prompt_sha256") == digest]
+        return runs[-1].get_number("cached_tokens")
+
+    def empty_engine(self) -> None:
+        """Restarts the engine and waits until both gateways use its new incarnation."""
+        old = self.list_engine_dispatches()[-1].get("incarnation")
+        self.deployment.set_faults(ENGINE, restart=1)
+        for gateway in GATEWAYS:
+            wait_until(partial(self.is_renewed, gateway, old), WAIT_S, f"{gateway} saw it")
+
+    def is_renewed(self, gateway: str, old: str) -> bool:
+        """Tells by a short prompt whether a gateway knows the incarnation after ``old``."""
+        self.probes += 1
+        self.deployment.complete(gateway, f"restarted? {self.probes}", 1)
+        sent = [e for e in self.list_engine_dispatches() if e.process.startswith(gateway)]
+        return bool(sent) and sent[-1].get("incarnation") != old
+
+    def list_engine_dispatches(self) -> list[HistoryEvent]:
+        return [e for e in self.list_events("dispatch") if e.get("target") == ENGINE]
+
+    def count_written(self) -> int:
+        events = self.list_events("transfer")
+        return len({e.get("key") for e in events if e.get("direction") == "write"})
+
+    def list_events(self, kind: str) -> list[HistoryEvent]:
+        return read_history(self.deployment.list_history_files()).select(kind)
