--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -42,6 +42,7 @@
 MAX_RUN_S = 3600.0
 MAX_FORWARD_TRIES = 3
 BYTES_PER_TOKEN = 4
+POLICY_WITH_STORES = "full"
 _RESUMABLE = frozenset(
     {
         ResultKind.BROKEN,
@@ -91,7 +92,9 @@
         self._targets = TargetPool(
             clock, options, parts.router, parts.slots, parts.quarantine, send
         )
-        self._stores = StorePool(loop, options, parts.router, metrics)
+        # The other policies do not weigh imports, so lookups would only cost time.
+        link_rate = options.store_link_bytes_per_s if options.policy == POLICY_WITH_STORES else 0.0
+        self._stores = StorePool(loop, parts.router, metrics, link_rate)
         self._calls: dict[RequestId, Call] = {}
         self._runs: dict[Call, Attempt | Forward] = {}
         self._retrying: list[Call] = []
--- a/src/mulberryrill/internal/gateway/stores.py
+++ b/src/mulberryrill/internal/gateway/stores.py
@@ -18,10 +18,8 @@
 from ..logs import log_event
 from .loop import RelayLoop, Timer
 from .metrics import GatewayMetrics
-from .options import GatewayOptions
 from .transfer import Transfer, TransferEnd, TransferRequest
 
-POLICY_WITH_STORES = "full"
 # A lookup delays the request, so a store that does not answer within this time is not used.
 LOOKUP_TIMEOUT_S = 0.05
 # A store that failed a lookup is not asked again for this time, so that it does not delay others.
@@ -140,15 +138,18 @@
 
 
 class StorePool:
-    """The stores that this gateway may use. Runs on the relay loop's thread."""
+    """The stores that this gateway may use. Runs on the relay loop's thread.
+
+    ``bytes_per_s`` is this gateway's budget of each store's link; 0: it uses no stores.
+    """
 
     def __init__(
-        self, loop: RelayLoop, options: GatewayOptions, router: Router, metrics: GatewayMetrics
+        self, loop: RelayLoop, router: Router, metrics: GatewayMetrics, bytes_per_s: float
     ) -> None:
         self._loop = loop
         self._router = router
         self._metrics = metrics
-        self._rate = options.store_link_bytes_per_s if options.policy == POLICY_WITH_STORES else 0.0
+        self._rate = bytes_per_s
         # Store id to base URL.
         self._stores: dict[str, str] = {}
         # Base URL to the time until which a store is left alone.
