--- a/src/mulberryrill/internal/standins/kvtransfer.py
+++ b/src/mulberryrill/internal/standins/kvtransfer.py
@@ -66,9 +66,12 @@
 
     def _export(self, run: Run, target: Mapping[str, object]) -> None:
         client = HttpClient()
-        keys = target.get("keys")
+        keys, first = target.get("keys"), target.get("first_block", 0)
         try:
-            for key, chain_key in zip(keys or [], run.block_keys, strict=False):  # type: ignore[call-overload]
+            if not isinstance(first, int) or first < 0:
+                raise TypeError("kv_export.first_block must be a whole number")
+            chain_keys = run.block_keys[first:]
+            for key, chain_key in zip(keys or [], chain_keys, strict=False):  # type: ignore[call-overload]
                 _write_block(client, str(target["store"]), str(key), create_block(chain_key))
         except (HttpError, KeyError, TypeError) as error:
             log_event(_LOGGER, logging.INFO, Event.STANDIN_BLOCK_IMPORT_FAILED, f"export: {error}")
