--- a/tests/unit/test_slots.py
+++ b/tests/unit/test_slots.py
@@ -220,6 +220,16 @@
         self.now = STARTED + PROMISE_S - 0.1
         self.assertFalse(self.promise("h", 1.0))
 
+    def test_late_grant_is_not_used(self) -> None:
+        """Guards against a grant counted from its receipt, after the holder gave it to others."""
+        self.promise("h", 10.0)
+        report = self.client.build_report(self.now)
+        self.now += GRANT_S + 0.1
+        self.promise("h", 12.0)
+        self.client.build_report(self.now)
+        self.grant(report, 4)
+        self.assertEqual(self.count_free(), 0)
+
     def test_next_holder_is_told_of_earlier_participants(self) -> None:
         request = SlotPromiseRequest(holder="h", sent_at=10.0)
         request.participants.add(instance="x")
