--- a/src/mulberryrill/internal/gateway/answerer.py
+++ b/src/mulberryrill/internal/gateway/answerer.py
@@ -133,5 +133,6 @@
             complete=complete,
             attempt=call.last_attempt,
             version=request.version,
+            hops=request.hops,
         )
         self.send_trace(call, status, executed, summary)
--- a/src/mulberryrill/internal/history/checks.py
+++ b/src/mulberryrill/internal/history/checks.py
@@ -90,12 +90,16 @@
 
 
 def check_not_run(history: History) -> tuple[int, list[str]]:
-    """A request that was answered "executed: no" never ran, before or after its answer."""
+    """A request that was answered "executed: no" never ran, before or after its answer.
+
+    A gateway that a call was forwarded to speaks only for itself, and to the gateway that forwarded
+    it, which may have started the call before. What that one tells the caller is checked.
+    """
     executed = {event.get("request"): event for event in history.executions}
     refusals = [
         event
         for event in history.select("answer", "caller_answer")
-        if event.get("executed") == "no" and event.get("request")
+        if event.get("executed") == "no" and event.get("request") and not event.get_number("hops")
     ]
     problems = [
         f"{event.get('request')} was answered as not run by {event.process} "
--- a/tests/unit/test_history.py
+++ b/tests/unit/test_history.py
@@ -84,9 +84,23 @@
         ],
     ),
     "not-run": (
-        [[("answer", 1, {"request": "r2", "executed": "no"}), ("execution", 2, RUN)]],
+        [
+            [("answer", 1, {"request": "r2", "executed": "no"}), ("execution", 2, RUN)],
+            # Another gateway refused the rest of a stream; the caller was told that it ran.
+            [
+                ("execution", 1, RUN),
+                ("answer", 2, {**ANSWER, "complete": False, "executed": "no", "hops": 1}),
+                ("answer", 3, {**ANSWER, "complete": False, "executed": "yes", "hops": 0}),
+            ],
+        ],
         [
             [("answer", 1, {"request": "r1", "executed": "no"}), ("execution", 2, RUN)],
+            # The gateway of the caller passed that refusal on as its own answer.
+            [
+                ("execution", 1, RUN),
+                ("answer", 2, {**ANSWER, "complete": False, "executed": "no", "hops": 1}),
+                ("answer", 3, {**ANSWER, "complete": False, "executed": "no", "hops": 0}),
+            ],
             [("execution", 1, RUN), ("caller_answer", 2, {"request": "r1", "executed": "no"})],
         ],
     ),
