Do not report a forwarded call as not run if it may have run before

Cause: a repeatable call that broke here was forwarded, and the other gateway's "executed: no" was passed on although a target here may have run it. Change: the forwarding gateway says what it knows in X-Forwarded-Executed, and no error says less than the attempts show.

--- a/src/mulberryrill/internal/gateway/answerer.py
+++ b/src/mulberryrill/internal/gateway/answerer.py
@@ -48,6 +48,7 @@
         """Writes an error; a stream that has begun ends with an error event."""
         if call.answered:
             return
+        failure = failure.raise_executed(call.tracker.executed)
         request_id = call.request.request_id
         if call.caller.started:
             if call.request.is_stream:
--- a/src/mulberryrill/internal/gateway/answers.py
+++ b/src/mulberryrill/internal/gateway/answers.py
@@ -1,6 +1,6 @@
 """Error answers: problem details, and for model endpoints also the OpenAI interface's error."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from ..httpserver import PROBLEM_TYPE
@@ -30,6 +30,12 @@
     action: Action = Action.RETRY
     retry_after_s: int = 0
 
+    def raise_executed(self, known: Executed) -> "Failure":
+        """Returns this failure without a "not run" that is known to be doubtful or wrong."""
+        if self.executed is not Executed.NO or known is Executed.NO:
+            return self
+        return replace(self, executed=known)
+
     def build_body(self, request_id: RequestId, is_model: bool) -> dict[str, object]:
         """Returns the members of the problem document."""
         body: dict[str, object] = {
--- a/src/mulberryrill/internal/gateway/call.py
+++ b/src/mulberryrill/internal/gateway/call.py
@@ -6,7 +6,7 @@
 from ..core.messages import QueueItem, RoutingRequest
 from ..core.retries import AttemptTracker
 from ..core.snapshot import CustomerView, EntryMember, ServiceConfig
-from ..ids import AttemptId, RequestId, TargetId
+from ..ids import AttemptId, Executed, RequestId, TargetId
 from ..schema.log_pb2 import Claim
 from ..schema.wire_pb2 import AttemptTrace
 from .caller import CallerConnection
@@ -44,6 +44,8 @@
     hops: int
     key: str
     repeatable: bool
+    # What the forwarding gateway knows of earlier attempts.
+    executed_before: Executed = Executed.NO
     # The following are for model services only.
     is_stream: bool = False
     wants_usage: bool = False
--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -32,6 +32,8 @@
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 0.2
+# Stands for the attempts that another gateway made before it forwarded the call.
+EARLIER_ATTEMPT = AttemptId("earlier")
 MAX_ATTEMPTS = 5
 # Attempts that broke a connection before any output; the request may be what crashes targets.
 MAX_BREAKS = 2
@@ -121,6 +123,10 @@
             key=request.key,
             repeatable=request.repeatable,
         )
+        if request.executed_before is Executed.YES:
+            call.tracker.on_answer(EARLIER_ATTEMPT)
+        elif request.executed_before is Executed.UNKNOWN:
+            call.tracker.on_bytes_sent(EARLIER_ATTEMPT)
         if request.request_id in self._calls:
             self._answerer.give_failure(call, failures.create_duplicate())
             return
--- a/src/mulberryrill/internal/gateway/failures.py
+++ b/src/mulberryrill/internal/gateway/failures.py
@@ -17,7 +17,7 @@
         409,
         "Request id in use",
         "A request with this X-Request-Id is running.",
-        Executed.NO,
+        Executed.UNKNOWN,
         Action.CHANGE_REQUEST,
     )
 
--- a/src/mulberryrill/internal/gateway/forwarding.py
+++ b/src/mulberryrill/internal/gateway/forwarding.py
@@ -18,6 +18,9 @@
 from .transfer import Transfer, TransferEnd, TransferRequest
 
 HOPS_HEADER = "X-Forwarded-Hops"
+# What is known of earlier attempts, so that the other gateway does not answer "not run" for a call
+# that may have run here.
+EXECUTED_HEADER = "X-Forwarded-Executed"
 _DROPPED_HEADERS = frozenset(
     {"connection", "keep-alive", "transfer-encoding", "content-length", "date", "server", "te"}
 )
@@ -116,6 +119,7 @@
             ("Authorization", request.authorization),
             ("X-Request-Id", request.request_id),
             (HOPS_HEADER, str(request.hops + 1)),
+            (EXECUTED_HEADER, call.tracker.executed.value),
             *request.headers,
         ]
         if call.progress.tokens:
--- a/src/mulberryrill/internal/gateway/frontend.py
+++ b/src/mulberryrill/internal/gateway/frontend.py
@@ -17,7 +17,7 @@
 from .call import Call, CallRequest
 from .caller import CallerConnection
 from .claimdesk import is_valid_key
-from .forwarding import HOPS_HEADER
+from .forwarding import EXECUTED_HEADER, HOPS_HEADER
 from .loop import RelayLoop
 from .streams import StreamProgress
 
@@ -71,7 +71,8 @@
             else:
                 call = self._read_service_call(request, request_id, body, snapshot, token_hash)
         except RefusedError as error:
-            return _build_response(error.failure, request_id, is_model)
+            failure = error.failure.raise_executed(_read_executed_before(request))
+            return _build_response(failure, request_id, is_model)
         self._hand_over(request, call, received)
         raise DetachedConnectionError
 
@@ -132,6 +133,7 @@
             headers=(("Content-Type", "application/json"),),
             body=body,
             hops=hops,
+            executed_before=_read_executed_before(request),
             key="",
             repeatable=True,
             is_stream=bool(content.get("stream")),
@@ -183,6 +185,7 @@
             headers=headers,
             body=body,
             hops=_read_hops(request),
+            executed_before=_read_executed_before(request),
             key=key.lower() if not repeatable else key,
             repeatable=repeatable,
         )
@@ -223,6 +226,13 @@
     return 1 if HOPS_HEADER in request.headers else 0
 
 
+def _read_executed_before(request: Request) -> Executed:
+    try:
+        return Executed(request.headers.get(EXECUTED_HEADER, Executed.NO.value))
+    except ValueError:
+        return Executed.UNKNOWN
+
+
 def _read_token(request: Request, snapshot: Snapshot) -> str:
     scheme, _, token = request.headers.get("Authorization", "").partition(" ")
     token_hash = hash_token(token.strip())
--- a/tests/process/test_gateway_forwarding.py
+++ b/tests/process/test_gateway_forwarding.py
@@ -146,6 +146,25 @@
         self.set_faults(service, lose_answers=1)
         self.assertEqual(read_executed(self.pay()), (502, "unknown"))
 
+    def test_call_that_may_have_run_here_is_not_reported_as_not_run_elsewhere(self) -> None:
+        """Guards against a "not run" of the second gateway for a call that the first one sent."""
+        self.start_engine()
+        self.start_both()
+        near = self.start_engine("engine-2", decode_ms_per_token=500)
+        self.control.publish()
+        self.wait_for_acks(self.control, 2)
+        with ThreadPoolExecutor(1) as pool:
+            future = pool.submit(self.complete)
+            wait_until(lambda: self.sum_uses("in_flight"), "call runs")
+            self.drain(self.control)
+            self.drain(self.other, data_centre="msasani")
+            for control, acks in ((self.control, 3), (self.other, 2)):
+                control.publish()
+                self.wait_for_acks(control, acks)
+            self.set_faults(near, restart=1)
+            self.assertEqual(read_executed(future.result()), (503, "unknown"))
+        self.assertEqual(self.read_trace(control=self.other).executed, "unknown")
+
     def test_waiting_calls_leave_with_the_drain(self) -> None:
         """Guards against calls that wait for a drained data centre until their deadline."""
         self.start_engine()
