Test what a forwarding gateway and a silent control process change

Two changes were not noticed by a test: an error below what the attempts show, and claimed calls that leave while the control process is silent (test_path notices it only on a slow machine). Each has a test now that fails with its mechanism disabled, as does the one for X-Forwarded-Executed.

--- a/tests/process/test_gateway_forwarding.py
+++ b/tests/process/test_gateway_forwarding.py
@@ -1,6 +1,7 @@
 """Calls run in another data centre while their own is drained or has no target (I5)."""
 
 import socket
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from mulberryrill.internal.httpclient import HttpResponse
@@ -165,6 +166,22 @@
             self.assertEqual(read_executed(future.result()), (503, "unknown"))
         self.assertEqual(self.read_trace(control=self.other).executed, "unknown")
 
+    def test_only_repeatable_calls_leave_while_the_control_process_is_silent(self) -> None:
+        """Guards against a call that is claimed by two instances, and against one that waits."""
+        self.start_engine()
+        self.start_both()
+        self.start_engine("engine-2")
+        self.start_service()
+        self.control.publish()
+        self.wait_for_acks(self.control, 2)
+        self.control.renews = False
+        # Longer than the gateway waits for a sign of life.
+        time.sleep(3.0)
+        self.assertEqual(self.complete().status, 200)
+        self.assertEqual(self.read_trace().attempts[0].target, "msasani-1")
+        self.assertEqual(self.pay().status, 200)
+        self.assertEqual(self.read_trace(1).attempts[0].target, "vendor-1")
+
     def test_waiting_calls_leave_with_the_drain(self) -> None:
         """Guards against calls that wait for a drained data centre until their deadline."""
         self.start_engine()
--- a/tests/process/test_gateway_load.py
+++ b/tests/process/test_gateway_load.py
@@ -9,7 +9,14 @@
 
 from mulberryrill.internal.httpclient import HttpResponse
 from mulberryrill.internal.schema.wire_pb2 import HEALTHY, UNREACHABLE
-from tests.common.gateway import LOCAL, GatewayTestCase, read_executed, read_problem, wait_until
+from tests.common.gateway import (
+    LOCAL,
+    MODEL,
+    GatewayTestCase,
+    read_executed,
+    read_problem,
+    wait_until,
+)
 
 
 class GatewayLoadTest(GatewayTestCase):
@@ -46,6 +53,13 @@
         answer = self.complete()
         self.assertEqual(read_executed(answer), (503, "no"))
         self.assertEqual(answer.headers["x-should-retry"], "true")
+        # Another gateway may have run it before.
+        before = {"X_Forwarded_Hops": "1", "X_Forwarded_Executed": "unknown"}
+        body = {"model": MODEL, "prompt": "a"}
+        waited = self.call("POST", "/v1/completions", body, **before)
+        self.assertEqual(read_executed(waited), (503, "unknown"))
+        refused = self.call("GET", "/v1/completions", **before)
+        self.assertEqual(read_executed(refused), (405, "unknown"))
 
     def test_call_after_its_deadline_is_unknown(self) -> None:
         """Guards against "not run" for a call that a target has received (I7)."""
