--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -432,6 +432,12 @@
             if isinstance(request, SubmitDocument):
                 self._configuration.submit(call, request)
                 return
+            if not self._ready and isinstance(request, ShowDocument | ShowHistory | ShowInForce):
+                # An incomplete configuration would show an existing document as unknown.
+                detail = "This instance has not read the configuration yet; ask another one."
+                body: dict[str, object] = {"title": "Not ready", "detail": detail}
+                call.future.set_result(CallAnswer(503, body))
+                return
             call.future.set_result(self._call_handlers[type(request)](request))
         except Exception as error:
             call.future.set_exception(error)
@@ -541,10 +547,13 @@
         watched = tuple(membership.list_watched())
         if watched != self._watched:
             self._watched = watched
+            self._targets.watch(member.id for member in watched)
             self._ports.watch(watched)
         self._listed_here = membership.list_data_centre()
         self._targets_here = membership.list_targets()
+        # Which views count may have changed with the watchers that are alive.
         self._states_built_at = None
+        self._snapshots.mark_load_changed()
         live_count = membership.count_live_instances()
         if live_count != self._live_count:
             self._live_count = live_count
