Learn a target's prefill rate only from answers that it computed

Cause: the time to the first byte of a rejection was recorded as the time to the first token, so one rejected prompt of 8,217 tokens made an engine appear to compute it in 0.01 s. Change: TargetPool passes Attempt.first_output, which is None unless the status is 200. Seen before: after a rejection the next attempt's reason was "import 0.00 s, compute 0.01 s", so a stored prefix was not imported; the regression test fails with 0.5 is not None. Seen after: it passes. Conclusion: rejections no longer distort the choice of targets and of imports.

--- a/src/mulberryrill/internal/gateway/attempts.py
+++ b/src/mulberryrill/internal/gateway/attempts.py
@@ -137,6 +137,11 @@
         """Tells whether a byte of the call may have reached the target."""
         return self._transfer.sent
 
+    @property
+    def first_output(self) -> float | None:
+        """When an answer that the target computed began; None for rejections and errors."""
+        return self.first_byte if self._status == HTTPStatus.OK else None
+
     def cancel(self) -> None:
         """Closes the connection, which cancels the run; no result follows."""
         self._is_over = True
--- a/src/mulberryrill/internal/gateway/targets.py
+++ b/src/mulberryrill/internal/gateway/targets.py
@@ -184,7 +184,7 @@
         )
 
     def _release(self, attempt: Attempt, succeeded: bool, now: float) -> None:
-        call, first = attempt.call, attempt.first_byte
+        call, first = attempt.call, attempt.first_output
         assert call.routing is not None
         self._slots.release(attempt.target.target, succeeded)
         first_s = first - attempt.started if first is not None else None
