Test that a failed attempt clears the stored prefix, and the import counter

Cause: only the unit tests of stores.py ran without the dispatcher's hooks. Change: a process test in which both engines import and then reject a request once, and a look at the gateway's metrics in the first test. Conclusion: an import is tried once for each request.

--- a/tests/process/test_stores.py
+++ b/tests/process/test_stores.py
@@ -12,7 +12,7 @@
 from tests.common.verification import check_histories
 
 GATEWAYS = ("kariakoo-1", "kariakoo-2")
-ENGINE, STORE = "kariakoo-engine-1", "kariakoo-store-1"
+STORE = "kariakoo-store-1"
 OWNER, OTHER = "kariakoo-market", "msasani-slipway"
 BLOCKS = 4
 TOKENS = 10
@@ -32,9 +32,10 @@
 class StoresTest(unittest.TestCase):
     """Guards against stores that are connected and never used, or used for the wrong prompt."""
 
-    def setUp(self) -> None:
+    def start(self, engines: int) -> None:
+        self.engines = [f"kariakoo-engine-{n}" for n in range(1, engines + 1)]
         site = create_site(data_centres=1)
-        site.data_centres[0] = SiteDataCentre("kariakoo", 2, engines=1, services=1, stores=1)
+        site.data_centres[0] = SiteDataCentre("kariakoo", 2, engines, services=1, stores=1)
         site.gateway.store_link_bytes_per_second = LINK_BYTES_PER_S
         self.deployment = Deployment(site)
         self.addCleanup(self.deployment.close)
@@ -46,35 +47,56 @@
     def test_returning_prompt_is_imported_by_another_gateway_and_only_for_its_customer(
         self,
     ) -> None:
+        self.start(engines=1)
         prompt = create_prompt("vanilla")
         self.fill_store(prompt)
         self.assertEqual(self.import_prompt(prompt), BLOCKS * BLOCK_TOKENS)
+        line = 'mulberryrill_kv_blocks_total{direction="import",service="flavour-questions"}'
+        self.assertIn(f"{line} {BLOCKS:.1f}", self.read_metrics(GATEWAYS[1]))
         # The store and the engine hold the blocks of the same prompt, but of another customer.
         self.assertEqual(self.complete(GATEWAYS[0], prompt, OTHER), 0)
         check_histories(self, self.deployment, blocks=4, owners=4)
 
     def test_store_that_is_killed_costs_only_the_cache(self) -> None:
+        self.start(engines=1)
         prompt = create_prompt("coconut")
         self.fill_store(prompt)
-        self.empty_engine()
+        self.empty_engines()
         self.deployment.kill(STORE)
         self.assertEqual(self.complete(GATEWAYS[1], prompt), 0)
         self.assertEqual(self.complete(GATEWAYS[0], prompt), BLOCKS * BLOCK_TOKENS)
         check_histories(self, self.deployment, blocks=3, owners=3)
 
+    def test_attempt_after_a_failed_one_imports_nothing(self) -> None:
+        """Guards against an import that makes one attempt after the other fail."""
+        self.start(engines=2)
+        prompt = create_prompt("cinnamon")
+        self.fill_store(prompt)
+        for _ in range(MAX_ROUNDS):
+            self.empty_engines()
+            before = len(self.list_transfers("read"))
+            # Both engines import what they are told to and then reject the request once.
+            for engine in self.engines:
+                self.deployment.set_faults(engine, reject=1)
+            self.complete(GATEWAYS[1], prompt)
+            read = len(self.list_transfers("read")) - before
+            if read:
+                break
+        self.assertEqual(read, BLOCKS)
+
     def fill_store(self, prompt: str) -> None:
         """Sends the prompt until the store holds all its blocks."""
 
         def is_filled() -> bool:
             self.complete(GATEWAYS[0], prompt)
-            return self.count_written() >= BLOCKS
+            return len({e.get("key") for e in self.list_transfers("write")}) >= BLOCKS
 
         wait_until(is_filled, WAIT_S, "all blocks are in the store")
 
     def import_prompt(self, prompt: str) -> int:
         """Returns the cached tokens of the first run on an empty engine that has any."""
         for _ in range(MAX_ROUNDS):
-            self.empty_engine()
+            self.empty_engines()
             cached = self.complete(GATEWAYS[1], prompt)
             if cached:
                 return cached
@@ -88,26 +110,28 @@
         runs = [e for e in self.list_events("execution") if e.get("prompt_sha256") == digest]
         return runs[-1].get_number("cached_tokens")
 
-    def empty_engine(self) -> None:
-        """Restarts the engine and waits until both gateways use its new incarnation."""
-        old = self.list_engine_dispatches()[-1].get("incarnation")
-        self.deployment.set_faults(ENGINE, restart=1)
+    def empty_engines(self) -> None:
+        """Restarts the engines and waits until both gateways use the new incarnations."""
+        old = {event.get("incarnation") for event in self.list_events("dispatch")}
+        for engine in self.engines:
+            self.deployment.set_faults(engine, restart=1)
         for gateway in GATEWAYS:
             wait_until(partial(self.is_renewed, gateway, old), WAIT_S, f"{gateway} saw it")
 
-    def is_renewed(self, gateway: str, old: str) -> bool:
-        """Tells by a short prompt whether a gateway knows the incarnation after ``old``."""
+    def is_renewed(self, gateway: str, old: set[str]) -> bool:
+        """Tells by short prompts whether a gateway knows the incarnations after ``old``."""
         self.probes += 1
         self.deployment.complete(gateway, f"restarted? {self.probes}", 1)
-        sent = [e for e in self.list_engine_dispatches() if e.process.startswith(gateway)]
-        return bool(sent) and sent[-1].get("incarnation") != old
+        sent = [e for e in self.list_events("dispatch") if e.process.startswith(gateway)]
+        new = {e.get("target") for e in sent if e.get("incarnation") not in old}
+        return new.issuperset(self.engines)
 
-    def list_engine_dispatches(self) -> list[HistoryEvent]:
-        return [e for e in self.list_events("dispatch") if e.get("target") == ENGINE]
+    def list_transfers(self, direction: str) -> list[HistoryEvent]:
+        return [e for e in self.list_events("transfer") if e.get("direction") == direction]
 
-    def count_written(self) -> int:
-        events = self.list_events("transfer")
-        return len({e.get("key") for e in events if e.get("direction") == "write"})
+    def read_metrics(self, gateway: str) -> str:
+        url = self.deployment.find_process(f"{gateway}-gateway").ready_url
+        return self.deployment.send("GET", url.replace("/readyz", "/metrics")).body.decode()
 
     def list_events(self, kind: str) -> list[HistoryEvent]:
         return read_history(self.deployment.list_history_files()).select(kind)
