--- a/src/mulberryrill/internal/gateway/attempts.py
+++ b/src/mulberryrill/internal/gateway/attempts.py
@@ -12,6 +12,7 @@
 from ..ids import AttemptId, Incarnation
 from .call import Call
 from .caller import encode_json
+from .exchange import Exchange
 from .loop import RelayLoop
 from .streams import BrokenStreamError, EventSplitter, StreamReader, build_continuation
 from .transfer import Transfer, TransferEnd, TransferRequest
@@ -95,7 +96,7 @@
         ...
 
 
-class Attempt:
+class Attempt(Exchange):
     """Sends one call to one target. Runs on the relay loop's thread."""
 
     def __init__(
@@ -107,17 +108,13 @@
         attempt_id: AttemptId,
         connect_timeout_ms: int,
     ) -> None:
-        self._loop = loop
+        super().__init__(loop)
         self._owner = owner
         self.call = call
         self.target = target
         self.attempt_id = attempt_id
-        self.started = loop.now()
         self.first_byte: float | None = None
         self.incarnation = target.incarnation
-        self._last_progress = self.started
-        self._is_paused = False
-        self._is_over = False
         self._status = 0
         # The answer does not echo the attempt's id.
         self._is_unsigned = False
@@ -128,44 +125,15 @@
         request = build_request(call, target, attempt_id, connect_timeout_ms)
         self._transfer = Transfer(request, self)
 
-    def start(self) -> None:
-        """Opens the connection."""
-        self._loop.open_transfer(self._transfer)
-
-    @property
-    def sent(self) -> bool:
-        """Tells whether a byte of the call may have reached the target."""
-        return self._transfer.sent
-
     @property
     def first_output(self) -> float | None:
         """When an answer that the target computed began; None for rejections and errors."""
         return self.first_byte if self._status == HTTPStatus.OK else None
 
-    def cancel(self) -> None:
-        """Closes the connection, which cancels the run; no result follows."""
-        self._is_over = True
-        self._loop.cancel_transfer(self._transfer)
-
-    def pause(self) -> None:
-        """Stops reading because the caller is slow."""
-        if not self._is_paused and not self._is_over:
-            self._is_paused = True
-            self._transfer.pause()
-
-    def resume(self) -> None:
-        """Reads again."""
-        if self._is_paused and not self._is_over:
-            self._is_paused = False
-            self._last_progress = self._loop.now()
-            self._transfer.resume()
-
-    def is_stalled(self, now: float, limit_s: float) -> bool:
-        """Tells whether an answer that has begun makes no progress."""
-        # A target may send headers at once and the body of an answer much later.
-        has_begun = self._reader is not None or bool(self._body)
-        is_waiting = has_begun and not self._is_paused
-        return is_waiting and now - self._last_progress > limit_s
+    @property
+    def has_begun(self) -> bool:
+        """A target may send headers at once and the body of an answer much later."""
+        return self._reader is not None or bool(self._body)
 
     def stop(self, kind: ResultKind, detail: str) -> None:
         """Ends the attempt with a failure."""
@@ -176,8 +144,8 @@
 
     def on_headers(self, status: int, headers: dict[str, str]) -> None:
         """Verifies whose answer it is."""
-        now = self._loop.now()
-        self.first_byte = self._last_progress = now
+        self._note_progress()
+        self.first_byte = self._last_progress
         self._status, self._headers = status, headers
         mismatch = find_mismatch(self.call, self.attempt_id, status, headers)
         self._is_unsigned = "x-attempt-id" not in headers
@@ -196,7 +164,7 @@
         """Collects an answer or relays a stream's events."""
         if self._is_over:
             return
-        self._last_progress = self._loop.now()
+        self._note_progress()
         if self._reader is None:
             self._body += data
             if len(self._body) > MAX_ANSWER_BYTES:
--- /dev/null
+++ b/src/mulberryrill/internal/gateway/exchange.py
@@ -0,0 +1,62 @@
+"""The common part of attempts and forwarded calls: one transfer and its progress."""
+
+from abc import ABC, abstractmethod
+
+from .loop import RelayLoop
+from .transfer import Transfer
+
+
+class Exchange(ABC):
+    """One HTTP exchange that a slow caller can pause. Runs on the relay loop's thread.
+
+    A subclass sets ``_transfer`` before ``start``, and notes progress as bytes arrive.
+    """
+
+    _transfer: Transfer
+
+    def __init__(self, loop: RelayLoop) -> None:
+        self._loop = loop
+        self.started = loop.now()
+        self._last_progress = self.started
+        self._is_paused = False
+        self._is_over = False
+
+    @property
+    def sent(self) -> bool:
+        """Tells whether a byte of the call may have reached the other side."""
+        return self._transfer.sent
+
+    @property
+    @abstractmethod
+    def has_begun(self) -> bool:
+        """Tells whether the answer has begun, so that a pause in it counts as a stall."""
+
+    def start(self) -> None:
+        """Opens the connection."""
+        self._loop.open_transfer(self._transfer)
+
+    def cancel(self) -> None:
+        """Closes the connection, which cancels the run; no result follows."""
+        self._is_over = True
+        self._loop.cancel_transfer(self._transfer)
+
+    def pause(self) -> None:
+        """Stops reading because the caller is slow."""
+        if not self._is_paused and not self._is_over:
+            self._is_paused = True
+            self._transfer.pause()
+
+    def resume(self) -> None:
+        """Reads again."""
+        if self._is_paused and not self._is_over:
+            self._is_paused = False
+            self._note_progress()
+            self._transfer.resume()
+
+    def is_stalled(self, now: float, limit_s: float) -> bool:
+        """Tells whether an answer that has begun makes no progress."""
+        is_waiting = self.has_begun and not self._is_paused
+        return is_waiting and now - self._last_progress > limit_s
+
+    def _note_progress(self) -> None:
+        self._last_progress = self._loop.now()
--- a/src/mulberryrill/internal/gateway/forwarding.py
+++ b/src/mulberryrill/internal/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from ..ids import DataCentre, InstanceId
 from .call import Call
 from .caller import encode_json
+from .exchange import Exchange
 from .loop import RelayLoop
 from .streams import BrokenStreamError, EventSplitter, StreamReader, build_continuation
 from .transfer import Transfer, TransferEnd, TransferRequest
@@ -90,7 +91,7 @@
     return not request.is_model or (request.model, request.version) in target.models
 
 
-class Forward:
+class Forward(Exchange):
     """One exchange with another gateway. Runs on the relay loop's thread."""
 
     def __init__(
@@ -102,18 +103,14 @@
         connect_timeout_ms: int,
         ca_file: str,
     ) -> None:
-        self._loop = loop
+        super().__init__(loop)
         self._owner = owner
         self.call = call
         self.entry = entry
         self.has_answer = False
         self.status = 0
-        self.started = loop.now()
         self._splitter = EventSplitter()
         self._reader: StreamReader | None = None
-        self._is_over = False
-        self._is_paused = False
-        self._last_progress = loop.now()
         request = call.request
         headers = [
             ("Authorization", request.authorization),
@@ -144,36 +141,9 @@
         return self._reader is not None
 
     @property
-    def sent(self) -> bool:
-        """Tells whether a byte of the call may have reached the other gateway."""
-        return self._transfer.sent
-
-    def start(self) -> None:
-        """Opens the connection."""
-        self._loop.open_transfer(self._transfer)
-
-    def cancel(self) -> None:
-        """Closes the connection; nothing follows."""
-        self._is_over = True
-        self._loop.cancel_transfer(self._transfer)
-
-    def pause(self) -> None:
-        """Stops reading because the caller is slow."""
-        if not self._is_paused and not self._is_over:
-            self._is_paused = True
-            self._transfer.pause()
-
-    def resume(self) -> None:
-        """Reads again."""
-        if self._is_paused and not self._is_over:
-            self._is_paused = False
-            self._last_progress = self._loop.now()
-            self._transfer.resume()
-
-    def is_stalled(self, now: float, limit_s: float) -> bool:
-        """Tells whether an answer that has begun makes no progress."""
-        is_waiting = self.has_answer and not self._is_paused
-        return is_waiting and now - self._last_progress > limit_s
+    def has_begun(self) -> bool:
+        """Tells whether the other gateway has begun its answer."""
+        return self.has_answer
 
     def stop(self, error: str) -> None:
         """Ends the exchange with a failure."""
@@ -189,7 +159,7 @@
             return
         self.has_answer = True
         self.status = status
-        self._last_progress = self._loop.now()
+        self._note_progress()
         request = self.call.request
         is_events = headers.get("content-type", "").startswith("text/event-stream")
         if request.is_stream and status == HTTPStatus.OK and is_events:
@@ -200,7 +170,7 @@
     def on_data(self, data: bytes) -> None:
         """Relays bytes."""
         if not self._is_over:
-            self._last_progress = self._loop.now()
+            self._note_progress()
             if self._reader is None:
                 self._owner.on_forward_data(self, data)
             else:
