Reserve the ports of a deployment while its processes are restarted

Cause: in 1 of 10 runs a killed gateway did not start again ("kariakoo-2-gateway is not ready", ended at once). Its log was not kept; the likely cause is that an outgoing connection had got its port, which the system chooses from the same range. Change: the harness keeps a bound, not listening socket on each port, with both reuse options, so that only servers can bind it.

--- a/src/mulberryrill/bin/standin_site.py
+++ b/src/mulberryrill/bin/standin_site.py
@@ -24,7 +24,9 @@
     try:
         site = load_site(_SITE.value)
         folder = Path(_SITE.value).parent
-        plan = SiteWriter(site, folder, Path(_OUTPUT.value), history=_HISTORY.value).write()
+        writer = SiteWriter(site, folder, Path(_OUTPUT.value), history=_HISTORY.value)
+        plan = writer.write()
+        writer.close()
     except (SettingsError, OSError) as error:
         print(f"standin_site: {error}", file=sys.stderr)
         return EXIT_SETTINGS_INVALID
--- a/src/mulberryrill/internal/standins/site.py
+++ b/src/mulberryrill/internal/standins/site.py
@@ -115,14 +115,20 @@
     return KeyPair(public_key=public_key.decode("ascii"), secret_key=secret_key.decode("ascii"))
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Returns ports that are free now; the system chooses them."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    try:
-        return [bound.getsockname()[1] for bound in sockets]
-    finally:
-        for bound in sockets:
-            bound.close()
+def reserve_ports(count: int) -> list[socket.socket]:
+    """Returns sockets bound to free ports that the system chose.
+
+    They never listen, so servers can bind the same ports, but no outgoing connection of another
+    process gets one of them while its server is restarted.
+    """
+    reserved = []
+    for _ in range(count):
+        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        bound.bind((HOST, 0))
+        reserved.append(bound)
+    return reserved
 
 
 def write_settings(path: Path, settings: Message) -> None:
@@ -185,9 +191,15 @@
         self._history = history
         self._processes: list[ProcessPlan] = []
         self._instances: list[InstancePlan] = []
-        self._ports = iter(find_free_ports(self._count_ports()))
+        self._reserved = reserve_ports(self._count_ports())
+        self._ports = iter([bound.getsockname()[1] for bound in self._reserved])
         self._platform_url = ""
 
+    def close(self) -> None:
+        """Gives up the reservation of the ports."""
+        for bound in self._reserved:
+            bound.close()
+
     def _count_ports(self) -> int:
         ports = 1
         for data_centre in self._site.data_centres:
--- a/tests/common/deployment.py
+++ b/tests/common/deployment.py
@@ -119,8 +119,8 @@
         self._wanted_links = set(links)
         self._links: dict[tuple[str, str], Link] = {}
         self._processes: dict[str, subprocess.Popen] = {}
-        writer = SiteWriter(site, folder, self.folder, self._rewrite, history=True)
-        self.plan: SitePlan = writer.write()
+        self._writer = SiteWriter(site, folder, self.folder, self._rewrite, history=True)
+        self.plan: SitePlan = self._writer.write()
         self.callers = HistoryWriter(str(self.folder / "history" / "callers.jsonl"), "callers")
         self._local = threading.local()
 
@@ -149,6 +149,7 @@
         for link in self._links.values():
             link.close()
         self.callers.close()
+        self._writer.close()
         self._temporary.cleanup()
 
     def find_process(self, name: str) -> ProcessPlan:
