--- a/benches/faults.py
+++ b/benches/faults.py
@@ -9,11 +9,13 @@
 
 import json
 import random
+import shutil
 import sys
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable
+from pathlib import Path
 
 from absl import app, flags
 
@@ -204,6 +206,9 @@
         run.run(seconds)
         time.sleep(SETTLE_S)
         results = run_checks(read_history(deployment.list_history_files()))
+        is_clean = not any(result.violations for result in results)
+        if not is_clean:
+            keep_histories(deployment.list_history_files(), Path(f"run/faults-{seed}"))
     finally:
         deployment.close()
     print(f"seed {seed}, {seconds:g} s, {sum(run.counts.values())} operations")
@@ -213,7 +218,15 @@
         print(f"{result.check}: {result.examined} examined, {len(result.violations)} violations")
         for violation in result.violations[:5]:
             print(f"  {violation}")
-    return not any(result.violations for result in results)
+    return is_clean
+
+
+def keep_histories(files: list[Path], folder: Path) -> None:
+    """Copies the histories of a run with violations, so that their cause can be found."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for file in files:
+        shutil.copy(file, folder / file.name)
+    print(f"histories are kept in {folder}")
 
 
 def main(argv: list[str]) -> None:
