Do not report ready without a list, and take it from a peer

Cause: an instance was ready as soon as it knew the configuration. Calls in the first second then got 503 'No data centre available' (2 of 3 starts of a deployment), and an instance that started while the list was down stayed ready without a single target. Change: ready needs a list; a peer's is taken over while the platform's cannot be read, and without any list the instance connects to the peers of its data centre that its settings name. Seen: the new test failed first because neither instance connected to the other, and passes now; all 7 tests between control processes pass.

--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -168,8 +168,11 @@
         self._call_handlers = self._list_call_handlers()
 
     def is_ready(self) -> bool:
-        """Tells whether the configuration is complete; may be called on any thread."""
-        return self._ready and not self._leaving
+        """Tells whether calls can be served; may be called on any thread.
+
+        Without a list there is no target, so an instance that has read none is not ready.
+        """
+        return self._ready and bool(self._members) and not self._leaving
 
     def is_healthy(self) -> bool:
         """Tells whether the task makes progress; may be called on any thread."""
@@ -327,14 +330,20 @@
 
     def _on_members(self, message: MembersListed) -> None:
         self._list_reachable = True
-        if message.members is not self._members:
-            self._members = message.members
+        self._use_members(message.members)
+
+    def _use_members(self, members: tuple[Member, ...]) -> None:
+        self._peers.wants_members = False
+        if members is not self._members:
+            self._members = members
             self._snapshots.mark_changed()
-        self._core.membership.on_list(message.members, self._clock.monotonic())
+        self._core.membership.on_list(members, self._clock.monotonic())
         self._derive_if_changed()
 
     def _on_list_failed(self, message: ListFailed) -> None:
         self._list_reachable = False
+        if not self._members:
+            self._peers.request_all(self._configuration.provided_offset)
 
     # Targets.
 
@@ -394,11 +403,15 @@
         del reply.quarantine[:]
         reply.quarantine.extend(self._quarantine.list_entries())
         reply = trim_state(reply, request.have_offset)
+        if request.wants_members:
+            reply.members.extend(self._members)
         self._send_peer(peer, Envelope(state_reply=reply))
 
     def _on_state_reply(self, peer: str, state) -> None:
         if self._configuration.adopt(state):
             self._snapshots.mark_changed()
+        if state.members and not self._members:
+            self._use_members(tuple(state.members))
         self._peers.on_state_reply(peer)
 
     def _adopt_order(self, order: DataCentreOrder) -> None:
@@ -540,7 +553,9 @@
 
     def _derive_membership(self) -> None:
         membership, own = self._core.membership, self._settings.instance
-        peers = tuple(str(instance) for instance in membership.list_peers())
+        peers = self._list_first_peers()
+        if self._members:
+            peers = tuple(str(instance) for instance in membership.list_peers())
         if peers != self._connected:
             self._connected = peers
             self._ports.send(ConnectPeers(peers))
@@ -565,6 +580,14 @@
         )
         self._rank = live.index(own) if own in live else len(live)
 
+    def _list_first_peers(self) -> tuple[str, ...]:
+        """Returns the peers of the own data centre in the settings, for the time without a list."""
+        return tuple(
+            name
+            for name, data_centre in sorted(self._peer_data_centres.items())
+            if data_centre == self._settings.data_centre and name != self._settings.instance
+        )
+
     def _update_peers(self) -> None:
         if not self._peers.is_due(self._snapshots.in_force_offset):
             return
@@ -624,7 +647,7 @@
         snapshot = SnapshotUpdate(
             folded_offset=self._configuration.folded_offset,
             # Not affected by this process's own stop: its gateways serve on without it.
-            ready=self._ready,
+            ready=self._ready and bool(self._members),
             live_instances=self._live_count,
             max_instances=self._settings.max_instances,
             orders=self._core.fold.orders.in_force.values(),
--- a/src/mulberryrill/internal/control/peers.py
+++ b/src/mulberryrill/internal/control/peers.py
@@ -67,6 +67,8 @@
         self._state_sent_at: dict[str, float] = {}
         self._replied: set[str] = set()
         self._started_at = clock.monotonic()
+        # Until the first list is known, peers are asked for theirs.
+        self.wants_members = True
         self._behind_since: float | None = None
         self._beat_at = 0.0
         self._beat_offset = 0
@@ -193,7 +195,7 @@
         if now - self._asked_at.get(instance, -STATE_REQUEST_S) < STATE_REQUEST_S:
             return
         self._asked_at[instance] = now
-        request = StateRequest(have_offset=have_offset)
+        request = StateRequest(have_offset=have_offset, wants_members=self.wants_members)
         self._send(ToPeer(instance, Envelope(state_request=request)))
 
     def _list_heard(self, now: float) -> list[tuple[str, _Peer]]:
--- a/tests/process/test_control_peers.py
+++ b/tests/process/test_control_peers.py
@@ -60,6 +60,17 @@
                 "the order sent peer to peer",
             )
 
+    def test_instance_that_starts_without_a_list_takes_it_from_a_peer(self) -> None:
+        """Guards against a gateway that reports ready while it knows no target."""
+        first = self.start_control(self.first)
+        self.create_document(first)
+        self.wait_ready(first)
+        self.set_faults(list="down")
+        second = self.start_control(self.second)
+        self.assertFalse(self.read(second, "/v1/status")["ready"])
+        self.wait_ready(second)
+        self.assertIn("k-1", [m["id"] for m in self.read(second, "/v1/status")["members"]])
+
     def test_in_force_names_each_instance_that_lacks_the_revision(self) -> None:
         """Guards against a change reported as in force while one instance has not got it."""
         first, remote = self.start_control(self.first), self.start_control(self.remote)
