--- a/src/mulberryrill/internal/history/checks.py
+++ b/src/mulberryrill/internal/history/checks.py
@@ -241,7 +241,7 @@
     problems = []
     decisions: dict[tuple[str, int], HistoryEvent] = {}
     for event in decided:
-        place = (event.get("service"), event.get_number("offset"))
+        place = (event.get("service"), _get_revision(event))
         first = decisions.setdefault(place, event)
         if _get_decision(first) != _get_decision(event):
             problems.append(
@@ -254,8 +254,16 @@
     return len(decided), problems
 
 
-def _get_decision(event: HistoryEvent) -> tuple[bool, str]:
-    return event.fields.get("accepted") is True, event.get("change_id")
+def _get_revision(event: HistoryEvent) -> int:
+    """Returns the offset of the change itself.
+
+    A document from a peer is written with the offset of the peer's state, which is later.
+    """
+    return event.get_number("revision") or event.get_number("offset")
+
+
+def _get_decision(event: HistoryEvent) -> tuple[bool, str, str]:
+    return event.fields.get("accepted") is True, event.get("change_id"), event.get("digest")
 
 
 def _split_runs(history: History) -> list[list[HistoryEvent]]:
@@ -276,13 +284,13 @@
 def _check_sequence(events: list[HistoryEvent], accepted: set[tuple[str, int]]) -> list[str]:
     problems = []
     service, process = events[0].get("service"), events[0].process
-    known = sorted(offset for name, offset in accepted if name == service)
+    known = sorted(revision for name, revision in accepted if name == service)
     for before, after in zip(events, events[1:], strict=False):
-        first, second = before.get_number("offset"), after.get_number("offset")
+        first, second = _get_revision(before), _get_revision(after)
         if second < first:
             problems.append(f"{process}: {service} went from revision {first} back to {second}")
         # A state adopted from a peer may skip revisions; a fold may not.
-        skipped = [offset for offset in known if first < offset < second]
+        skipped = [revision for revision in known if first < revision < second]
         if skipped and after.fields.get("adopted") is not True:
             problems.append(f"{process}: {service} skipped revision {skipped[0]}")
     return problems
--- a/tests/unit/test_history.py
+++ b/tests/unit/test_history.py
@@ -149,11 +149,16 @@
             + [revise("a", 4, 4), revise("a", 5, 7)],
             [revise("a", 1, 4), revise("b", 1, 4), revise("b", 2, 5), revise("b", 3, 7)]
             + [revise("a", 4, 7, adopted=True)],
+            # A peer's state at offset 5, where another change was refused, has revision 4.
+            [revise("a", 1, 4), revise("a", 2, 5, accepted=False)]
+            + [revise("b", 3, 5, revision=4, change_id="change-4", adopted=True)],
         ],
         [
             [revise("a", 1, 7), revise("a", 2, 4)],
             [revise("a", 1, 4), revise("b", 1, 4, change_id="other")],
             [revise("a", 1, 4), revise("b", 1, 4, accepted=False)],
+            [revise("a", 1, 4, digest="x"), revise("b", 1, 4, digest="y")],
+            [revise("a", 1, 5), revise("a", 2, 6, revision=4, adopted=True)],
             [revise("a", 1, 4), revise("b", 1, 4), revise("b", 2, 5), revise("b", 3, 7)]
             + [revise("a", 4, 7)],
         ],
