--- a/tests/unit/test_history.py
+++ b/tests/unit/test_history.py
@@ -25,9 +25,9 @@
     )
 
 
-def revise(process: str, at: float, revision: int, **fields: object) -> Row:
-    row = {"process": process, "service": "stock", "offset": revision, "accepted": True}
-    return ("configuration", at, {**row, "change_id": f"change-{revision}", **fields})
+def revise(process: str, at: float, offset: int, **fields: object) -> Row:
+    row = {"process": process, "service": "stock", "offset": offset, "accepted": True}
+    return ("configuration", at, {**row, "change_id": f"change-{offset}", **fields})
 
 
 def text(count: int) -> dict:
