--- a/tests/process/test_gateway_calls.py
+++ b/tests/process/test_gateway_calls.py
@@ -4,8 +4,10 @@
 
 import openai
 
+from mulberryrill.internal.httpclient import HttpClient
+from mulberryrill.internal.standins.engine import EngineStandin
 from mulberryrill.internal.standins.pseudotext import digest_text, list_tokens
-from tests.common.gateway import MODEL, TOKEN, GatewayTestCase, read_stream
+from tests.common.gateway import MODEL, TOKEN, GatewayTestCase, read_stream, wait_until
 
 
 def expect_text(prompt: str, count: int = 8) -> str:
@@ -51,6 +53,29 @@
         with self.assertRaises(openai.AuthenticationError):
             stranger.models.list()
 
+    def test_stream_that_an_openai_client_closes_is_cancelled_at_the_engine(self) -> None:
+        """Guards against an engine that computes for a caller who has left."""
+        engine = self.start_engine(decode_ms_per_token=50)
+        self.start_gateway()
+        client = openai.OpenAI(api_key=TOKEN, base_url=f"{self.url}/v1", max_retries=0)
+        self.addCleanup(client.close)
+        stream = client.completions.create(
+            model=MODEL, prompt="long", max_tokens=10_000, stream=True
+        )
+        next(iter(stream))
+        self.assertEqual(self.count_running(engine), 1)
+        stream.close()
+        wait_until(lambda: self.count_running(engine) == 0, "cancelled at the engine")
+
+    def count_running(self, engine: EngineStandin) -> int:
+        client = HttpClient()
+        try:
+            state = client.send("GET", f"http://127.0.0.1:{engine.port}/v1/state").parse_json()
+        finally:
+            client.close()
+        assert isinstance(state, dict)
+        return int(state["running"])
+
     def test_forwards_calls_to_plain_services(self) -> None:
         self.start_service()
         self.start_gateway()
