--- a/src/mulberryrill/internal/control/task.py
+++ b/src/mulberryrill/internal/control/task.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from abc import ABC, abstractmethod
 
 from ..events import Event
 from ..logs import log_event
@@ -13,7 +14,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class Task:
+class Task(ABC):
     """Runs ``step`` repeatedly on its own thread; a failing step is counted, logged and skipped."""
 
     # How long ``close`` waits for the current step.
@@ -39,14 +40,14 @@
         if self._thread.is_alive():
             self._thread.join(self.close_timeout_s)
 
+    @abstractmethod
     def step(self) -> None:
         """Does one unit of work; blocks for a limited time at most."""
-        raise NotImplementedError
 
-    def wake(self) -> None:
-        """Ends a blocking wait of ``step`` early."""
+    def wake(self) -> None:  # noqa: B027
+        """Ends a blocking wait of ``step`` early; a step that never waits needs nothing."""
 
-    def release(self) -> None:
+    def release(self) -> None:  # noqa: B027
         """Frees what the thread owns; called on the thread after the last step."""
 
     def _run(self) -> None:
