--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -21,13 +21,13 @@
 from .answers import Failure
 from .attempts import Attempt, AttemptResult, ResultKind
 from .call import Call, CallState
-from .claimdesk import ClaimDesk, build_refusal, can_abandon, create_unavailable
 from .forwarding import Forward
 from .history import GatewayHistory
 from .loop import RelayLoop
 from .messages import SendMessage
 from .metrics import GatewayMetrics
 from .options import GatewayOptions
+from .pendingclaims import PendingClaims, build_refusal, can_abandon, create_unavailable
 from .stores import PromptBlocks, StorePool, can_use_stores
 from .targets import TargetPool
 
@@ -90,7 +90,7 @@
         self._history = history
         self._metrics = metrics
         self._answerer = Answerer(clock, history, metrics, send)
-        self._claims = ClaimDesk(options.instance, send)
+        self._claims = PendingClaims(options.instance, send)
         self._targets = TargetPool(
             clock, options, parts.router, parts.slots, parts.quarantine, send
         )
--- a/src/mulberryrill/internal/gateway/frontend.py
+++ b/src/mulberryrill/internal/gateway/frontend.py
@@ -16,9 +16,9 @@
 from .attempts import build_target_path
 from .call import Call, CallRequest
 from .caller import CallerConnection
-from .claimdesk import is_valid_key
 from .forwarding import EXECUTED_HEADER, HOPS_HEADER
 from .loop import RelayLoop
+from .pendingclaims import is_valid_key
 from .streams import StreamProgress
 
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
--- a/src/mulberryrill/internal/gateway/claimdesk.py
+++ b/src/mulberryrill/internal/gateway/pendingclaims.py
@@ -40,7 +40,7 @@
     asked: float
 
 
-class ClaimDesk:
+class PendingClaims:
     """Follows the claims of one gateway. Runs on the relay loop's thread."""
 
     def __init__(self, instance: str, send: SendMessage) -> None:
--- a/tests/common/slotworld.py
+++ b/tests/common/slotsimulation.py
@@ -67,21 +67,21 @@
 
 
 class Instance(Process):
-    """One control process with its gateways. ``clock`` is its clock minus the world's time."""
+    """One control process with its gateways. ``clock`` is its clock minus the simulation's time."""
 
-    def __init__(self, world: "SlotWorld", name: InstanceId, clock: float) -> None:
+    def __init__(self, simulation: "SlotSimulation", name: InstanceId, clock: float) -> None:
         super().__init__()
-        self.name, self.clock, self.joined = name, clock, world.now
+        self.name, self.clock, self.joined = name, clock, simulation.now
         self.gateways = [Gateway() for _ in range(GATEWAYS)]
-        self.start(world)
+        self.start(simulation)
 
-    def start(self, world: "SlotWorld") -> None:
-        now = world.now + self.clock
-        self.holder = world.holder_type(self.name, DATA_CENTRE, MAX_INSTANCES, LIST_LAG_S, now)
-        self.client = world.client_type(self.name, MAX_INSTANCES, now)
+    def start(self, simulation: "SlotSimulation") -> None:
+        now = simulation.now + self.clock
+        self.holder = simulation.holder_type(self.name, DATA_CENTRE, MAX_INSTANCES, LIST_LAG_S, now)
+        self.client = simulation.client_type(self.name, MAX_INSTANCES, now)
 
 
-class SlotWorld:
+class SlotSimulation:
     """Steps all processes; ``check`` compares what may be started with the decided caps."""
 
     def __init__(
--- a/tests/property/test_slots.py
+++ b/tests/property/test_slots.py
@@ -27,7 +27,7 @@
     SlotPromiseRequest,
     TargetUse,
 )
-from tests.common.slotworld import COMMON, NAMES, TARGETS, Network, SlotWorld
+from tests.common.slotsimulation import COMMON, NAMES, TARGETS, Network, SlotSimulation
 
 NAME = st.sampled_from(NAMES)
 SETTINGS = settings(
@@ -51,14 +51,14 @@
 
     @initialize(seed=st.integers(0, 2**32))
     def start(self, seed: int) -> None:
-        self.world = SlotWorld(seed, self.holder_type, self.client_type)
-        self.world.complete_views = self.complete_views
-        self.world.network = self.network
-        self.world.run(self.first_steps)
+        self.simulation = SlotSimulation(seed, self.holder_type, self.client_type)
+        self.simulation.complete_views = self.complete_views
+        self.simulation.network = self.network
+        self.simulation.run(self.first_steps)
 
     @rule(steps=st.integers(1, 40))
     def run_steps(self, steps: int) -> None:
-        self.world.run(steps)
+        self.simulation.run(steps)
 
     @rule(
         loss=st.sampled_from([0.0, 0.0, 0.2, 0.6]),
@@ -66,33 +66,33 @@
         late=st.sampled_from([0.0, 0.1, 0.4]),
     )
     def change_network(self, loss: float, repeats: float, late: float) -> None:
-        self.world.network = Network(loss, repeats, late)
+        self.simulation.network = Network(loss, repeats, late)
 
     @rule(name=NAME, process=st.integers(-1, 1), duration=st.sampled_from([0.5, 2.5, 7.0, 20.0]))
     def pause(self, name: InstanceId, process: int, duration: float) -> None:
-        instance = self.world.instances.get(name)
+        instance = self.simulation.instances.get(name)
         if instance is not None:
             paused = instance if process < 0 else instance.gateways[process]
-            paused.paused_until = self.world.now + duration
+            paused.paused_until = self.simulation.now + duration
 
     @rule(engine=st.sampled_from(sorted(TARGETS)))
     def restart_target(self, engine: TargetId) -> None:
-        self.world.restart_target(engine)
+        self.simulation.restart_target(engine)
 
     @rule(name=NAME)
     def restart_control(self, name: InstanceId) -> None:
         if self.may_restart(name):
-            self.world.restart_control(name)
+            self.simulation.restart_control(name)
 
     @rule(name=NAME)
     def fail(self, name: InstanceId) -> None:
         if self.may_restart(name):
-            self.world.fail(name)
+            self.simulation.fail(name)
 
     @rule(name=NAME)
     def join(self, name: InstanceId) -> None:
         if self.may_restart(name):
-            self.world.join(name)
+            self.simulation.join(name)
 
     def may_restart(self, name: InstanceId) -> bool:
         """The only common member must remember which instances took part."""
@@ -100,20 +100,20 @@
 
     @rule(viewer=NAME, view=st.frozensets(NAME))
     def change_view(self, viewer: InstanceId, view: frozenset) -> None:
-        self.world.views[viewer] = view | {COMMON}
+        self.simulation.views[viewer] = view | {COMMON}
 
     @rule()
     def heal(self) -> None:
         """Lets the list catch up and the network recover, so that a holder emerges again."""
-        self.world.network = Network()
-        view = frozenset(self.world.instances) | {COMMON}
-        self.world.views = dict.fromkeys(NAMES, view)
-        self.world.run(60)
+        self.simulation.network = Network()
+        view = frozenset(self.simulation.instances) | {COMMON}
+        self.simulation.views = dict.fromkeys(NAMES, view)
+        self.simulation.run(60)
 
     @invariant()
     def caps_hold(self) -> None:
-        if hasattr(self, "world"):
-            self.world.check()
+        if hasattr(self, "simulation"):
+            self.simulation.check()
 
 
 class DifferingListsMachine(SlotMachine):
--- a/tests/unit/test_gateway_attempts.py
+++ b/tests/unit/test_gateway_attempts.py
@@ -11,7 +11,7 @@
     is_rejection,
 )
 from mulberryrill.internal.gateway.call import Call, CallRequest
-from mulberryrill.internal.gateway.claimdesk import digest_request, is_valid_key
+from mulberryrill.internal.gateway.pendingclaims import digest_request, is_valid_key
 from mulberryrill.internal.ids import (
     AttemptId,
     CustomerName,
