--- a/src/mulberryrill/internal/control/watcher.py
+++ b/src/mulberryrill/internal/control/watcher.py
@@ -14,7 +14,7 @@
 
 # Targets are polled at most this often, and less often when there are many: a poll takes about
 # 0.4 ms of processor time, and watching must stay below 2% of a core.
-MIN_POLL_S = 0.5
+MIN_POLL_S = 0.25
 POLLS_PER_SECOND = 40
 # A target that does not answer within this time counts as unreachable.
 POLL_TIMEOUT_S = 1.0
