--- a/benches/sizes.sh
+++ b/benches/sizes.sh
@@ -1,13 +1,15 @@
 #!/usr/bin/env bash
-# Measures idle control cost at several sizes: benches/sizes.sh [SECONDS]
-# Each size is "instances engines" for each of three data centres; one size runs at a time.
+# Measures idle control cost at several sizes: benches/sizes.sh [SECONDS [SIZE...]]
+# Each SIZE is "instances engines" for each of three data centres; one size runs at a time.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seconds="${1:-20}"
+sizes=("${@:2}")
+[ "${#sizes[@]}" -gt 0 ] || sizes=("2 2" "2 8" "2 20" "4 2" "6 2")
 python="$(cd "${MULBERRYRILL_VENV:-.venv}" && pwd)/bin/python"
 export PYTHONPATH=src MULBERRYRILL_RUN=run/sizes MULBERRYRILL_SITES=run/sizes/sites
 rm -rf run/sizes
-for size in "2 2" "2 8" "2 20" "4 2" "6 2"; do
+for size in "${sizes[@]}"; do
   read -r instances engines <<<"$size"
   name="size-$instances-$engines"
   mkdir -p "$MULBERRYRILL_SITES/$name"
