--- a/src/mulberryrill/errors.py
+++ b/src/mulberryrill/errors.py
@@ -59,10 +59,6 @@
     """A gateway cannot serve."""
 
 
-class ControlError(MulberryrillError):
-    """A control process cannot do what it was asked for."""
-
-
 class OperatorError(MulberryrillError):
     """An operator's command failed; ``exit_code`` is the program's exit code."""
 
--- a/src/mulberryrill/internal/core/allotments.py
+++ b/src/mulberryrill/internal/core/allotments.py
@@ -59,10 +59,6 @@
             if slots > self.committed.get(key, 0):
                 self.committed[key] = slots
 
-    def get_last_end(self) -> float:
-        """Returns the latest end of an allotment that counts."""
-        return max((a.ends for a in self._allotments), default=float("-inf"))
-
     def list_left_behind(self, now: float) -> Slots:
         """Returns what may be in flight without regard to allotments that end after ``now``."""
         ended = [a.slots for a in self._allotments if a.ends <= now]
--- a/src/mulberryrill/internal/core/configuration.py
+++ b/src/mulberryrill/internal/core/configuration.py
@@ -137,10 +137,6 @@
         """Whether every document as of ``folded_offset`` is known; false before any record."""
         return self._awaited is not None and not self._awaited
 
-    def count_pending(self) -> int:
-        """Returns the number of changes whose base is not known yet."""
-        return sum(len(changes) for changes in self._pending.values())
-
     def apply(self, record: Record) -> FoldResult:
         """Folds the next record; one that is already folded changes nothing."""
         if record.offset <= self._folded:
--- a/src/mulberryrill/internal/gateway/caller.py
+++ b/src/mulberryrill/internal/gateway/caller.py
@@ -41,11 +41,6 @@
         """Tells whether the answer's status has been written."""
         return self._started
 
-    @property
-    def is_open(self) -> bool:
-        """Tells whether the caller may still receive bytes."""
-        return self._is_open
-
     def start(self) -> None:
         """Takes the socket into the loop; called on the loop's thread."""
         self._socket.setblocking(False)
--- a/src/mulberryrill/internal/gateway/streams.py
+++ b/src/mulberryrill/internal/gateway/streams.py
@@ -20,11 +20,6 @@
         *events, self._tail = buffer.split(b"\n\n")
         return events
 
-    @property
-    def has_tail(self) -> bool:
-        """Tells whether part of an event has arrived."""
-        return bool(self._tail.strip())
-
 
 class BrokenStreamError(Exception):
     """A stream's events contradict each other; ``resumable`` if what was delivered is right."""
