--- a/src/mulberryrill/internal/core/serving/orders.py
+++ b/src/mulberryrill/internal/core/serving/orders.py
@@ -17,7 +17,7 @@
 # Time that an order may be on its way after it was sent.
 ORDER_FLIGHT_S = 0.3
 # An order without an answer may still be carried out; until then its target gets no other one.
-ORDER_DOUBT_S = 3.0
+ORDER_DOUBT_S = 2.0
 # Targets load weights more slowly if more than this many load at once.
 MAX_LOADING = 2
 
@@ -86,6 +86,10 @@
         is_over = now - self._record_seen_at >= self._takeover_s
         return LeaseState.FREE if is_over else LeaseState.OTHER
 
+    def can_order(self, now: float) -> bool:
+        """Whether an order sent now arrives within the lease."""
+        return now + ORDER_FLIGHT_S < self._held_until
+
     def needs_renewal(self, now: float) -> bool:
         """Whether the holder should append again."""
         return now >= self._held_until - LEASE_S + RENEWAL_S
@@ -112,14 +116,6 @@
     address: str
     model: ModelName
     version: WeightVersion
-    # The order is void if the target has accepted another number of orders.
-    expected_orders: int
-
-
-@dataclass
-class _Doubt:
-    expires_at: float
-    version: WeightVersion
 
 
 class VersionRollout:
@@ -128,7 +124,7 @@
     def __init__(self) -> None:
         self._wanted: dict[ModelName, WeightVersion] = {}
         self._named_at: dict[ModelName, float] = {}
-        self._pending: dict[TargetId, _Doubt] = {}
+        self._pending: dict[TargetId, float] = {}
 
     def set_wanted(self, model: ModelName, version: WeightVersion, now: float) -> bool:
         """Names the version that all targets should have; versions only increase."""
@@ -152,7 +148,7 @@
 
     def list_due(self, targets: list[Target], now: float) -> list[VersionOrder]:
         """Returns the orders to send now."""
-        for key in [k for k, doubt in self._pending.items() if now >= doubt.expires_at]:
+        for key in [k for k, expires_at in self._pending.items() if now >= expires_at]:
             del self._pending[key]
         due: list[VersionOrder] = []
         for target in sorted(targets, key=lambda t: (t.pending_tokens, t.id)):
@@ -165,16 +161,12 @@
 
     def on_sent(self, order: VersionOrder, now: float) -> None:
         """An order is on its way; its target counts as loading until the version is reported."""
-        self._pending[order.target] = _Doubt(now + ORDER_DOUBT_S, order.version)
+        self._pending[order.target] = now + ORDER_DOUBT_S
 
     def on_refused(self, target: TargetId) -> None:
         """The target did not accept the order."""
         self._pending.pop(target, None)
 
-    def is_loading(self, target: TargetId) -> bool:
-        """Whether this instance has ordered the target to load weights."""
-        return target in self._pending
-
     def list_loading(self) -> list[TargetId]:
         """Returns the targets that were ordered to load and have not reported the version."""
         return list(self._pending)
@@ -188,11 +180,4 @@
         return None
 
     def _create_order(self, target: Target, model: ModelName) -> VersionOrder:
-        registration = target.registration
-        return VersionOrder(
-            registration.target,
-            registration.address,
-            model,
-            self._wanted[model],
-            registration.order_count,
-        )
+        return VersionOrder(target.id, target.registration.address, model, self._wanted[model])
--- a/src/mulberryrill/internal/entry/connection.py
+++ b/src/mulberryrill/internal/entry/connection.py
@@ -23,6 +23,7 @@
     CONNECT = "connect"
     BROKEN = "broken"
     MALFORMED = "malformed"
+    TIMEOUT = "timeout"
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/mulberryrill/internal/entry/exchange.py
@@ -0,0 +1,65 @@
+"""A whole request and response with a time limit, for calls that are no callers' calls."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..eventloop import EventLoop
+from .connection import Connection, ExchangeFailure, FailureKind
+from .http import HttpResponse
+from .pool import ConnectionPool
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A complete response."""
+
+    status: int
+    response: HttpResponse
+    body: bytes
+
+
+Done = Callable[[Reply | ExchangeFailure], None]
+
+
+class _Exchange:
+    """Collects one response and reports once."""
+
+    def __init__(
+        self, loop: EventLoop, connection: Connection, done: Done, timeout_s: float
+    ) -> None:
+        self._connection = connection
+        self._done: Done | None = done
+        self._head: HttpResponse | None = None
+        self._body = bytearray()
+        self._timer = loop.call_later(timeout_s, self._on_timeout)
+
+    def on_head(self, response: HttpResponse) -> None:
+        self._head = response
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+
+    def on_end(self) -> None:
+        assert self._head is not None
+        self._report(Reply(self._head.status, self._head, bytes(self._body)))
+
+    def on_failure(self, failure: ExchangeFailure) -> None:
+        self._report(failure)
+
+    def _on_timeout(self) -> None:
+        self._connection.close()
+        self._report(ExchangeFailure(FailureKind.TIMEOUT, True, "no answer in time"))
+
+    def _report(self, result: Reply | ExchangeFailure) -> None:
+        self._timer.cancel()
+        done, self._done = self._done, None
+        if done is not None:
+            done(result)
+
+
+def exchange(
+    loop: EventLoop, pool: ConnectionPool, request: bytes, timeout_s: float, done: Done
+) -> None:
+    """Sends a request over one of the pool's connections; ``done`` is called once."""
+    connection = pool.acquire(needs_fresh=False)
+    connection.send(request, _Exchange(loop, connection, done, timeout_s))
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -14,9 +14,10 @@
 
 from ..errors import StoreCallError
 from ..internal.entry.connection import ExchangeFailure, FailureKind
-from ..internal.entry.http import Header, HttpResponse, encode_request
+from ..internal.entry.exchange import Reply, exchange
+from ..internal.entry.http import Header, encode_request
 from ..internal.entry.pool import ConnectionPool
-from ..internal.eventloop import EventLoop, Timer
+from ..internal.eventloop import EventLoop
 from ..internal.ids import Offset
 
 # Topics with the newest record of each key: operators' wishes and registered targets.
@@ -27,6 +28,8 @@
 CALL_TIMEOUT_S = 2.0
 MAX_READ_KB = 1024
 HTTP_OK = 200
+# Longest part of an error answer that is logged.
+MAX_DETAIL_BYTES = 200
 _READ_HEAD = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _JSON: Header = (b"content-type", b"application/json")
@@ -69,50 +72,6 @@
 Done = Callable[[T | StoreCallError], None]
 
 
-class _Exchange:
-    """One call: collects the response and reports once."""
-
-    def __init__(
-        self, loop: EventLoop, is_write: bool, done: Done[bytes], timeout_s: float
-    ) -> None:
-        self._is_write = is_write
-        self._done: Done[bytes] | None = done
-        self._head: HttpResponse | None = None
-        self._body = bytearray()
-        self._timer: Timer = loop.call_later(timeout_s, self._on_timeout)
-        self.abort: Callable[[], None] = lambda: None
-
-    def on_head(self, response: HttpResponse) -> None:
-        self._head = response
-
-    def on_body(self, data: bytes) -> None:
-        self._body += data
-
-    def on_end(self) -> None:
-        assert self._head is not None
-        if self._head.status == HTTP_OK:
-            self._report(bytes(self._body))
-            return
-        detail = bytes(self._body[:200]).decode("latin-1")
-        # 503 and 429 mean that nothing was done, and so do the refusals of a condition.
-        status = self._head.status
-        self._report(StoreCallError(f"store: {status} {detail}", status, in_doubt=False))
-
-    def on_failure(self, failure: ExchangeFailure) -> None:
-        in_doubt = self._is_write and failure.kind is not FailureKind.CONNECT
-        self._report(StoreCallError(f"store: {failure.message}", 0, in_doubt))
-
-    def _on_timeout(self) -> None:
-        self.abort()
-        self._report(StoreCallError("store: no answer in time", 0, self._is_write))
-
-    def _report(self, result: bytes | StoreCallError) -> None:
-        self._timer.cancel()
-        done, self._done = self._done, None
-        if done is not None:
-            done(result)
-
-
 class StoreClient:
     """Makes calls to the store over kept connections."""
 
@@ -144,14 +103,12 @@
 
         self._get("/-/log-read", _write_read_query(topic, start, wait_s), decode, done, wait_s)
 
-    def read_raw(self, topic: str, start: Offset, done: Done[RawPage]) -> None:
-        """Reports the records from an offset on, without waiting."""
-        query = _write_read_query(topic, start, 0.0)
-        self._get("/-/log-read", query, lambda data: _decode_records(data, start), done)
-
-    def append(self, topic: str, record: bytes, at: Offset, done: Done[Offset]) -> None:
+    def append_keyed(
+        self, topic: str, key: str, value: bytes, at: Offset, done: Done[Offset]
+    ) -> None:
         """Appends a record if the partition ends at ``at``; reports its offset."""
         query = urlencode({"topic": topic, "part": PARTITION, "at": at})
+        record = bytes([len(key)]) + key.encode() + value
         body = _LENGTH.pack(len(record)) + record
         self._post(
             f"/-/log-append?{query}", body, lambda data: Offset(json.loads(data)["offset"]), done
@@ -243,21 +200,26 @@
         is_write: bool,
         timeout_s: float,
     ) -> None:
-        def finish(result: bytes | StoreCallError) -> None:
-            if isinstance(result, StoreCallError):
-                done(result)
-                return
+        def finish(result: Reply | ExchangeFailure) -> None:
+            if isinstance(result, ExchangeFailure):
+                # A refused connection means that nothing was done.
+                in_doubt = is_write and result.kind is not FailureKind.CONNECT
+                done(StoreCallError(f"store: {result.message}", 0, in_doubt))
+            elif result.status != HTTP_OK:
+                # Every answer but 200 means that nothing was done.
+                detail = result.body[:MAX_DETAIL_BYTES].decode("latin-1")
+                message = f"store: {result.status} {detail}"
+                done(StoreCallError(message, result.status, in_doubt=False))
+            else:
+                done(_try_decode(result.body))
+
+        def _try_decode(body: bytes) -> T | StoreCallError:
             try:
-                decoded = decode(result)
+                return decode(body)
             except (ValueError, KeyError, IndexError, TypeError, struct.error) as error:
-                done(StoreCallError(f"store: unreadable answer: {error!r}", HTTP_OK, is_write))
-                return
-            done(decoded)
+                return StoreCallError(f"store: unreadable answer: {error!r}", HTTP_OK, is_write)
 
-        exchange = _Exchange(self._loop, is_write, finish, timeout_s)
-        connection = self._pool.acquire(needs_fresh=False)
-        exchange.abort = connection.close
-        connection.send(request, exchange)
+        exchange(self._loop, self._pool, request, timeout_s, finish)
 
 
 def _write_read_query(topic: str, start: Offset, wait_s: float) -> dict[str, object]:
--- a/src/mulberryrill/platform/targetorders.py
+++ b/src/mulberryrill/platform/targetorders.py
@@ -1,48 +1,139 @@
-"""Orders to targets, as the platform's targets take them."""
+"""The lease of the instance that gives orders, and orders as the platform's targets take them."""
 
 import json
-from enum import Enum
+from collections.abc import Callable
 
-from ..internal.core.serving.orders import VersionOrder
+from ..errors import StoreCallError
+from ..internal.core.serving.orders import LeaseRecord, VersionOrder
+from ..internal.entry.connection import ExchangeFailure
+from ..internal.entry.exchange import Reply, exchange
 from ..internal.entry.http import encode_request
-from ..internal.ids import InstanceId, Offset
-
-
-class OrderAnswer(Enum):
-    """What a target says to an order."""
-
-    ACCEPTED = 202
-    ALREADY_DONE = 200
-    # Another order is in progress, or the target has accepted a different number of orders.
-    CONFLICT = 409
-    FENCED = 412
-    INVALID = 400
-    MISDIRECTED = 421
-    UNAVAILABLE = 503
-
-
-def write_version_order(order: VersionOrder, holder: InstanceId, fence: Offset) -> bytes:
-    """Returns the order to load weights once the target's running calls have ended."""
-    body = {
-        "op": "version",
-        "model": order.model,
-        "version": order.version,
-        "switch_mode": "wait",
-        "holder": holder,
-        "fence": fence,
-        "expected": order.expected_orders,
-    }
-    headers = [
-        (b"host", order.address.encode()),
-        (b"content-type", b"application/json"),
-        (b"expect-instance", order.target.encode()),
-    ]
-    return encode_request(b"POST", b"/-/order", headers, json.dumps(body).encode())
-
-
-def read_order_answer(status: int) -> OrderAnswer:
-    """Returns the meaning of a status; unknown ones count as unavailable."""
+from ..internal.entry.ordering import LeaseView, TargetReport
+from ..internal.entry.pool import ConnectionPool
+from ..internal.eventloop import EventLoop
+from ..internal.ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
+from .store import RecordPage, StoreClient
+
+LEASE_TOPIC = "keyed.order-lease"
+LEASE_KEY = "lease"
+# An order that is answered later than this counts as lost; it may still be carried out.
+ORDER_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 0.5
+HTTP_OK = 200
+ORDER_ANSWERS = {
+    200: "order already holds",
+    202: "order accepted",
+    400: "order unknown to the target",
+    409: "another order is in progress, or the number of orders differs",
+    412: "fenced",
+    421: "another target",
+}
+ORDER_TAKEN = (200, 202)
+
+
+class PlatformOrderChannel:
+    """Implements ``OrderChannel``."""
+
+    def __init__(self, loop: EventLoop, store: StoreClient, instance: InstanceId) -> None:
+        self._loop = loop
+        self._store = store
+        self._instance = instance
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def close(self) -> None:
+        """Closes the connections to targets."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def read_lease(self, done: Callable[[LeaseView | None], None]) -> None:
+        """Reports the newest lease record; None if the store did not answer."""
+
+        def on_page(page: RecordPage | StoreCallError) -> None:
+            if isinstance(page, StoreCallError):
+                done(None)
+                return
+            record = None
+            for item in page.records:
+                if item.key == LEASE_KEY and item.value is not None:
+                    record = LeaseRecord(InstanceId(item.value.decode()), item.offset)
+            done(LeaseView(record, page.end))
+
+        self._store.read_newest(LEASE_TOPIC, on_page)
+
+    def append_lease(self, at: Offset, done: Callable[[Offset | None], None]) -> None:
+        """Appends this instance's record; None if it was refused or is in doubt."""
+        self._store.append_keyed(
+            LEASE_TOPIC,
+            LEASE_KEY,
+            self._instance.encode(),
+            at,
+            lambda result: done(None if isinstance(result, StoreCallError) else result),
+        )
+
+    def read_report(
+        self, target: TargetId, address: str, done: Callable[[TargetReport | None], None]
+    ) -> None:
+        """Asks a target for its state; None without a readable answer."""
+
+        def on_reply(reply: Reply | ExchangeFailure) -> None:
+            is_answer = isinstance(reply, Reply) and reply.status == HTTP_OK
+            done(_read_report(reply.body) if is_answer else None)  # type: ignore[union-attr]
+
+        headers = [(b"host", address.encode()), (b"expect-instance", target.encode())]
+        request = encode_request(b"GET", b"/-/report", headers)
+        exchange(self._loop, self._find_pool(address), request, REPORT_TIMEOUT_S, on_reply)
+
+    def send_order(
+        self,
+        order: VersionOrder,
+        fence: Offset,
+        expected_orders: int,
+        done: Callable[[str, bool], None],
+    ) -> None:
+        """Sends an order that waits for running calls to end before the weights are loaded."""
+
+        def on_reply(reply: Reply | ExchangeFailure) -> None:
+            if isinstance(reply, ExchangeFailure):
+                # The order may still be carried out, so the target counts as loading for a while.
+                done(f"no answer: {reply.message}", reply.was_sent)
+                return
+            answer = ORDER_ANSWERS.get(reply.status, f"status {reply.status}")
+            done(answer, reply.status in ORDER_TAKEN)
+
+        body = {
+            "op": "version",
+            "model": order.model,
+            "version": order.version,
+            "switch_mode": "keep",
+            "holder": self._instance,
+            "fence": fence,
+            "expected": expected_orders,
+        }
+        headers = [
+            (b"host", order.address.encode()),
+            (b"content-type", b"application/json"),
+            (b"expect-instance", order.target.encode()),
+        ]
+        request = encode_request(b"POST", b"/-/order", headers, json.dumps(body).encode())
+        exchange(self._loop, self._find_pool(order.address), request, ORDER_TIMEOUT_S, on_reply)
+
+    def _find_pool(self, address: str) -> ConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(self._loop, address)
+        return pool
+
+
+def _read_report(body: bytes) -> TargetReport | None:
     try:
-        return OrderAnswer(status)
-    except ValueError:
-        return OrderAnswer.UNAVAILABLE
+        value = json.loads(body)
+        return TargetReport(
+            versions={
+                ModelName(model["name"]): WeightVersion(int(model["version"]))
+                for model in value["models"]
+            },
+            is_busy=bool(value["busy"]),
+            order_count=int(value["seq"]),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -1,12 +1,14 @@
 """Builds the tasks that connect an entry process with the platform."""
 
 from ..internal.clock import Clock
+from ..internal.entry.ordering import OrderTask
 from ..internal.entry.state import EntryState
 from ..internal.eventloop import EventLoop
 from ..internal.ids import InstanceId
 from ..internal.schema.settings_pb2 import EntrySettings
 from .follower import StoreFollower
 from .store import StoreClient
+from .targetorders import PlatformOrderChannel
 
 # The registry is read this many times within the time in which a leaving target must be noticed.
 READS_PER_DRAIN = 2.0
@@ -18,16 +20,24 @@
     def __init__(
         self, loop: EventLoop, clock: Clock, settings: EntrySettings, state: EntryState
     ) -> None:
-        self._store = StoreClient(loop, settings.store_address)
-        interval_s = settings.bounds.drain_ms / 1000 / READS_PER_DRAIN
         instance = InstanceId(settings.instance)
-        self._follower = StoreFollower(loop, self._store, state, instance, interval_s)
+        bounds = settings.bounds
+        self._store = StoreClient(loop, settings.store_address)
+        self._follower = StoreFollower(
+            loop, self._store, state, instance, bounds.drain_ms / 1000 / READS_PER_DRAIN
+        )
+        self._channel = PlatformOrderChannel(loop, self._store, instance)
+        self._orders = OrderTask(
+            loop, clock, state, instance, self._channel, bounds.order_lease_ms / 1000
+        )
 
     def start(self) -> None:
-        """Begins to follow the store."""
+        """Begins to follow the store and to look for due orders."""
         self._follower.start()
+        self._orders.start()
 
     def close(self) -> None:
         """Stops following and closes the connections."""
         self._follower.close()
+        self._channel.close()
         self._store.close()
