Fetch and save shared prompt parts by the holders' cache events

Each instance follows the cache events of engines and stores, names a source for each shared part and saves what no store keeps. Whether a target keeps a part itself is not trusted: events lag.

--- a/src/mulberryrill/internal/core/rendezvous.py
+++ b/src/mulberryrill/internal/core/rendezvous.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: every process that sees the same members ranks them in the same order."""
 
+import math
 from collections.abc import Iterable
 from typing import TypeVar
 
@@ -20,3 +21,15 @@
     """Returns the first member in the key's order; None without members."""
     ranked = rank_members(key, members)
     return ranked[0] if ranked else None
+
+
+def rank_weighted(key: str, weights: dict[MemberT, float]) -> list[MemberT]:
+    """Returns the members in the key's order; each is first in proportion to its weight."""
+    prefix = key.encode() + b"\0"
+    scored = []
+    for member, weight in weights.items():
+        if weight > 0:
+            share = (xxhash.xxh3_64_intdigest(prefix + member.encode()) + 1) / 2**64
+            scored.append((-weight / math.log(share) if share < 1 else math.inf, member))
+    scored.sort(reverse=True)
+    return [member for _, member in scored]
--- /dev/null
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -0,0 +1,193 @@
+"""Which prompt parts each engine and store keeps, learned from their cache events.
+
+Events come late and with gaps, so the index is a hint about engines: a part that is gone costs a
+millisecond. About stores it must not be too optimistic, because a store does not check whether a
+part is whole: a store's entries count only while its events are fresh, and only within one run of
+the store.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .placement import rank_stores
+from .routetable import Service
+
+# A store whose last answer is older may have restarted and be receiving the same part again.
+STORE_FRESHNESS_S = 1.6
+# Parts are kept in blocks of this many tokens, so that the end of a part may be missing.
+BLOCK_TOKENS = 16
+# An engine that was silent longer is no longer used as a source.
+ENGINE_FRESHNESS_S = 5.0
+
+
+class HolderKind(Enum):
+    """What keeps prompt parts."""
+
+    ENGINE = "engine"
+    STORE = "store"
+
+
+@dataclass(frozen=True)
+class CacheKey:
+    """One prompt part; the salt separates model versions and isolated customers."""
+
+    salt: str
+    part: str
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """A part was kept or dropped."""
+
+    key: CacheKey
+    is_kept: bool
+    tokens: int
+
+
+@dataclass
+class _Holder:
+    kind: HolderKind
+    epoch: int | None = None
+    next_event: int = 0
+    updated_at: float = float("-inf")
+    parts: dict[CacheKey, int] = field(default_factory=dict)
+
+
+class CacheIndex:
+    """The parts of all holders, by address."""
+
+    def __init__(self) -> None:
+        self._holders: dict[str, _Holder] = {}
+        self._by_part: dict[CacheKey, set[str]] = {}
+
+    @property
+    def addresses(self) -> list[str]:
+        """The holders that are followed."""
+        return list(self._holders)
+
+    def add_holder(self, address: str, kind: HolderKind) -> None:
+        """Begins to follow a holder."""
+        if address not in self._holders:
+            self._holders[address] = _Holder(kind)
+
+    def remove_holder(self, address: str) -> None:
+        """Forgets a holder."""
+        self.clear(address)
+        self._holders.pop(address, None)
+
+    def get_next_event(self, address: str) -> int:
+        """Returns the number of the next event to ask for."""
+        holder = self._holders.get(address)
+        return holder.next_event if holder is not None else 0
+
+    def apply(
+        self, address: str, epoch: int, next_event: int, events: list[CacheEvent], now: float
+    ) -> None:
+        """Takes over a holder's events; another epoch means that it restarted empty."""
+        holder = self._holders.get(address)
+        if holder is None:
+            return
+        if holder.epoch is not None and holder.epoch != epoch:
+            self.clear(address)
+        holder.epoch = epoch
+        holder.next_event = next_event
+        holder.updated_at = now
+        for event in events:
+            if event.is_kept:
+                holder.parts[event.key] = event.tokens
+                self._by_part.setdefault(event.key, set()).add(address)
+            else:
+                self._drop(holder, address, event.key)
+
+    def clear(self, address: str) -> None:
+        """Forgets what a holder keeps, because it may have restarted."""
+        holder = self._holders.get(address)
+        if holder is None:
+            return
+        for key in list(holder.parts):
+            self._drop(holder, address, key)
+        holder.epoch = None
+        holder.next_event = 0
+
+    def holds(self, address: str, key: CacheKey, tokens: int) -> bool:
+        """Whether the holder is known to keep the whole part."""
+        holder = self._holders.get(address)
+        return holder is not None and holder.parts.get(key, 0) > tokens - BLOCK_TOKENS
+
+    def list_holders(self, key: CacheKey, tokens: int, kind: HolderKind, now: float) -> list[str]:
+        """Returns the addresses of holders with fresh knowledge that keep the whole part."""
+        limit = STORE_FRESHNESS_S if kind is HolderKind.STORE else ENGINE_FRESHNESS_S
+        return sorted(
+            address
+            for address in self._by_part.get(key, ())
+            if self._holders[address].kind is kind
+            and now - self._holders[address].updated_at < limit
+            and self.holds(address, key, tokens)
+        )
+
+    def is_fresh(self, address: str, now: float) -> bool:
+        """Whether a store's events were read recently."""
+        holder = self._holders.get(address)
+        return holder is not None and now - holder.updated_at < STORE_FRESHNESS_S
+
+    def list_parts(self, address: str) -> list[CacheKey]:
+        """Returns the parts that a holder keeps."""
+        holder = self._holders.get(address)
+        return list(holder.parts) if holder is not None else []
+
+    def _drop(self, holder: _Holder, address: str, key: CacheKey) -> None:
+        holder.parts.pop(key, None)
+        addresses = self._by_part.get(key)
+        if addresses is not None:
+            addresses.discard(address)
+            if not addresses:
+                del self._by_part[key]
+
+
+@dataclass(frozen=True)
+class TransferPlan:
+    """For each prompt part: where the target fetches it from and saves it to; None: neither."""
+
+    fetch: tuple[str | None, ...]
+    save: tuple[str | None, ...]
+
+
+def plan_transfers(
+    index: CacheIndex,
+    stores: list[Service],
+    target_address: str,
+    salt: str,
+    parts: tuple[tuple[str, int], ...],
+    now: float,
+) -> TransferPlan:
+    """Plans the transfers of a prompt's shared parts; the last part is the call's own.
+
+    Load pattern answered: a prompt returns after its engine has evicted it, or goes to another
+    engine because its own one is busy, cold or gone. Engines are preferred as sources, because
+    their links carry several times more than a store's.
+    """
+    fetch: list[str | None] = [None] * len(parts)
+    save: list[str | None] = [None] * len(parts)
+    is_chain_kept = True
+    for number, (part, tokens) in enumerate(parts[:-1]):
+        key = CacheKey(salt, part)
+        kept_by_stores = index.list_holders(key, tokens, HolderKind.STORE, now)
+        if is_chain_kept:
+            # A source is named even if the target seems to keep the part: nothing is moved if it
+            # does, and the newest events may not have arrived.
+            engines = index.list_holders(key, tokens, HolderKind.ENGINE, now)
+            sources = [a for a in engines if a != target_address] or kept_by_stores
+            fetch[number] = sources[0] if sources else None
+            is_chain_kept = bool(sources) or index.holds(target_address, key, tokens)
+        if not kept_by_stores:
+            save[number] = _choose_store(index, stores, key, now)
+    return TransferPlan(tuple(fetch), tuple(save))
+
+
+def _choose_store(
+    index: CacheIndex, stores: list[Service], key: CacheKey, now: float
+) -> str | None:
+    for address in rank_stores(key.part, stores):
+        if index.is_fresh(address, now):
+            return address
+    return None
--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 from ...ids import DataCentre, InstanceId, TargetId
-from ..rendezvous import rank_members
-from .routetable import EngineProfile, Prompt
+from ..rendezvous import rank_members, rank_weighted
+from .routetable import EngineProfile, Prompt, Service
 from .targettable import FAILING_SHARE, Target
 
 # A prompt leaves its first engine only if that one has this many more unanswered prompt tokens than
@@ -132,3 +132,13 @@
     parts = request.prompt.parts
     part_id, _ = parts[-2] if len(parts) > 1 else parts[-1]
     return f"{request.salt}/{part_id}"
+
+
+def rank_stores(part: str, stores: list[Service]) -> list[str]:
+    """Returns the stores' addresses in a part's order of preference, weighted by their room."""
+    weights = {
+        service.store.address: float(service.store.cache_tokens)
+        for service in stores
+        if service.store is not None
+    }
+    return rank_weighted(part, weights)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -4,6 +4,7 @@
 import random
 
 from ..core.retries import RetryBudget
+from ..core.serving.cacheindex import plan_transfers
 from ..core.serving.placement import Placement, PlacementRequest
 from ..core.serving.routetable import CallerLimits, Service
 from ..core.serving.targettable import Target
@@ -21,6 +22,7 @@
     CallRequest,
     Dialect,
     Refusal,
+    VerdictKind,
 )
 from .http import HeadError, HttpRequest
 from .pool import ConnectionPool
@@ -167,8 +169,7 @@
         target.running -= 1
         if run.call.prompt is not None:
             target.pending_tokens -= run.call.prompt.prompt_tokens
-        if attempt.verdict is not None and not attempt.verdict.is_other_target:
-            target.versions.update(attempt.verdict.versions)
+        self._learn_version(run, attempt)
         if outcome is Outcome.ANSWERED:
             target.record_success()
         elif outcome is Outcome.ERROR:
@@ -179,6 +180,19 @@
             target.record_failure(now)
             self._find_pool(target).close_idle()
 
+    def _learn_version(self, run: Run, attempt: Attempt) -> None:
+        """Takes the version of a target's weights from its answer."""
+        verdict, prompt = attempt.verdict, run.call.prompt
+        if verdict is None or verdict.is_other_target or prompt is None:
+            return
+        versions = attempt.plan.target.versions
+        for model, version in verdict.versions.items():
+            versions[model] = max(version, versions.get(model, version))
+        wanted = self._state.rollout.get_wanted(prompt.model)
+        if verdict.kind is VerdictKind.MISDIRECTED and wanted is not None:
+            # The target has other weights than expected, so it has been given the named ones.
+            versions[prompt.model] = wanted
+
     def try_retry(self, run: Run) -> bool:
         """Uses one retry of the service's budget."""
         return run.service is not None and self._find_budget(run.service.name).try_retry()
@@ -222,7 +236,18 @@
             # Nothing is shared until the version is known, since a part made under another version
             # must not be read.
             return CachePlan(salt=run.call.request_id)
-        return CachePlan(salt=f"{version}{find_salt(run.call)}", version=version)
+        salt = f"{version}{find_salt(run.call)}"
+        table = self._state.table
+        assert table is not None
+        transfers = plan_transfers(
+            self._state.cache,
+            table.list_stores(),
+            target.registration.address,
+            salt,
+            prompt.parts,
+            self._loop.now(),
+        )
+        return CachePlan(salt, version, transfers.fetch, transfers.save)
 
     def _find_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection
 from typing import Protocol
 
+from ..core.serving.cacheindex import CacheIndex
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
 from ..core.serving.routetable import RouteTable
@@ -70,6 +71,7 @@
         self.targets = TargetTable()
         self.rollout = VersionRollout()
         self.pacer = ColdPacer(instance)
+        self.cache = CacheIndex()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self._has_registry = False
         self._is_store_reachable: bool | None = None
--- /dev/null
+++ b/src/mulberryrill/platform/cacheevents.py
@@ -0,0 +1,61 @@
+"""Cache events of engines and KV cache stores, as the platform's ones report them."""
+
+import json
+from collections.abc import Callable
+
+from ..internal.core.serving.cacheindex import CacheEvent, CacheKey
+from ..internal.entry.cachewatch import CachePage
+from ..internal.entry.connection import ExchangeFailure
+from ..internal.entry.exchange import Reply, exchange
+from ..internal.entry.http import encode_request
+from ..internal.entry.pool import ConnectionPool
+from ..internal.eventloop import EventLoop
+
+HTTP_OK = 200
+# Added to the time that a read waits for events.
+ANSWER_TIME_S = 0.5
+KEPT = "+"
+
+
+class PlatformCacheChannel:
+    """Implements ``CacheChannel``."""
+
+    def __init__(self, loop: EventLoop) -> None:
+        self._loop = loop
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def close(self) -> None:
+        """Closes the connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def read_events(
+        self, address: str, since: int, wait_s: float, done: Callable[[CachePage | None], None]
+    ) -> None:
+        """Reads events from a number on; None without a readable answer."""
+
+        def on_reply(reply: Reply | ExchangeFailure) -> None:
+            if isinstance(reply, Reply) and reply.status == HTTP_OK:
+                done(_read_page(reply.body))
+            else:
+                done(None)
+
+        headers = [(b"host", address.encode()), (b"wait-ms", b"%d" % int(wait_s * 1000))]
+        request = encode_request(b"GET", b"/-/kv-events?since=%d" % since, headers)
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = ConnectionPool(self._loop, address)
+        exchange(self._loop, pool, request, wait_s + ANSWER_TIME_S, on_reply)
+
+
+def _read_page(body: bytes) -> CachePage | None:
+    try:
+        value = json.loads(body)
+        # An event is [number, "+" or "-", salt, part, tokens that are kept now, model].
+        events = [
+            CacheEvent(CacheKey(salt, part), sign == KEPT and tokens > 0, tokens)
+            for _, sign, salt, part, tokens, _ in value["events"]
+        ]
+        return CachePage(int(value["epoch"]), int(value["next"]), bool(value["lost"]), events)
+    except (ValueError, KeyError, TypeError):
+        return None
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -1,11 +1,13 @@
 """Builds the tasks that connect an entry process with the platform."""
 
 from ..internal.clock import Clock
+from ..internal.entry.cachewatch import CacheWatch
 from ..internal.entry.ordering import OrderTask
 from ..internal.entry.state import EntryState
 from ..internal.eventloop import EventLoop
 from ..internal.ids import InstanceId
 from ..internal.schema.settings_pb2 import EntrySettings
+from .cacheevents import PlatformCacheChannel
 from .follower import StoreFollower
 from .store import StoreClient
 from .targetorders import PlatformOrderChannel
@@ -27,17 +29,22 @@
             loop, self._store, state, instance, bounds.drain_ms / 1000 / READS_PER_DRAIN
         )
         self._channel = PlatformOrderChannel(loop, self._store, instance)
+        self._cache_channel = PlatformCacheChannel(loop)
+        self._cache = CacheWatch(loop, state, instance, self._cache_channel)
         self._orders = OrderTask(
             loop, clock, state, instance, self._channel, bounds.order_lease_ms / 1000
         )
 
     def start(self) -> None:
-        """Begins to follow the store and to look for due orders."""
+        """Begins to follow the store, to look for due orders and to read cache events."""
         self._follower.start()
         self._orders.start()
+        self._cache.start()
 
     def close(self) -> None:
         """Stops following and closes the connections."""
         self._follower.close()
+        self._cache.close()
+        self._cache_channel.close()
         self._channel.close()
         self._store.close()
