--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ..rendezvous import choose_member
 from .placement import rank_stores
 from .routetable import Service
 
@@ -16,6 +17,10 @@
 STORE_FRESHNESS_S = 1.6
 # Parts are kept in blocks of this many tokens, so that the end of a part may be missing.
 BLOCK_TOKENS = 16
+# Size of one token's KV cache, for the comparison of transfer and setup times only.
+TOKEN_BITS = 18_432 * 8
+# An offset that is smaller by more than this is no delay: this instance was suspended meanwhile.
+MAX_CLOCK_LAG_S = 1.5
 # An engine that was silent longer is no longer used as a source.
 ENGINE_FRESHNESS_S = 5.0
 
@@ -51,6 +56,7 @@
     next_event: int = 0
     updated_at: float = float("-inf")
     parts: dict[CacheKey, int] = field(default_factory=dict)
+    tokens: int = 0
 
 
 class CacheIndex:
@@ -94,6 +100,7 @@
         holder.updated_at = now
         for event in events:
             if event.is_kept:
+                holder.tokens += event.tokens - holder.parts.get(event.key, 0)
                 holder.parts[event.key] = event.tokens
                 self._by_part.setdefault(event.key, set()).add(address)
             else:
@@ -130,13 +137,18 @@
         holder = self._holders.get(address)
         return holder is not None and now - holder.updated_at < STORE_FRESHNESS_S
 
+    def count_tokens(self, address: str) -> int:
+        """Returns the tokens that a holder keeps."""
+        holder = self._holders.get(address)
+        return holder.tokens if holder is not None else 0
+
     def list_parts(self, address: str) -> list[CacheKey]:
         """Returns the parts that a holder keeps."""
         holder = self._holders.get(address)
         return list(holder.parts) if holder is not None else []
 
     def _drop(self, holder: _Holder, address: str, key: CacheKey) -> None:
-        holder.parts.pop(key, None)
+        holder.tokens -= holder.parts.pop(key, 0)
         addresses = self._by_part.get(key)
         if addresses is not None:
             addresses.discard(address)
@@ -144,6 +156,23 @@
                 del self._by_part[key]
 
 
+class RemoteClock:
+    """The engines' common clock, as seen from this instance."""
+
+    def __init__(self) -> None:
+        self._offset: float | None = None
+
+    def observe(self, remote: float, now: float) -> None:
+        """Takes a remote time; the answer that travelled fastest has the largest offset."""
+        offset = remote - now
+        if self._offset is None or offset > self._offset or self._offset - offset > MAX_CLOCK_LAG_S:
+            self._offset = offset
+
+    def read(self, now: float) -> float | None:
+        """Returns the remote time; None before the first observation."""
+        return now + self._offset if self._offset is not None else None
+
+
 @dataclass(frozen=True)
 class TransferPlan:
     """For each prompt part: where the target fetches it from and saves it to; None: neither."""
@@ -177,17 +206,26 @@
             # does, and the newest events may not have arrived.
             engines = index.list_holders(key, tokens, HolderKind.ENGINE, now)
             sources = [a for a in engines if a != target_address] or kept_by_stores
-            fetch[number] = sources[0] if sources else None
+            # Different targets use different sources, so that no link carries all transfers.
+            fetch[number] = choose_member(f"{part}/{target_address}", sources)
             is_chain_kept = bool(sources) or index.holds(target_address, key, tokens)
         if not kept_by_stores:
-            save[number] = _choose_store(index, stores, key, now)
+            save[number] = _choose_store(index, stores, key, tokens, now)
     return TransferPlan(tuple(fetch), tuple(save))
 
 
 def _choose_store(
-    index: CacheIndex, stores: list[Service], key: CacheKey, now: float
+    index: CacheIndex, stores: list[Service], key: CacheKey, tokens: int, now: float
 ) -> str | None:
-    for address in rank_stores(key.part, stores):
-        if index.is_fresh(address, now):
-            return address
+    """Returns a store with room for the part.
+
+    Load pattern answered: many short parts, each of which takes a slow store's link for its setup
+    time and so delays the long parts that only that store has room for. A store is passed over in
+    the first round if its setup would take longer than the transfer itself.
+    """
+    ranked = [s for s in rank_stores(key.part, stores) if index.is_fresh(s.address, now)]
+    roomy = [s for s in ranked if index.count_tokens(s.address) + tokens <= s.cache_tokens]
+    efficient = [s for s in roomy if s.setup_s <= tokens * TOKEN_BITS / max(1.0, s.link_bits_per_s)]
+    for store in efficient or sorted(roomy, key=lambda store: store.setup_s):
+        return store.address
     return None
--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -12,7 +12,7 @@
 
 from ...ids import DataCentre, InstanceId, TargetId
 from ..rendezvous import rank_members, rank_weighted
-from .routetable import EngineProfile, Prompt, Service
+from .routetable import EngineProfile, Prompt, Service, StoreProfile
 from .targettable import FAILING_SHARE, Target
 
 # A prompt leaves its first engine only if that one has this many more unanswered prompt tokens than
@@ -134,11 +134,8 @@
     return f"{request.salt}/{part_id}"
 
 
-def rank_stores(part: str, stores: list[Service]) -> list[str]:
-    """Returns the stores' addresses in a part's order of preference, weighted by their room."""
-    weights = {
-        service.store.address: float(service.store.cache_tokens)
-        for service in stores
-        if service.store is not None
-    }
-    return rank_weighted(part, weights)
+def rank_stores(part: str, stores: list[Service]) -> list[StoreProfile]:
+    """Returns the stores in a part's order of preference, weighted by their room."""
+    profiles = {s.store.address: s.store for s in stores if s.store is not None}
+    weights = {address: float(store.cache_tokens) for address, store in profiles.items()}
+    return [profiles[address] for address in rank_weighted(part, weights)]
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -30,6 +30,8 @@
     epoch: int
     next_event: int
     is_gapped: bool
+    # The holder's clock when it answered, in seconds.
+    clock_s: float | None
     events: list[CacheEvent]
 
 
@@ -114,5 +116,7 @@
         if page.is_gapped:
             # Dropped parts may be among the missing events.
             index.clear(address)
+        if page.clock_s is not None:
+            self._state.engine_clock.observe(page.clock_s, self._loop.now())
         index.apply(address, page.epoch, page.next_event, page.events, self._loop.now())
         self._loop.call_later(PAUSE_S, partial(self._read, address))
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -72,6 +72,8 @@
     # Addresses to fetch each prompt part from and to save it to; None: neither.
     fetch: tuple[str | None, ...] = ()
     save: tuple[str | None, ...] = ()
+    # Fetches that last longer are dropped, in seconds on the engines' clock; None: no limit.
+    fetch_until_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -85,6 +87,13 @@
     # The newest event that the caller has, for a stream that continues.
     last_event_id: int | None
 
+    def describe(self) -> str:
+        """Returns the target and the use of kept prompt parts, for logs."""
+        if self.cache is None:
+            return self.target.id
+        fetch = ",".join(address or "-" for address in self.cache.fetch)
+        return f"{self.target.id} salt={self.cache.salt} fetch={fetch}"
+
 
 class VerdictKind(Enum):
     """What a target's response head says."""
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -37,6 +37,9 @@
 # operators allow over all instances.
 BUDGET_SHARE = 0.5
 HOUSEKEEPING_S = 1.0
+# A fetch may take this share of the time within which a first event has full value; a slower one
+# is dropped and the prompt is read.
+FETCH_SHARE = 0.5
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -247,7 +250,10 @@
             prompt.parts,
             self._loop.now(),
         )
-        return CachePlan(salt, version, transfers.fetch, transfers.save)
+        clock = self._state.engine_clock.read(self._loop.now())
+        limit = FETCH_SHARE * run.call.route.latency_objective_s
+        until = clock + limit if clock is not None else None
+        return CachePlan(salt, version, transfers.fetch, transfers.save, until)
 
     def _find_budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets.get(service)
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -122,7 +122,7 @@
         self._cancel_silence()
         took_ms = round((self._loop.now() - attempt.started_at) * 1000)
         note = f" ({detail})" if detail else ""
-        self.history.append(f"{attempt.plan.target.id}: {outcome.value} {took_ms} ms{note}")
+        self.history.append(f"{attempt.plan.describe()}: {outcome.value} {took_ms} ms{note}")
         self._owner.on_attempt_end(self, attempt, outcome, detail)
         if self._is_done:
             return
@@ -233,7 +233,7 @@
             return
         attempt.cancel()
         took_ms = round((self._loop.now() - attempt.started_at) * 1000)
-        self.history.append(f"{attempt.plan.target.id}: cancelled {took_ms} ms ({reason})")
+        self.history.append(f"{attempt.plan.describe()}: cancelled {took_ms} ms ({reason})")
         self._owner.on_attempt_end(self, attempt, Outcome.CANCELLED, reason)
 
     def _cancel_silence(self) -> None:
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection
 from typing import Protocol
 
-from ..core.serving.cacheindex import CacheIndex
+from ..core.serving.cacheindex import CacheIndex, RemoteClock
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
 from ..core.serving.routetable import RouteTable
@@ -72,6 +72,7 @@
         self.rollout = VersionRollout()
         self.pacer = ColdPacer(instance)
         self.cache = CacheIndex()
+        self.engine_clock = RemoteClock()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self._has_registry = False
         self._is_store_reachable: bool | None = None
--- a/src/mulberryrill/platform/cacheevents.py
+++ b/src/mulberryrill/platform/cacheevents.py
@@ -56,6 +56,13 @@
             CacheEvent(CacheKey(salt, part), sign == KEPT and tokens > 0, tokens)
             for _, sign, salt, part, tokens, _ in value["events"]
         ]
-        return CachePage(int(value["epoch"]), int(value["next"]), bool(value["lost"]), events)
+        clock_ms = value.get("clock_ms")
+        return CachePage(
+            epoch=int(value["epoch"]),
+            next_event=int(value["next"]),
+            is_gapped=bool(value["lost"]),
+            clock_s=clock_ms / 1000 if clock_ms is not None else None,
+            events=events,
+        )
     except (ValueError, KeyError, TypeError):
         return None
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -146,6 +146,8 @@
             headers.append((CACHE_SALT, cache.salt.encode()))
             if cache.version is not None:
                 headers.append((EXPECTED_VERSION, b"%d" % cache.version))
+            if cache.fetch_until_s is not None and any(cache.fetch):
+                headers.append((FETCH_UNTIL, b"%d" % int(cache.fetch_until_s * 1000)))
             headers += _write_parts(FETCH_FROM, cache.fetch) + _write_parts(SAVE_TO, cache.save)
         return encode_request(call.http.method, call.http.target, headers, call.http.body)
 
