Keep streams with targets that are slow but alive

Cause: after twice the latency objective a resumable stream was sent to another engine, also when its engine only had a queue; under high load that added about a fifth of the arrivals, each with its prompt. A stream now leaves only a target that has sent nothing at all for 1.5 s.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -59,6 +59,8 @@
     failures_in_row: int = 0
     failing_share: float = 0.0
     rests_until: float = 0.0
+    # When any byte last came from the target.
+    heard_at: float = float("-inf")
     # Versions learned from the target's own answers, newer than its registration.
     versions: dict[ModelName, WeightVersion] = field(default_factory=dict)
 
@@ -169,6 +171,12 @@
             self._registry_returned_at = now
         self._is_registry_down = is_down
 
+    def note_heard(self, address: str, now: float) -> None:
+        """Notes that the target at an address has answered something."""
+        for target in self._targets.values():
+            if target.registration.address == address:
+                target.heard_at = now
+
     def expire(self, now: float) -> list[TargetId]:
         """Removes entries that did not return after an outage; returns their ids."""
         if self._is_registry_down or now - self._registry_returned_at < LAPSE_GRACE_S:
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -38,6 +38,10 @@
 class AttemptOwner(Protocol):
     """Takes what an attempt brings; ``on_outcome`` comes last and once."""
 
+    def on_heard(self, attempt: "Attempt") -> None:
+        """Bytes of the response arrived."""
+        ...
+
     def on_events(self, attempt: "Attempt", events: bytes) -> None:
         """Whole events of a stream arrived."""
         ...
@@ -107,6 +111,7 @@
     def on_head(self, response: HttpResponse) -> None:
         """Judges the response's status and headers."""
         self.response = response
+        self._owner.on_heard(self)
         self.verdict = self._dialect.judge(response, self._call, self.plan)
         kind = self.verdict.kind
         if kind is VerdictKind.SUCCESS and self._call.route.kind is CallKind.STREAM:
@@ -119,6 +124,7 @@
         """Passes whole events on, or collects a plain answer."""
         if self._has_ended:
             return
+        self._owner.on_heard(self)
         if self._splitter is None:
             self._body += data
             if len(self._body) > MAX_ANSWER_BYTES:
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -116,6 +116,7 @@
         if page.is_gapped:
             # Dropped parts may be among the missing events.
             index.clear(address)
+        self._state.targets.note_heard(address, self._loop.now())
         if page.clock_s is not None:
             self._state.engine_clock.observe(page.clock_s, self._loop.now())
         index.apply(address, page.epoch, page.next_event, page.events, self._loop.now())
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -11,11 +11,13 @@
 
 # Sendings of one call, those included that did not run or did not arrive.
 MAX_SENDINGS = 5
-# An attempt that brings no answer is given up for another target after this share of the time left,
-# if the call may be repeated.
-SILENCE_SHARE = 0.4
-# ... but not before this multiple of the time within which an answer has full value.
+# A repeatable call leaves a target that brings no answer after this multiple of the time within
+# which an answer has full value, but after this share of the time left at the latest.
 SILENCE_OBJECTIVES = 2.0
+SILENCE_SHARE = 0.4
+# A stream stays with its target while that has sent anything within this time: it is only slow, and
+# a second run would add to its load.
+HEARD_LIMIT_S = 1.5
 # A call that nobody can take now may be served by another instance or a moment later.
 RETRY_AFTER_S = 0.3
 
@@ -102,6 +104,10 @@
         self._watch_silence(attempt)
         self._owner.send_attempt(self, attempt)
 
+    def on_heard(self, attempt: Attempt) -> None:
+        """Notes that the target is alive."""
+        attempt.plan.target.heard_at = self._loop.now()
+
     def on_events(self, attempt: Attempt, events: bytes) -> None:
         """Passes events of the stream on to the caller."""
         if attempt is not self._attempt:
@@ -215,13 +221,18 @@
         route = self.call.route
         if not route.is_repeatable or self._runs + 1 >= route.max_attempts:
             return
-        delay = max(SILENCE_OBJECTIVES * route.latency_objective_s, 0.0)
-        delay = min(delay, SILENCE_SHARE * self.time_left_s)
+        delay = min(
+            SILENCE_OBJECTIVES * route.latency_objective_s, SILENCE_SHARE * self.time_left_s
+        )
         self._silence = self._loop.call_later(delay, lambda: self._on_silence(attempt))
 
     def _on_silence(self, attempt: Attempt) -> None:
         if attempt is not self._attempt or self._is_done:
             return
+        heard_ago = self._loop.now() - attempt.plan.target.heard_at
+        if self.call.route.kind is CallKind.STREAM and heard_ago < HEARD_LIMIT_S:
+            self._watch_silence(attempt)
+            return
         if self._owner.try_retry(self):
             self._drop_attempt("silent")
             self._runs += 1
