Limit running calls by the engines' memory

Instances now also report the tokens of their running calls, and an engine takes no call beyond three quarters of its memory.

--- a/src/mulberryrill/internal/core/serving/loads.py
+++ b/src/mulberryrill/internal/core/serving/loads.py
@@ -24,49 +24,69 @@
 
 
 @dataclass
+class TargetLoad:
+    """What one instance has given to one target."""
+
+    # Prompt tokens that the target has still to read, by priority.
+    pending: Pending = field(default_factory=lambda: defaultdict(int))
+    # Prompt and output tokens of all running calls.
+    held_tokens: int = 0
+
+
+@dataclass(frozen=True)
 class _PeerReport:
     received_at: float
-    pending: dict[TargetId, Pending] = field(default_factory=dict)
+    loads: dict[TargetId, TargetLoad]
 
 
 class LoadBoard:
-    """Pending prompt tokens of each target by priority, and each target's speed."""
+    """Loads of each target over all instances, and each target's speed."""
 
     def __init__(self) -> None:
-        self._own: dict[TargetId, Pending] = defaultdict(lambda: defaultdict(int))
+        self._own: dict[TargetId, TargetLoad] = defaultdict(TargetLoad)
         self._peers: dict[InstanceId, _PeerReport] = {}
         self._rates: dict[TargetId, float] = {}
 
-    def add(self, target: TargetId, priority: int, tokens: int) -> None:
-        """Notes work that this instance has given to a target."""
-        self._own[target][priority] += tokens
-
-    def remove(self, target: TargetId, priority: int, tokens: int) -> None:
-        """Notes that the work has had its first output or has ended."""
-        pending = self._own[target]
-        pending[priority] -= tokens
-        if pending[priority] <= 0:
-            del pending[priority]
-        if not pending:
+    def add_pending(self, target: TargetId, priority: int, tokens: int) -> None:
+        """Notes a prompt that this instance has sent to a target."""
+        self._own[target].pending[priority] += tokens
+
+    def remove_pending(self, target: TargetId, priority: int, tokens: int) -> None:
+        """Notes that the prompt has had its first output or has ended."""
+        load = self._own[target]
+        load.pending[priority] -= tokens
+        if load.pending[priority] <= 0:
+            del load.pending[priority]
+
+    def add_held(self, target: TargetId, tokens: int) -> None:
+        """Notes a call's memory on its target; a negative number gives it back."""
+        load = self._own[target]
+        load.held_tokens += tokens
+        if load.held_tokens <= 0 and not load.pending:
             del self._own[target]
 
-    def list_own(self) -> dict[TargetId, Pending]:
-        """Returns this instance's pending tokens by target and priority."""
+    def list_own(self) -> dict[TargetId, TargetLoad]:
+        """Returns this instance's loads by target."""
         return self._own
 
     def apply_report(
-        self, instance: InstanceId, pending: dict[TargetId, Pending], now: float
+        self, instance: InstanceId, loads: dict[TargetId, TargetLoad], now: float
     ) -> None:
         """Takes over a peer's report."""
-        self._peers[instance] = _PeerReport(now, pending)
+        self._peers[instance] = _PeerReport(now, loads)
 
     def count_pending(self, target: TargetId, priority: int, now: float) -> int:
         """Returns the tokens that the target reads before new work of a priority."""
-        total = _count(self._own.get(target), priority)
-        for report in self._peers.values():
-            if now - report.received_at < REPORT_LIMIT_S:
-                total += _count(report.pending.get(target), priority)
-        return total
+        return sum(
+            tokens
+            for load in self._list_loads(target, now)
+            for level, tokens in load.pending.items()
+            if level <= priority
+        )
+
+    def count_held(self, target: TargetId, now: float) -> int:
+        """Returns the tokens of all calls that run on the target."""
+        return sum(load.held_tokens for load in self._list_loads(target, now))
 
     def estimate_wait(self, target: TargetId, priority: int, tokens: int, now: float) -> float:
         """Returns the seconds until a new call with ``tokens`` to read has its first output."""
@@ -89,8 +109,10 @@
         """Drops what is known of targets that are gone."""
         self._rates = {key: rate for key, rate in self._rates.items() if key in live}
 
-
-def _count(pending: Pending | None, priority: int) -> int:
-    if not pending:
-        return 0
-    return sum(tokens for level, tokens in pending.items() if level <= priority)
+    def _list_loads(self, target: TargetId, now: float) -> list[TargetLoad]:
+        loads = [
+            report.loads.get(target)
+            for report in self._peers.values()
+            if now - report.received_at < REPORT_LIMIT_S
+        ]
+        return [load for load in (*loads, self._own.get(target)) if load is not None]
--- a/src/mulberryrill/internal/core/serving/routetable.py
+++ b/src/mulberryrill/internal/core/serving/routetable.py
@@ -158,3 +158,8 @@
     max_output_tokens: int
     # (part id, tokens) in the prompt's order.
     parts: tuple[tuple[str, int], ...]
+
+    @property
+    def total_tokens(self) -> int:
+        """What the call takes of a target's memory at its end."""
+        return self.prompt_tokens + self.max_output_tokens
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -4,6 +4,7 @@
 read it are chosen by rendezvous hashing.
 """
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -12,7 +13,9 @@
 from ..core.rendezvous import rank_members
 from ..core.serving.cacheindex import CacheEvent, HolderKind
 from ..eventloop import EventLoop
+from ..events import Event
 from ..ids import InstanceId
+from ..logs import log_event
 from .state import EntryState
 
 # A read waits this long for a first event.
@@ -21,6 +24,7 @@
 PAUSE_S = 0.2
 RETRY_S = 0.5
 REFRESH_S = 0.5
+_LOGGER = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True)
@@ -106,15 +110,28 @@
         since = self._state.cache.get_next_event(address)
         self._channel.read_events(address, since, WAIT_S, partial(self._take, address))
 
+    def _log(self, address: str, message: str, page: CachePage | None) -> None:
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.ENTRY_CACHE_EVENTS_LOST,
+            message,
+            holder=address,
+            since=self._state.cache.get_next_event(address),
+            next_event=page.next_event if page is not None else None,
+        )
+
     def _take(self, address: str, page: CachePage | None) -> None:
         index = self._state.cache
         if page is None:
             # The holder may have restarted empty.
+            self._log(address, "cache events lost", None)
             index.clear(address)
             self._loop.call_later(RETRY_S, partial(self._read, address))
             return
         if page.is_gapped:
             # Dropped parts may be among the missing events.
+            self._log(address, "cache events are missing", page)
             index.clear(address)
         self._state.targets.note_heard(address, self._loop.now())
         if page.clock_s is not None:
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -38,6 +38,9 @@
 # operators allow over all instances.
 BUDGET_SHARE = 0.5
 HOUSEKEEPING_S = 1.0
+# Share of an engine's memory that running calls may fill. Beyond it the engine drops kept prompt
+# parts between their fetch and their use, and preempts calls.
+HELD_SHARE = 0.75
 # A fetch may take this share of the time within which a first event has full value; a slower one
 # is dropped and the prompt is read.
 FETCH_SHARE = 0.5
@@ -148,12 +151,20 @@
         request = PlacementRequest(run.call.prompt, find_salt(run.call), run.tried, now)
         if run.call.prompt is not None:
             candidates = self._placement.list_candidates(targets, request, service.cold_rate)
+            if service.engine is not None:
+                limit = HELD_SHARE * service.engine.cache_tokens - run.call.prompt.total_tokens
+                candidates = [t for t in candidates if self._count_held(t, now) <= limit]
+                if targets and not candidates:
+                    return Rejection(Refusal.OVERLOADED)
             return self._plan_prompt(run, run.call.prompt, candidates, now)
         target = self._placement.choose(targets, request, service.cold_rate)
         if target is None:
             return Rejection(Refusal.NO_TARGET)
         return AttemptPlan(target, run.time_left_s, None, run.last_event_id)
 
+    def _count_held(self, target: Target, now: float) -> int:
+        return self._state.loads.count_held(target.id, now)
+
     def _plan_prompt(
         self, run: Run, prompt: Prompt, candidates: list[Target], now: float
     ) -> AttemptPlan | Rejection:
@@ -186,7 +197,9 @@
         cache = attempt.plan.cache
         if cache is not None:
             attempt.is_pending = True
-            self._state.loads.add(target.id, run.call.priority, cache.read_tokens)
+            self._state.loads.add_pending(target.id, run.call.priority, cache.read_tokens)
+        if run.call.prompt is not None:
+            self._state.loads.add_held(target.id, run.call.prompt.total_tokens)
         pool = self._find_pool(target)
         attempt.start(pool.acquire(needs_fresh=not run.call.route.is_repeatable))
 
@@ -202,7 +215,9 @@
         cache = attempt.plan.cache
         if attempt.is_pending and cache is not None:
             attempt.is_pending = False
-            self._state.loads.remove(attempt.plan.target.id, run.call.priority, cache.read_tokens)
+            self._state.loads.remove_pending(
+                attempt.plan.target.id, run.call.priority, cache.read_tokens
+            )
 
     def on_attempt_end(self, run: Run, attempt: Attempt, outcome: Outcome, detail: str) -> None:
         """Counts an attempt's end for its target's condition."""
@@ -210,6 +225,8 @@
         now = self._loop.now()
         target.running -= 1
         self._end_pending(run, attempt)
+        if run.call.prompt is not None:
+            self._state.loads.add_held(target.id, -run.call.prompt.total_tokens)
         self._learn_version(run, attempt)
         if outcome is Outcome.ANSWERED:
             target.record_success()
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -10,7 +10,7 @@
 import zmq
 from google.protobuf.message import DecodeError
 
-from ..core.serving.loads import LoadBoard
+from ..core.serving.loads import LoadBoard, TargetLoad
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import DataCentre, InstanceId, TargetId
@@ -95,9 +95,9 @@
         interval = max(REPORT_INTERVAL_S, len(self._connected) / MAX_RECEIVED_PER_S)
         self._loop.call_later(interval, self._report)
         report = LoadReport(instance=self._own.instance)
-        for target, pending in self._loads.list_own().items():
-            load = report.targets.add(target=target)
-            for priority, tokens in pending.items():
+        for target, own in self._loads.list_own().items():
+            load = report.targets.add(target=target, held_tokens=own.held_tokens)
+            for priority, tokens in own.pending.items():
                 load.pending.add(priority=priority, pending_tokens=tokens)
         # One empty report tells that nothing is pending; more of them would say no more.
         is_empty = not report.targets
@@ -121,8 +121,10 @@
         except DecodeError as error:
             log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, f"load report: {error}")
             return
-        pending = {
-            TargetId(load.target): {item.priority: item.pending_tokens for item in load.pending}
+        loads = {
+            TargetId(load.target): TargetLoad(
+                {item.priority: item.pending_tokens for item in load.pending}, load.held_tokens
+            )
             for load in report.targets
         }
-        self._loads.apply_report(InstanceId(report.instance), pending, self._loop.now())
+        self._loads.apply_report(InstanceId(report.instance), loads, self._loop.now())
