--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -134,6 +134,11 @@
             and self.holds(address, key, tokens)
         )
 
+    def is_known(self, address: str) -> bool:
+        """Whether the holder has answered since it was last cleared."""
+        holder = self._holders.get(address)
+        return holder is not None and holder.epoch is not None
+
     def is_fresh(self, address: str, now: float) -> bool:
         """Whether a store's events were read recently."""
         holder = self._holders.get(address)
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -125,7 +125,8 @@
         index = self._state.cache
         if page is None:
             # The holder may have restarted empty.
-            self._log(address, "cache events lost", None)
+            if index.is_known(address):
+                self._log(address, "cache events lost", None)
             index.clear(address)
             self._loop.call_later(RETRY_S, partial(self._read, address))
             return
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -38,9 +38,9 @@
 # operators allow over all instances.
 BUDGET_SHARE = 0.5
 HOUSEKEEPING_S = 1.0
-# Share of an engine's memory that running calls may fill. Beyond it the engine drops kept prompt
-# parts between their fetch and their use, and preempts calls.
-HELD_SHARE = 0.75
+# Share of an engine's memory that running calls may fill, where shared parts count for each call.
+# Beyond it the engine drops kept prompt parts between their fetch and their use, and preempts calls.
+HELD_SHARE = 0.9
 # A fetch may take this share of the time within which a first event has full value; a slower one
 # is dropped and the prompt is read.
 FETCH_SHARE = 0.5
