Share registry reads and cache events within a data centre

Cause: each of 84 instances read the registry for itself (0.67 calls a second each) and each holder answers only 12 waiting reads at once.

--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -108,6 +108,22 @@
             else:
                 self._drop(holder, address, event.key)
 
+    def get_position(self, address: str) -> tuple[int | None, int]:
+        """Returns the epoch that is known of a holder, and the number of its next event."""
+        holder = self._holders.get(address)
+        return (holder.epoch, holder.next_event) if holder is not None else (None, 0)
+
+    def get_age(self, address: str, now: float) -> float:
+        """Returns the seconds since the holder was last heard of."""
+        holder = self._holders.get(address)
+        return now - holder.updated_at if holder is not None else float("inf")
+
+    def list_kept(self, address: str) -> list[CacheEvent]:
+        """Returns all parts that a holder keeps."""
+        holder = self._holders.get(address)
+        parts = holder.parts.items() if holder is not None else ()
+        return [CacheEvent(key, True, tokens) for key, tokens in parts]
+
     def clear(self, address: str) -> None:
         """Forgets what a holder keeps, because it may have restarted."""
         holder = self._holders.get(address)
@@ -149,11 +165,6 @@
         holder = self._holders.get(address)
         return holder.tokens if holder is not None else 0
 
-    def list_parts(self, address: str) -> list[CacheKey]:
-        """Returns the parts that a holder keeps."""
-        holder = self._holders.get(address)
-        return list(holder.parts) if holder is not None else []
-
     def _drop(self, holder: _Holder, address: str, key: CacheKey) -> None:
         holder.tokens -= holder.parts.pop(key, 0)
         addresses = self._by_part.get(key)
--- a/src/mulberryrill/internal/core/serving/loads.py
+++ b/src/mulberryrill/internal/core/serving/loads.py
@@ -6,10 +6,13 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ...ids import InstanceId, TargetId
 
+# An idle instance repeats its empty report at this interval, so that it counts as known.
+IDLE_REPORT_S = 0.6
 # A report that is older says nothing about a queue that turns over within a second.
 REPORT_LIMIT_S = 1.0
 # Tokens a second that an engine is assumed to read before its speed has been observed.
@@ -31,6 +34,7 @@
     pending: Pending = field(default_factory=lambda: defaultdict(int))
     # Prompt and output tokens of all running calls.
     held_tokens: int = 0
+    running: int = 0
 
 
 @dataclass(frozen=True)
@@ -45,6 +49,7 @@
     def __init__(self) -> None:
         self._own: dict[TargetId, TargetLoad] = defaultdict(TargetLoad)
         self._peers: dict[InstanceId, _PeerReport] = {}
+        self._instance_count = 1
         # Less urgent work is read more slowly, because urgent work that comes later goes first.
         self._rates: dict[tuple[TargetId, int], float] = {}
 
@@ -59,11 +64,18 @@
         if load.pending[priority] <= 0:
             del load.pending[priority]
 
-    def add_held(self, target: TargetId, tokens: int) -> None:
-        """Notes a call's memory on its target; a negative number gives it back."""
+    def add_run(self, target: TargetId, tokens: int) -> None:
+        """Notes a call and the tokens that it takes of its target's memory."""
         load = self._own[target]
+        load.running += 1
         load.held_tokens += tokens
-        if load.held_tokens <= 0 and not load.pending:
+
+    def remove_run(self, target: TargetId, tokens: int) -> None:
+        """Notes that the call has ended."""
+        load = self._own[target]
+        load.running -= 1
+        load.held_tokens -= tokens
+        if load.running <= 0:
             del self._own[target]
 
     def list_own(self) -> dict[TargetId, TargetLoad]:
@@ -76,18 +88,25 @@
         """Takes over a peer's report."""
         self._peers[instance] = _PeerReport(now, loads)
 
-    def count_pending(self, target: TargetId, priority: int, now: float) -> int:
+    def set_instance_count(self, count: int) -> None:
+        """Tells over how many instances the loads are to be counted."""
+        self._instance_count = max(1, count)
+
+    def count_pending(self, target: TargetId, priority: int, now: float) -> float:
         """Returns the tokens that the target reads before new work of a priority."""
-        return sum(
-            tokens
-            for load in self._list_loads(target, now)
-            for level, tokens in load.pending.items()
-            if level <= priority
+        return self._sum(
+            target,
+            now,
+            lambda load: sum(t for level, t in load.pending.items() if level <= priority),
         )
 
-    def count_held(self, target: TargetId, now: float) -> int:
+    def count_held(self, target: TargetId, now: float) -> float:
         """Returns the tokens of all calls that run on the target."""
-        return sum(load.held_tokens for load in self._list_loads(target, now))
+        return self._sum(target, now, lambda load: load.held_tokens)
+
+    def count_running(self, target: TargetId, now: float) -> float:
+        """Returns the number of calls that run on the target."""
+        return self._sum(target, now, lambda load: load.running)
 
     def estimate_wait(self, target: TargetId, priority: int, tokens: int, now: float) -> float:
         """Returns the seconds until a new call with ``tokens`` to read has its first output."""
@@ -110,10 +129,16 @@
         """Drops what is known of targets that are gone."""
         self._rates = {key: rate for key, rate in self._rates.items() if key[0] in live}
 
-    def _list_loads(self, target: TargetId, now: float) -> list[TargetLoad]:
-        loads = [
+    def _sum(self, target: TargetId, now: float, measure: Callable[[TargetLoad], int]) -> float:
+        """Adds up a measure over all instances; the known ones stand for those that are silent.
+
+        Among many instances only those of the own data centre report.
+        """
+        reports = [
             report.loads.get(target)
             for report in self._peers.values()
             if now - report.received_at < REPORT_LIMIT_S
         ]
-        return [load for load in (*loads, self._own.get(target)) if load is not None]
+        loads = [load for load in (*reports, self._own.get(target)) if load is not None]
+        scale = max(1.0, self._instance_count / (len(reports) + 1))
+        return scale * sum(measure(load) for load in loads)
--- a/src/mulberryrill/internal/core/serving/orders.py
+++ b/src/mulberryrill/internal/core/serving/orders.py
@@ -18,8 +18,9 @@
 ORDER_FLIGHT_S = 0.3
 # An order without an answer may still be carried out; until then its target gets no other one.
 ORDER_DOUBT_S = 2.0
-# Targets load weights more slowly if more than this many load at once.
-MAX_LOADING = 2
+# Share of a service's targets that load weights at once: the others carry the load meanwhile, and
+# loading takes longer if too many do so together.
+LOADING_SHARE = 1 / 3
 
 
 class LeaseState(Enum):
@@ -119,7 +120,7 @@
 
 
 class VersionRollout:
-    """Chooses the targets that load a new version next, two at a time."""
+    """Chooses the targets that load a new version next, a third of them at a time."""
 
     def __init__(self) -> None:
         self._wanted: dict[ModelName, WeightVersion] = {}
@@ -147,15 +148,17 @@
         return any(self._find_model(target) is not None for target in targets)
 
     def list_due(self, targets: list[Target], now: float) -> list[VersionOrder]:
-        """Returns the orders to send now."""
+        """Returns the orders to send now to the targets that have models."""
+        targets = [target for target in targets if target.versions]
         for key in [k for k, expires_at in self._pending.items() if now >= expires_at]:
             del self._pending[key]
         due: list[VersionOrder] = []
-        for target in sorted(targets, key=lambda t: (t.running, t.id)):
+        most = max(1, round(len(targets) * LOADING_SHARE))
+        for target in sorted(targets, key=lambda t: t.id):
             model = self._find_model(target)
             if model is None:
                 self._pending.pop(target.id, None)
-            elif target.id not in self._pending and len(self._pending) + len(due) < MAX_LOADING:
+            elif target.id not in self._pending and len(self._pending) + len(due) < most:
                 due.append(self._create_order(target, model))
         return due
 
--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from ...ids import DataCentre, InstanceId, TargetId
@@ -17,6 +17,8 @@
 
 # A prompt stays with an engine that would answer at most this much later than the fastest one.
 AFFINITY_TOLERANCE_S = 0.05
+# Engines that are compared for a prompt: enough to find an idle one, few enough for a fleet.
+MAX_ENGINES = 16
 # Running calls that a target in the own data centre may have more than a remote one: a call to
 # another data centre costs a millisecond and its bytes.
 LOCAL_PREFERENCE = 0.5
@@ -75,11 +77,20 @@
         self._random = random.Random(seed)
 
     def choose(
-        self, targets: list[Target], request: PlacementRequest, cold_rate: float
+        self,
+        targets: list[Target],
+        request: PlacementRequest,
+        cold_rate: float,
+        count_running: Callable[[Target], float],
     ) -> Target | None:
-        """Returns the target for a call; None if no target may take it now."""
+        """Returns the target for a plain call; None if no target may take it now.
+
+        ``count_running`` returns the calls that run on a target.
+        """
         candidates = self.list_candidates(targets, request, cold_rate)
-        return min(candidates, key=self._rate_plain) if candidates else None
+        if not candidates:
+            return None
+        return min(candidates, key=lambda target: self._rate_plain(target, count_running(target)))
 
     def list_candidates(
         self, targets: list[Target], request: PlacementRequest, cold_rate: float
@@ -100,7 +111,8 @@
         if request.prompt is None:
             return candidates
         by_id = {target.id: target for target in candidates}
-        return [by_id[i] for i in rank_members(find_affinity_key(request), by_id)]
+        ranked = rank_members(find_affinity_key(request), by_id)[:MAX_ENGINES]
+        return [by_id[target_id] for target_id in ranked]
 
     def _prefer_sound(self, targets: list[Target], now: float) -> list[Target]:
         """Returns the targets in the best condition that any has."""
@@ -110,9 +122,9 @@
         sound = [t for t in awake if t.failing_share < FAILING_SHARE]
         return sound or [min(awake, key=lambda target: target.failing_share)]
 
-    def _rate_plain(self, target: Target) -> tuple[float, float]:
+    def _rate_plain(self, target: Target, running: float) -> tuple[float, float]:
         is_remote = target.registration.data_centre != self._data_centre
-        load = target.running + (LOCAL_PREFERENCE if is_remote else 0.0)
+        load = running + (LOCAL_PREFERENCE if is_remote else 0.0)
         return load / max(1, target.registration.slots), self._random.random()
 
 
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -53,8 +53,6 @@
     registration: Registration
     cold_until: float = 0.0
     removed_at: float | None = None
-    # Calls of this instance that run or wait on the target.
-    running: int = 0
     failures_in_row: int = 0
     failing_share: float = 0.0
     rests_until: float = 0.0
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -1,8 +1,4 @@
-"""Reads the cache events of engines and stores into the cache index.
-
-Each holder answers only so many waiting reads at once over all instances, so the instances that
-read it are chosen by rendezvous hashing.
-"""
+"""Reads the cache events of engines and stores into the cache index."""
 
 import logging
 from collections.abc import Callable
@@ -10,11 +6,9 @@
 from functools import partial
 from typing import Protocol
 
-from ..core.rendezvous import rank_members
 from ..core.serving.cacheindex import CacheEvent, HolderKind
 from ..eventloop import EventLoop
 from ..events import Event
-from ..ids import InstanceId
 from ..logs import log_event
 from .state import EntryState
 
@@ -52,13 +46,12 @@
 class CacheWatch:
     """Owns one waiting read for each holder that this instance follows."""
 
-    def __init__(
-        self, loop: EventLoop, state: EntryState, instance: InstanceId, channel: CacheChannel
-    ) -> None:
+    def __init__(self, loop: EventLoop, state: EntryState, channel: CacheChannel) -> None:
         self._loop = loop
         self._state = state
-        self._instance = instance
         self._channel = channel
+        # Waiting reads that each holder answers at once.
+        self._max_polls: dict[str, int] = {}
         self._reading: set[str] = set()
         self._is_closed = False
 
@@ -80,7 +73,7 @@
                 index.remove_holder(address)
         for address, kind in wanted.items():
             index.add_holder(address, kind)
-            if address not in self._reading:
+            if address not in self._reading and self._is_reader(address):
                 self._reading.add(address)
                 self._read(address)
 
@@ -93,18 +86,21 @@
             if service.engine is not None:
                 for target in self._state.targets.list_usable(service.name):
                     address = target.registration.address
-                    if self._may_read(address, service.engine.max_event_polls):
-                        holders[address] = HolderKind.ENGINE
+                    holders[address] = HolderKind.ENGINE
+                    self._max_polls[address] = service.engine.max_event_polls
             store = service.store
-            if store is not None and self._may_read(store.address, store.max_event_polls):
+            if store is not None:
                 holders[store.address] = HolderKind.STORE
+                self._max_polls[store.address] = store.max_event_polls
+        self._max_polls = {address: self._max_polls[address] for address in holders}
         return holders
 
-    def _may_read(self, address: str, limit: int) -> bool:
-        return self._instance in rank_members(address, self._state.instances)[:limit]
+    def _is_reader(self, address: str) -> bool:
+        return self._state.sharing.is_reader(address, self._max_polls.get(address, 0))
 
     def _read(self, address: str) -> None:
-        if self._is_closed or address not in self._state.cache.addresses:
+        is_followed = address in self._state.cache.addresses and self._is_reader(address)
+        if self._is_closed or not is_followed:
             self._reading.discard(address)
             return
         since = self._state.cache.get_next_event(address)
@@ -137,5 +133,8 @@
         self._state.targets.note_heard(address, self._loop.now())
         if page.clock_s is not None:
             self._state.engine_clock.observe(page.clock_s, self._loop.now())
+        since = index.get_next_event(address)
         index.apply(address, page.epoch, page.next_event, page.events, self._loop.now())
+        if self._state.sharing.is_shared(self._max_polls.get(address, 0)):
+            self._state.sharing.record(address, since, page.events)
         self._loop.call_later(PAUSE_S, partial(self._read, address))
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -157,12 +157,15 @@
                 if targets and not candidates:
                     return Rejection(Refusal.OVERLOADED)
             return self._plan_prompt(run, run.call.prompt, candidates, now)
-        target = self._placement.choose(targets, request, service.cold_rate)
+        loads = self._state.loads
+        target = self._placement.choose(
+            targets, request, service.cold_rate, lambda t: loads.count_running(t.id, now)
+        )
         if target is None:
             return Rejection(Refusal.NO_TARGET)
         return AttemptPlan(target, run.time_left_s, None, run.last_event_id)
 
-    def _count_held(self, target: Target, now: float) -> int:
+    def _count_held(self, target: Target, now: float) -> float:
         return self._state.loads.count_held(target.id, now)
 
     def _plan_prompt(
@@ -193,13 +196,11 @@
         now = self._loop.now()
         if target.is_cold(now):
             self._state.pacer.record_send(target.id, now)
-        target.running += 1
         cache = attempt.plan.cache
         if cache is not None:
             attempt.is_pending = True
             self._state.loads.add_pending(target.id, run.call.priority, cache.read_tokens)
-        if run.call.prompt is not None:
-            self._state.loads.add_held(target.id, run.call.prompt.total_tokens)
+        self._state.loads.add_run(target.id, count_held_tokens(run.call))
         pool = self._find_pool(target)
         attempt.start(pool.acquire(needs_fresh=not run.call.route.is_repeatable))
 
@@ -224,10 +225,8 @@
         """Counts an attempt's end for its target's condition."""
         target = attempt.plan.target
         now = self._loop.now()
-        target.running -= 1
         self._end_pending(run, attempt)
-        if run.call.prompt is not None:
-            self._state.loads.add_held(target.id, -run.call.prompt.total_tokens)
+        self._state.loads.remove_run(target.id, count_held_tokens(run.call))
         self._learn_version(run, attempt)
         if outcome is Outcome.ANSWERED:
             target.record_success()
@@ -355,6 +354,11 @@
                     del self._pools[target_id]
 
 
+def count_held_tokens(call: CallRequest) -> int:
+    """Returns what a call takes of its target's memory."""
+    return call.prompt.total_tokens if call.prompt is not None else 0
+
+
 def find_salt(call: CallRequest) -> str:
     """Returns what separates the prompt parts of an isolated customer from all others."""
     customer = call.customer
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -1,21 +1,25 @@
-"""Exchanges load reports with the other entry instances over ZeroMQ.
+"""Tells the other entry instances what this one does and has read, over ZeroMQ.
 
-A report says all that its instance knows, so a lost one is replaced by the next.
+A report says all of its instance's loads, so a lost one is replaced by the next. What was read of
+cache events and of the platform's log carries its position, so that a gap shows.
 """
 
 import logging
 import select
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import zmq
 from google.protobuf.message import DecodeError
 
-from ..core.serving.loads import LoadBoard, TargetLoad
+from ..core.serving.loads import IDLE_REPORT_S, LoadBoard, TargetLoad
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import DataCentre, InstanceId, TargetId
 from ..logs import log_event
-from ..schema.peers_pb2 import LoadReport
+from ..schema.peers_pb2 import LogFeed, PeerReport
+from .cachesharing import CacheSharing
 
 # Reports are sent at this interval, and more slowly among many peers, so that an instance takes at
 # most MAX_RECEIVED_PER_S reports a second.
@@ -39,20 +43,40 @@
     address: str
 
 
+class SharedKnowledge(Protocol):
+    """What reports are written from and read into."""
+
+    @property
+    def loads(self) -> LoadBoard:
+        """Loads of the targets."""
+        ...
+
+    @property
+    def sharing(self) -> CacheSharing:
+        """Cache events to pass on and to take over."""
+        ...
+
+
 class PeerExchange:
-    """Publishes this instance's load and subscribes to its peers."""
+    """Publishes this instance's reports and subscribes to its peers'."""
 
-    def __init__(self, loop: EventLoop, own: Peer, loads: LoadBoard) -> None:
+    def __init__(self, loop: EventLoop, own: Peer, knowledge: SharedKnowledge) -> None:
         self._loop = loop
         self._own = own
-        self._loads = loads
+        self._knowledge = knowledge
         self._context = zmq.Context()
         self._publisher = self._context.socket(zmq.PUB)
         self._subscriber = self._context.socket(zmq.SUB)
         self._connected: set[str] = set()
         self._descriptor = -1
         self._is_closed = False
-        self._sent_empty = False
+        self.on_feed: Callable[[LogFeed], None] | None = None
+        self._sent_at = float("-inf")
+
+    @property
+    def own(self) -> Peer:
+        """This instance."""
+        return self._own
 
     def start(self) -> None:
         """Opens the sockets; raises zmq.ZMQError."""
@@ -94,16 +118,28 @@
             return
         interval = max(REPORT_INTERVAL_S, len(self._connected) / MAX_RECEIVED_PER_S)
         self._loop.call_later(interval, self._report)
-        report = LoadReport(instance=self._own.instance)
-        for target, own in self._loads.list_own().items():
-            load = report.targets.add(target=target, held_tokens=own.held_tokens)
+        report = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+        for target, own in self._knowledge.loads.list_own().items():
+            load = report.targets.add(
+                target=target, held_tokens=own.held_tokens, running=own.running
+            )
             for priority, tokens in own.pending.items():
                 load.pending.add(priority=priority, pending_tokens=tokens)
-        # One empty report tells that nothing is pending; more of them would say no more.
-        is_empty = not report.targets
-        if not (is_empty and self._sent_empty):
+        report.caches.extend(self._knowledge.sharing.take_updates())
+        now = self._loop.now()
+        if report.targets or report.caches or now - self._sent_at >= IDLE_REPORT_S:
+            self._sent_at = now
+            self._send(report)
+
+    def send_feed(self, feed: LogFeed) -> None:
+        """Passes on at once what was read of the platform's log."""
+        report = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+        report.feeds.append(feed)
+        self._send(report)
+
+    def _send(self, report: PeerReport) -> None:
+        if not self._is_closed:
             self._publisher.send(report.SerializeToString(), zmq.NOBLOCK)
-        self._sent_empty = is_empty
 
     def _receive(self, mask: int) -> None:
         # The descriptor is edge-triggered: all messages must be taken.
@@ -115,16 +151,27 @@
             self._take(data)
 
     def _take(self, data: bytes) -> None:
-        report = LoadReport()
+        report = PeerReport()
         try:
             report.ParseFromString(data)
         except DecodeError as error:
-            log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, f"load report: {error}")
+            log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, f"peer report: {error}")
+            return
+        is_local = report.data_centre == self._own.data_centre
+        if report.feeds:
+            for feed in report.feeds if is_local else ():
+                if self.on_feed is not None:
+                    self.on_feed(feed)
             return
         loads = {
             TargetId(load.target): TargetLoad(
-                {item.priority: item.pending_tokens for item in load.pending}, load.held_tokens
+                {item.priority: item.pending_tokens for item in load.pending},
+                load.held_tokens,
+                load.running,
             )
             for load in report.targets
         }
-        self._loads.apply_report(InstanceId(report.instance), loads, self._loop.now())
+        self._knowledge.loads.apply_report(InstanceId(report.instance), loads, self._loop.now())
+        if is_local:
+            for update in report.caches:
+                self._knowledge.sharing.apply(update)
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -44,7 +44,9 @@
         ...
 
 
-PlatformFactory = Callable[[EventLoop, Clock, EntrySettings, EntryState], PlatformTasks]
+PlatformFactory = Callable[
+    [EventLoop, Clock, EntrySettings, EntryState, PeerExchange], PlatformTasks
+]
 
 
 class EntryProgram:
@@ -60,16 +62,15 @@
         self._settings = settings
         self._clock = clock or SystemClock()
         self._loop = EventLoop(self._clock, "entry")
-        self._state = EntryState(self._loop, InstanceId(settings.instance))
+        instance, data_centre = InstanceId(settings.instance), DataCentre(settings.data_centre)
+        self._state = EntryState(self._loop, instance, data_centre)
         self._dispatcher = Dispatcher(self._loop, settings, self._state, dialect)
-        peer = Peer(
-            InstanceId(settings.instance),
-            DataCentre(settings.data_centre),
-            settings.peer_address,
-        )
-        self._peers = PeerExchange(self._loop, peer, self._state.loads)
+        peer = Peer(instance, data_centre, settings.peer_address)
+        self._peers = PeerExchange(self._loop, peer, self._state)
         self._state.on_peers_changed = self._peers.set_peers
-        self._platform = create_platform(self._loop, self._clock, settings, self._state)
+        self._platform = create_platform(
+            self._loop, self._clock, settings, self._state, self._peers
+        )
         self._callers = Listener(self._loop, settings.callers_address, self._accept_caller)
         self._readiness = Listener(self._loop, settings.readiness_address, self._accept_probe)
         self._is_stopping = False
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -18,6 +18,7 @@
 from ..events import Event
 from ..ids import DataCentre, InstanceId, ModelName, TargetId, WeightVersion
 from ..logs import log_event
+from .cachesharing import CacheSharing
 from .peers import Peer
 
 _LOGGER = logging.getLogger(__name__)
@@ -66,8 +67,9 @@
 class EntryState:
     """Implements ``StateSink`` and answers the dispatcher's questions."""
 
-    def __init__(self, loop: EventLoop, instance: InstanceId) -> None:
+    def __init__(self, loop: EventLoop, instance: InstanceId, data_centre: DataCentre) -> None:
         self._loop = loop
+        self._data_centre = data_centre
         self._instance = instance
         self.table: RouteTable | None = None
         self.targets = TargetTable()
@@ -75,8 +77,10 @@
         self.pacer = ColdPacer(instance)
         self.cache = CacheIndex()
         self.loads = LoadBoard()
+        self.sharing = CacheSharing(self.cache, instance, loop.now)
         self.engine_clock = RemoteClock()
         self.instances: tuple[InstanceId, ...] = (instance,)
+        self.local_instances: tuple[InstanceId, ...] = (instance,)
         self.on_peers_changed: Callable[[list[Peer]], None] | None = None
         self._has_registry = False
         self._is_store_reachable: bool | None = None
@@ -158,6 +162,10 @@
         """Shares limits among the live instances and exchanges loads with them."""
         self.instances = tuple(sorted({*(peer.instance for peer in peers), self._instance}))
         self.pacer.set_instances(self.instances)
+        local = {peer.instance for peer in peers if peer.data_centre == self._data_centre}
+        self.local_instances = tuple(sorted({*local, self._instance}))
+        self.loads.set_instance_count(len(self.instances))
+        self.sharing.set_instances(len(self.instances), self.local_instances)
         if self.on_peers_changed is not None:
             self.on_peers_changed(peers)
 
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -1,14 +1,17 @@
 """Follows the platform's store and reports what it holds as the product's own types.
 
 Operators' records are rare, so their topic is read with a long wait. Targets write several times a
-second, so a waiting read would return for each record; their topic is read at a fixed pace.
+second, so a waiting read would return for each record; their topic is read at a fixed pace by one
+instance of each data centre, which passes the records on. The others read only if it falls silent.
 """
 
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 from ..errors import CorruptRecordError, StoreCallError
+from ..internal.core.rendezvous import choose_member
 from ..internal.core.serving.targettable import Registration
 from ..internal.entry.peers import Peer
 from ..internal.entry.state import StateSink
@@ -16,6 +19,7 @@
 from ..internal.events import Event
 from ..internal.ids import DataCentre, InstanceId, Offset, TargetId
 from ..internal.logs import log_event
+from ..internal.schema.peers_pb2 import LogFeed
 from .records import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -26,7 +30,9 @@
 )
 from .store import OPERATOR_TOPIC, REGISTRY_TOPIC, KeyedRecord, RecordPage, StoreClient
 
-OPERATOR_WAIT_S = 10.0
+OPERATOR_WAIT_S = 20.0
+# An instance reads for itself if it was fed nothing for this many intervals.
+FEED_LIMIT = 1.5
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.0
 EXPIRED = 410
@@ -53,9 +59,12 @@
         on_all: Callable[[tuple[KeyedRecord, ...]], None],
         on_record: Callable[[KeyedRecord], None],
         on_store: Callable[[bool, str], None],
+        sharing: "_FeedSharing | None" = None,
     ) -> None:
         self._loop = loop
         self._store = store
+        self._sharing = sharing
+        self._fed_at = float("-inf")
         self._topic = topic
         self._wait_s = wait_s
         self._interval_s = interval_s
@@ -76,11 +85,30 @@
     def _read(self) -> None:
         if self._is_closed:
             return
-        if self._next is None:
+        if self._is_fed():
+            self._schedule()
+        elif self._next is None:
             self._store.read_newest(self._topic, self._take_newest)
         else:
             self._store.read_keyed(self._topic, self._next, self._wait_s, self._take_records)
 
+    def _is_fed(self) -> bool:
+        """Whether a peer reads for this instance and has been heard recently."""
+        if self._next is None or self._sharing is None or self._sharing.is_reader():
+            return False
+        return self._loop.now() - self._fed_at < FEED_LIMIT * self._interval_s
+
+    def feed(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
+        """Takes over what a peer has read, if nothing before it is missing."""
+        if self._next is None or start > self._next:
+            return
+        self._fed_at = self._loop.now()
+        new = [record for record in records if record.offset >= self._next]
+        for record in new:
+            self._on_record(record)
+        if new:
+            self._succeed(Offset(new[-1].offset + 1))
+
     def _take_newest(self, page: RecordPage | StoreCallError) -> None:
         if isinstance(page, StoreCallError):
             self._fail(page)
@@ -110,6 +138,8 @@
         for record in page.records:
             self._on_record(record)
         start = self._next or Offset(0)
+        if self._sharing is not None and self._sharing.is_reader():
+            self._sharing.send(start, page.records)
         self._succeed(Offset(page.records[-1].offset + 1) if page.records else start)
         self._schedule()
 
@@ -132,6 +162,14 @@
         self._retry_s = min(MAX_RETRY_S, self._retry_s * 2)
 
 
+@dataclass(frozen=True)
+class _FeedSharing:
+    """Who reads a topic for its data centre, and how the others get the records."""
+
+    is_reader: Callable[[], bool]
+    send: Callable[[Offset, tuple[KeyedRecord, ...]], None]
+
+
 class StoreFollower:
     """Keeps a ``StateSink`` up to date from the store."""
 
@@ -142,11 +180,14 @@
         sink: StateSink,
         own: Peer,
         registry_interval_s: float,
+        send_feed: Callable[[LogFeed], None],
     ) -> None:
         self._loop = loop
         self._store = store
         self._sink = sink
         self._own = own
+        self._send_feed = send_feed
+        self._local_instances: tuple[InstanceId, ...] = (own.instance,)
         self._generation = 0
         self._is_closed = False
         self._unreachable: set[str] = set()
@@ -169,6 +210,7 @@
             self._take_registry,
             self._take_registration,
             partial(self._note_store, REGISTRY_TOPIC),
+            _FeedSharing(self._is_registry_reader, self._share_registry),
         )
 
     def start(self) -> None:
@@ -183,6 +225,28 @@
         self._operator_records.close()
         self._registry.close()
 
+    def take_feed(self, feed: LogFeed) -> None:
+        """Takes over what a peer of this data centre has read."""
+        if feed.topic != REGISTRY_TOPIC:
+            return
+        records = tuple(
+            KeyedRecord(
+                record.key, None if record.is_deleted else record.value, Offset(feed.start + number)
+            )
+            for number, record in enumerate(feed.records)
+        )
+        self._registry.feed(Offset(feed.start), records)
+
+    def _is_registry_reader(self) -> bool:
+        return choose_member(REGISTRY_TOPIC, self._local_instances) == self._own.instance
+
+    def _share_registry(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
+        feed = LogFeed(topic=REGISTRY_TOPIC, start=start)
+        for record in records:
+            is_deleted = record.value is None
+            feed.records.add(key=record.key, is_deleted=is_deleted, value=record.value or b"")
+        self._send_feed(feed)
+
     def _note_store(self, topic: str, is_reachable: bool, detail: str) -> None:
         if is_reachable:
             self._unreachable.discard(topic)
@@ -249,7 +313,10 @@
             self._generation = 0
             log_event(_LOGGER, logging.WARNING, Event.LIST_UNREACHABLE, str(members))
             return
-        self._sink.on_peers([peer for member in members if (peer := _read_member(member))])
+        peers = [peer for member in members if (peer := _read_member(member))]
+        local = {p.instance for p in peers if p.data_centre == self._own.data_centre}
+        self._local_instances = tuple(sorted({*local, self._own.instance}))
+        self._sink.on_peers(peers)
 
 
 def _write_member(peer: Peer) -> str:
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -3,10 +3,9 @@
 from ..internal.clock import Clock
 from ..internal.entry.cachewatch import CacheWatch
 from ..internal.entry.ordering import OrderTask
-from ..internal.entry.peers import Peer
+from ..internal.entry.peers import PeerExchange
 from ..internal.entry.state import EntryState
 from ..internal.eventloop import EventLoop
-from ..internal.ids import DataCentre, InstanceId
 from ..internal.schema.settings_pb2 import EntrySettings
 from .cacheevents import PlatformCacheChannel
 from .follower import StoreFollower
@@ -14,25 +13,36 @@
 from .targetorders import PlatformOrderChannel
 
 # The registry is read this many times within the time in which a leaving target must be noticed.
-READS_PER_DRAIN = 2.0
+READS_PER_DRAIN = 3.0
 
 
 class PlatformTasks:
     """Owns the store client and the tasks that use it."""
 
     def __init__(
-        self, loop: EventLoop, clock: Clock, settings: EntrySettings, state: EntryState
+        self,
+        loop: EventLoop,
+        clock: Clock,
+        settings: EntrySettings,
+        state: EntryState,
+        peers: PeerExchange,
     ) -> None:
-        instance = InstanceId(settings.instance)
-        own = Peer(instance, DataCentre(settings.data_centre), settings.peer_address)
+        own = peers.own
+        instance = own.instance
         bounds = settings.bounds
         self._store = StoreClient(loop, settings.store_address)
         self._follower = StoreFollower(
-            loop, self._store, state, own, bounds.drain_ms / 1000 / READS_PER_DRAIN
+            loop,
+            self._store,
+            state,
+            own,
+            bounds.drain_ms / 1000 / READS_PER_DRAIN,
+            peers.send_feed,
         )
+        peers.on_feed = self._follower.take_feed
         self._channel = PlatformOrderChannel(loop, self._store, instance)
         self._cache_channel = PlatformCacheChannel(loop)
-        self._cache = CacheWatch(loop, state, instance, self._cache_channel)
+        self._cache = CacheWatch(loop, state, self._cache_channel)
         self._orders = OrderTask(
             loop, clock, state, instance, self._channel, bounds.order_lease_ms / 1000
         )
