Learn an engine's base time apart from its speed

Cause: the speed was learned from every first output, so that calls with little to read, which wait for a step and a transfer, made engines look slow and calls be refused.

--- a/src/mulberryrill/internal/core/serving/loads.py
+++ b/src/mulberryrill/internal/core/serving/loads.py
@@ -22,6 +22,9 @@
 # Observations below this size measure the latency of a step rather than the speed of reading.
 MIN_RATE_TOKENS = 2_000
 MIN_RATE, MAX_RATE = 4_000.0, 400_000.0
+INITIAL_BASE_S = 0.05
+MAX_BASE_S = 0.2
+MIN_READ_S = 0.005
 
 Pending = dict[int, int]
 
@@ -52,6 +55,8 @@
         self._instance_count = 1
         # Less urgent work is read more slowly, because urgent work that comes later goes first.
         self._rates: dict[tuple[TargetId, int], float] = {}
+        # Time to a first output with hardly anything to read: a step, a transfer, the way there.
+        self._base_times: dict[TargetId, float] = {}
 
     def add_pending(self, target: TargetId, priority: int, tokens: int) -> None:
         """Notes a prompt that this instance has sent to a target."""
@@ -111,7 +116,13 @@
     def estimate_wait(self, target: TargetId, priority: int, tokens: int, now: float) -> float:
         """Returns the seconds until a new call with ``tokens`` to read has its first output."""
         pending = self.count_pending(target, priority, now)
-        return (pending + tokens) / self.get_rate(target, priority)
+        base = self._base_times.get(target, INITIAL_BASE_S)
+        return base + (pending + tokens) / self.get_rate(target, priority)
+
+    def find_tokens(self, target: TargetId, priority: int, wait_s: float) -> int:
+        """Returns the tokens of work that an estimated wait stands for."""
+        base = self._base_times.get(target, INITIAL_BASE_S)
+        return round(max(0.0, wait_s - base) * self.get_rate(target, priority))
 
     def get_rate(self, target: TargetId, priority: int) -> float:
         """Returns the tokens a second by which work of a priority advances on the target."""
@@ -119,14 +130,17 @@
 
     def observe(self, target: TargetId, priority: int, tokens: int, elapsed_s: float) -> None:
         """Learns a speed from a first output that came ``elapsed_s`` after ``tokens`` of work."""
-        if tokens < MIN_RATE_TOKENS or elapsed_s <= 0:
+        base = self._base_times.get(target, INITIAL_BASE_S)
+        if tokens < MIN_RATE_TOKENS:
+            self._base_times[target] = base + RATE_GAIN * (min(elapsed_s, MAX_BASE_S) - base)
             return
-        rate = min(MAX_RATE, max(MIN_RATE, tokens / elapsed_s))
+        rate = min(MAX_RATE, max(MIN_RATE, tokens / max(elapsed_s - base, MIN_READ_S)))
         known = self.get_rate(target, priority)
         self._rates[target, priority] = known + RATE_GAIN * (rate - known)
 
     def forget(self, live: set[TargetId]) -> None:
         """Drops what is known of targets that are gone."""
+        self._base_times = {key: t for key, t in self._base_times.items() if key in live}
         self._rates = {key: rate for key, rate in self._rates.items() if key[0] in live}
 
     def _sum(self, target: TargetId, now: float, measure: Callable[[TargetLoad], int]) -> float:
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -209,7 +209,7 @@
         plan = attempt.plan
         elapsed = self._loop.now() - attempt.started_at
         loads, priority = self._state.loads, run.call.priority
-        tokens = round(plan.expected_wait_s * loads.get_rate(plan.target.id, priority))
+        tokens = loads.find_tokens(plan.target.id, priority, plan.expected_wait_s)
         loads.observe(plan.target.id, priority, tokens, elapsed)
         self._end_pending(run, attempt)
 
@@ -346,6 +346,7 @@
 
     def _clean_up(self) -> None:
         self._state.expire()
+        self._state.loads.forget({target.id for target in self._state.targets.targets})
         for target_id, pool in list(self._pools.items()):
             pool.close_expired()
             if self._state.targets.get(target_id) is None:
