--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ...ids import CustomerName, WeightVersion
 from ..rendezvous import choose_member
 from .placement import rank_stores
 from .routetable import Service
@@ -174,6 +175,27 @@
                 del self._by_part[key]
 
 
+def write_salt(version: WeightVersion, customer: CustomerName | None) -> str:
+    """Returns the salt of prompt parts: the model version, and the customer if it is isolated."""
+    return f"{version}/{customer}" if customer is not None else f"{version}"
+
+
+def read_version(salt: str) -> int | None:
+    """Returns the model version in a salt; None if it has none."""
+    text, _, _ = salt.partition("/")
+    return int(text) if text.isdigit() else None
+
+
+def list_obsolete(index: "CacheIndex", address: str, version: int) -> list[CacheKey]:
+    """Returns the parts of a holder that were made under versions before ``version``."""
+    obsolete = []
+    for event in index.list_kept(address):
+        made_under = read_version(event.key.salt)
+        if made_under is not None and made_under < version:
+            obsolete.append(event.key)
+    return obsolete
+
+
 class RemoteClock:
     """The engines' common clock, as seen from this instance."""
 
--- a/src/mulberryrill/internal/core/serving/orders.py
+++ b/src/mulberryrill/internal/core/serving/orders.py
@@ -147,6 +147,17 @@
         """Whether any target needs an order."""
         return any(self._find_model(target) is not None for target in targets)
 
+    def find_settled_version(self, targets: list[Target]) -> WeightVersion | None:
+        """Returns the lowest version in use once every target has the newest one that was named.
+
+        None before that, or if no newer version was named. A salt does not name its model, so the
+        lowest over all models counts.
+        """
+        if not self._wanted or self.has_work(targets):
+            return None
+        versions = [version for target in targets for version in target.versions.values()]
+        return min(versions) if versions else None
+
     def list_due(self, targets: list[Target], now: float) -> list[VersionOrder]:
         """Returns the orders to send now to the targets that have models."""
         targets = [target for target in targets if target.versions]
--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
-from ...ids import DataCentre, InstanceId, TargetId
+from ...ids import CustomerName, DataCentre, InstanceId, TargetId
 from ..rendezvous import rank_members, rank_weighted
 from .routetable import Prompt, Service, StoreProfile
 from .targettable import FAILING_SHARE, Target
@@ -32,8 +32,8 @@
     """What the choice depends on."""
 
     prompt: Prompt | None
-    # Part of the hash: calls with different salts share no cached prompt part.
-    salt: str
+    # The customer, if it shares no cached prompt part with others.
+    wall: CustomerName | None
     excluded: Collection[TargetId]
     now: float
 
@@ -133,11 +133,12 @@
 
     The last part belongs to the call or its session, so the one before it decides.
     """
+    wall = request.wall or ""
     if request.prompt is None or not request.prompt.parts:
-        return request.salt
+        return wall
     parts = request.prompt.parts
     part_id, _ = parts[-2] if len(parts) > 1 else parts[-1]
-    return f"{request.salt}/{part_id}"
+    return f"{wall}/{part_id}"
 
 
 def rank_stores(part: str, stores: list[Service]) -> list[StoreProfile]:
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -18,6 +18,8 @@
 PAUSE_S = 0.2
 RETRY_S = 0.5
 REFRESH_S = 0.5
+# Before the instances of a deployment know each other, each would read every holder.
+START_DELAY_S = 2.5
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -53,6 +55,7 @@
         # Waiting reads that each holder answers at once.
         self._max_polls: dict[str, int] = {}
         self._reading: set[str] = set()
+        self._starts_at = loop.now() + START_DELAY_S
         self._is_closed = False
 
     def start(self) -> None:
@@ -64,7 +67,7 @@
         self._is_closed = True
 
     def _refresh(self) -> None:
-        if self._is_closed:
+        if self._is_closed or self._loop.now() < self._starts_at:
             return
         wanted = self._list_holders()
         index = self._state.cache
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -5,13 +5,13 @@
 
 from ..core.retries import RetryBudget
 from ..core.serving.admission import AdmissionRequest, find_return_delay, is_admitted
-from ..core.serving.cacheindex import find_read_tokens, plan_transfers
+from ..core.serving.cacheindex import find_read_tokens, plan_transfers, write_salt
 from ..core.serving.placement import Placement, PlacementRequest, choose_engine
 from ..core.serving.routetable import CallerLimits, Prompt, Service
 from ..core.serving.targettable import Target
 from ..eventloop import EventLoop
 from ..events import Event
-from ..ids import DataCentre, ServiceName, TargetId
+from ..ids import CustomerName, DataCentre, ServiceName, TargetId
 from ..logs import log_event
 from ..schema.settings_pb2 import EntrySettings
 from .attempt import Attempt, Outcome
@@ -148,7 +148,7 @@
             return Rejection(Refusal.NO_TARGET)
         now = self._loop.now()
         targets = self._list_targets(run, service, now)
-        request = PlacementRequest(run.call.prompt, find_salt(run.call), run.tried, now)
+        request = PlacementRequest(run.call.prompt, find_wall(run.call), run.tried, now)
         if run.call.prompt is not None:
             candidates = self._placement.list_candidates(targets, request, service.cold_rate)
             if service.engine is not None:
@@ -291,7 +291,7 @@
             # Nothing is shared until the version is known, since a part made under another version
             # must not be read.
             return CachePlan(salt=run.call.request_id, read_tokens=prompt.prompt_tokens)
-        salt = f"{version}{find_salt(run.call)}"
+        salt = write_salt(version, find_wall(run.call))
         table = self._state.table
         assert table is not None
         transfers = plan_transfers(
@@ -360,7 +360,7 @@
     return call.prompt.total_tokens if call.prompt is not None else 0
 
 
-def find_salt(call: CallRequest) -> str:
-    """Returns what separates the prompt parts of an isolated customer from all others."""
+def find_wall(call: CallRequest) -> CustomerName | None:
+    """Returns the customer if it shares no prompt parts with others."""
     customer = call.customer
-    return f"/{customer.name}" if customer is not None and customer.is_isolated else ""
+    return customer.name if customer is not None and customer.is_isolated else None
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -110,6 +110,10 @@
         self._wait_until(lambda: self._dispatcher.running == 0, kill_at)
         self._end()
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Uses new time bounds and limits; addresses and names count from the next start."""
+        self._loop.post(lambda: self._settings.bounds.CopyFrom(settings.bounds))
+
     def abort(self) -> None:
         """Ends at once; open connections are closed. Has no effect after ``close``."""
         if self._has_ended:
--- a/src/mulberryrill/internal/program.py
+++ b/src/mulberryrill/internal/program.py
@@ -6,7 +6,7 @@
 import sys
 import threading
 from collections.abc import Callable
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar, runtime_checkable
 
 from absl import app, flags
 from google.protobuf.message import Message
@@ -19,6 +19,8 @@
 
 EXIT_SETTINGS_INVALID = 2
 EXIT_START_FAILED = 1
+# The settings file may change without a signal.
+RELOAD_CHECK_S = 1.0
 
 SETTINGS_VARIABLE = "MULBERRYRILL_SETTINGS"
 
@@ -32,6 +34,15 @@
 SettingsT = TypeVar("SettingsT", bound=Message)
 
 
+@runtime_checkable
+class ReloadableProgram(Protocol):
+    """A program that takes new settings while it runs."""
+
+    def reload(self, settings: Any) -> None:
+        """Uses new settings, which have been checked."""
+        ...
+
+
 class Program(Protocol):
     """A process's work: started once, closed once."""
 
@@ -59,31 +70,81 @@
         if not _SETTINGS.value:
             print(f"{name}: --settings FILE is required", file=sys.stderr)
             return EXIT_SETTINGS_INVALID
+        path = _SETTINGS.value
         try:
-            settings = load_settings(_SETTINGS.value, settings_type)
-            check_settings(settings, _SETTINGS.value)
+            settings = _read_settings(path, settings_type)
             level = getattr(settings, "log_level", "") or "info"
             configure_logging(level, name, list_secrets(settings))
             program = build(settings)
         except SettingsError as error:
             print(f"{name}: {error}", file=sys.stderr)
             return EXIT_SETTINGS_INVALID
-        return _serve(name, program)
+        reloader = _Reloader(path, settings_type, program, settings)
+        return _serve(name, program, reloader)
 
     app.run(main)
 
 
-def _serve(name: str, program: Program) -> int:
+def _read_settings(path: str, settings_type: type[SettingsT]) -> SettingsT:
+    settings = load_settings(path, settings_type)
+    check_settings(settings, path)
+    return settings
+
+
+class _Reloader:
+    """Reads the settings again when their file has changed; a mistake changes nothing."""
+
+    def __init__(
+        self, path: str, settings_type: type[Message], program: Program, settings: Message
+    ) -> None:
+        self._path = path
+        self._settings_type = settings_type
+        self._program = program
+        self._settings = settings
+        self._modified_ns = self._find_modified()
+        self.is_asked = threading.Event()
+
+    def check(self) -> None:
+        """Reloads after a signal or a change of the file."""
+        modified_ns = self._find_modified()
+        if modified_ns == self._modified_ns and not self.is_asked.is_set():
+            return
+        self._modified_ns = modified_ns
+        self.is_asked.clear()
+        if not isinstance(self._program, ReloadableProgram):
+            return
+        try:
+            settings = _read_settings(self._path, self._settings_type)
+        except SettingsError as error:
+            log_event(_LOGGER, logging.ERROR, Event.SETTINGS_RELOADED, f"not used: {error}")
+            return
+        is_changed = settings != self._settings
+        self._settings = settings
+        if is_changed:
+            self._program.reload(settings)
+        message = "settings changed" if is_changed else "settings are unchanged"
+        log_event(_LOGGER, logging.INFO, Event.SETTINGS_RELOADED, message)
+
+    def _find_modified(self) -> int:
+        try:
+            return os.stat(self._path).st_mtime_ns
+        except OSError:
+            return 0
+
+
+def _serve(name: str, program: Program, reloader: _Reloader) -> int:
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
+    signal.signal(signal.SIGHUP, lambda *_: reloader.is_asked.set())
     try:
         program.start()
     except (MulberryrillError, OSError) as error:
         log_event(_LOGGER, logging.ERROR, Event.TASK_FAILED, f"{name} cannot start: {error}")
         return EXIT_START_FAILED
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STARTED, f"{name} started")
-    stop.wait()
+    while not stop.wait(RELOAD_CHECK_S):
+        reloader.check()
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STOPPING, f"{name} is stopping")
     program.close()
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STOPPED, f"{name} stopped")
--- a/src/mulberryrill/platform/cacheevents.py
+++ b/src/mulberryrill/platform/cacheevents.py
@@ -14,11 +14,12 @@
 HTTP_OK = 200
 # Added to the time that a read waits for events.
 ANSWER_TIME_S = 0.5
+FREE_TIMEOUT_S = 1.0
 KEPT = "+"
 
 
 class PlatformCacheChannel:
-    """Implements ``CacheChannel``."""
+    """Implements ``CacheChannel`` and ``FreeingChannel``."""
 
     def __init__(self, loop: EventLoop) -> None:
         self._loop = loop
@@ -42,10 +43,27 @@
 
         headers = [(b"host", address.encode()), (b"wait-ms", b"%d" % int(wait_s * 1000))]
         request = encode_request(b"GET", b"/-/kv-events?since=%d" % since, headers)
+        pool = self._find_pool(address)
+        exchange(self._loop, pool, request, wait_s + ANSWER_TIME_S, on_reply)
+
+    def free_parts(
+        self, address: str, epoch: int, parts: list[CacheKey], done: Callable[[bool], None]
+    ) -> None:
+        """Frees parts of a store if it has not restarted; reports whether it did."""
+
+        def on_reply(reply: Reply | ExchangeFailure) -> None:
+            done(isinstance(reply, Reply) and reply.status == HTTP_OK)
+
+        body = {"epoch": epoch, "parts": [[key.salt, key.part] for key in parts]}
+        headers = [(b"host", address.encode()), (b"content-type", b"application/json")]
+        request = encode_request(b"POST", b"/-/kv-free", headers, json.dumps(body).encode())
+        exchange(self._loop, self._find_pool(address), request, FREE_TIMEOUT_S, on_reply)
+
+    def _find_pool(self, address: str) -> ConnectionPool:
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = ConnectionPool(self._loop, address)
-        exchange(self._loop, pool, request, wait_s + ANSWER_TIME_S, on_reply)
+        return pool
 
 
 def _read_page(body: bytes) -> CachePage | None:
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -1,6 +1,7 @@
 """Builds the tasks that connect an entry process with the platform."""
 
 from ..internal.clock import Clock
+from ..internal.entry.cacheretention import CacheRetention
 from ..internal.entry.cachewatch import CacheWatch
 from ..internal.entry.ordering import OrderTask
 from ..internal.entry.peers import PeerExchange
@@ -43,6 +44,7 @@
         self._channel = PlatformOrderChannel(loop, self._store, instance)
         self._cache_channel = PlatformCacheChannel(loop)
         self._cache = CacheWatch(loop, state, self._cache_channel)
+        self._retention = CacheRetention(loop, state, instance, self._cache_channel)
         self._orders = OrderTask(
             loop, clock, state, instance, self._channel, bounds.order_lease_ms / 1000
         )
@@ -52,6 +54,7 @@
         self._follower.start()
         self._orders.start()
         self._cache.start()
+        self._retention.start()
 
     def close(self) -> None:
         """Stops following and closes the connections."""
--- a/tests/unit/test_serving_placement.py
+++ b/tests/unit/test_serving_placement.py
@@ -10,6 +10,7 @@
     HolderKind,
     RemoteClock,
     find_read_tokens,
+    list_obsolete,
     plan_transfers,
 )
 from mulberryrill.internal.core.serving.placement import (
@@ -41,7 +42,7 @@
 
 class PlacementTest(unittest.TestCase):
     def request(self, now: float = 0.0, excluded: tuple[str, ...] = ()) -> PlacementRequest:
-        return PlacementRequest(PROMPT, "", [TargetId(t) for t in excluded], now)
+        return PlacementRequest(PROMPT, None, [TargetId(t) for t in excluded], now)
 
     def test_instances_agree_on_the_engine_of_a_prompt(self) -> None:
         """Guards against a prompt that is read on every engine."""
@@ -71,7 +72,7 @@
     def test_plain_calls_go_to_the_least_loaded_target(self) -> None:
         targets = create_targets(3)
         running = {"t0": 2.0, "t1": 0.0, "t2": 1.0}
-        request = PlacementRequest(None, "", (), 0.0)
+        request = PlacementRequest(None, None, (), 0.0)
         chosen = create_placement().choose(targets, request, 0.0, lambda t: running[t.id])
         assert chosen is not None
         self.assertEqual(chosen.id, "t1")
@@ -173,6 +174,18 @@
         self.assertEqual(self.plan().save, (self.STORE, None, None))
 
 
+class ObsoletePartsTest(unittest.TestCase):
+    """Guards against stores that fill up with parts of replaced versions."""
+
+    def test_only_parts_of_older_versions_are_listed(self) -> None:
+        index = CacheIndex()
+        index.add_holder("s", HolderKind.STORE)
+        salts = ("1", "1/mama", "2", "2/mama", "r-77")
+        events = [CacheEvent(CacheKey(salt, "aa"), True, 16) for salt in salts]
+        index.apply("s", 1, 1, events, 0.0)
+        self.assertEqual({key.salt for key in list_obsolete(index, "s", 2)}, {"1", "1/mama"})
+
+
 class RemoteClockTest(unittest.TestCase):
     """Guards against fetches whose time limit has passed before they begin."""
 
