--- a/src/mulberryrill/bin/entry.py
+++ b/src/mulberryrill/bin/entry.py
@@ -1,5 +1,7 @@
 """Entry point of ``mulberryrill-entry``."""
 
+import sys
+
 from ..internal.entry.program import EntryProgram
 from ..internal.program import run_program
 from ..internal.schema.settings_pb2 import EntrySettings
@@ -14,7 +16,7 @@
 
 def run() -> None:
     """Runs the entry program until SIGTERM."""
-    run_program("mulberryrill-entry", EntrySettings, build)
+    run_program("mulberryrill-entry", EntrySettings, build, log_stream=sys.stdout)
 
 
 if __name__ == "__main__":
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -7,7 +7,7 @@
 from ..core.serving.routetable import CallKind
 from .connection import Connection, ExchangeFailure
 from .dialect import AttemptPlan, CallRequest, Dialect, Verdict, VerdictKind
-from .eventstream import EventSplitter
+from .eventstream import EventSequence
 from .http import HttpResponse
 
 # Larger answers of plain services are refused rather than kept in memory.
@@ -78,7 +78,7 @@
         self._owner = owner
         self._connection: Connection | None = None
         self._body = bytearray()
-        self._splitter: EventSplitter | None = None
+        self._splitter: EventSequence | None = None
         self._has_ended = False
 
     @property
@@ -118,7 +118,7 @@
         self.verdict = self._dialect.judge(response, self._call, self.plan)
         kind = self.verdict.kind
         if kind is VerdictKind.SUCCESS and self._call.route.kind is CallKind.STREAM:
-            self._splitter = EventSplitter(self.plan.last_event_id)
+            self._splitter = EventSequence(self.plan.last_event_id)
         elif kind is VerdictKind.UNVERIFIED:
             self.may_have_run = True
             self._end(Outcome.UNVERIFIED, f"status {response.status} without proof of origin")
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -26,6 +26,7 @@
     VerdictKind,
 )
 from .http import HeadError, HttpRequest
+from .metrics import EntryMetrics
 from .pool import ConnectionPool
 from .run import RETRY_AFTER_S, Rejection, Run
 from .state import EntryState
@@ -65,6 +66,7 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._callers: set[Caller] = set()
         self._runs: set[Run] = set()
+        self._metrics = EntryMetrics()
         self.is_stopping = False
 
     @property
@@ -78,6 +80,18 @@
         """Calls that have no answer yet."""
         return len(self._runs)
 
+    def render_metrics(self) -> bytes:
+        """Returns counters, histograms and the current state as Prometheus text."""
+        table = self._state.table
+        gauges = {
+            "running_calls": len(self._runs),
+            "callers": len(self._callers),
+            "instances": len(self._state.instances),
+            "targets": len(self._state.targets.targets),
+            "configuration_version": table.version if table is not None else 0,
+        }
+        return self._metrics.render(gauges)
+
     def start(self) -> None:
         """Starts the periodic work."""
         self._loop.call_every(HOUSEKEEPING_S, self._clean_up)
@@ -123,6 +137,7 @@
         refusal = self._dialect.find_refusal(reason)
         status, headers, body = self._dialect.write_refusal(refusal, None, None)
         caller.refuse(status, headers, body)
+        self._metrics.record_refusal(refusal.value)
         log_event(_LOGGER, logging.INFO, Event.ENTRY_CALL_REFUSED, refusal.value)
 
     def on_closed(self, caller: Caller) -> None:
@@ -210,6 +225,7 @@
         elapsed = self._loop.now() - attempt.started_at
         loads, priority = self._state.loads, run.call.priority
         tokens = loads.find_tokens(plan.target.id, priority, plan.expected_wait_s)
+        self._metrics.record_first_event(elapsed)
         loads.observe(plan.target.id, priority, tokens, elapsed)
         self._end_pending(run, attempt)
 
@@ -225,6 +241,7 @@
         """Counts an attempt's end for its target's condition."""
         target = attempt.plan.target
         now = self._loop.now()
+        self._metrics.record_attempt(target.registration.service, outcome.value)
         self._end_pending(run, attempt)
         self._state.loads.remove_run(target.id, count_held_tokens(run.call))
         self._learn_version(run, attempt)
@@ -259,6 +276,8 @@
         """Logs how a call ended."""
         self._runs.discard(run)
         call = run.call
+        elapsed = self._loop.now() - run.arrived_at
+        self._metrics.record_call(call.route.kind, result, elapsed)
         table = self._state.table
         log_event(
             _LOGGER,
@@ -269,7 +288,7 @@
             route=call.route.name,
             customer=call.customer.name if call.customer is not None else None,
             attempts=run.history,
-            elapsed_ms=round((self._loop.now() - run.arrived_at) * 1000),
+            elapsed_ms=round(elapsed * 1000),
             configuration=table.version if table is not None else None,
         )
 
@@ -335,6 +354,7 @@
         retry_after = RETRY_AFTER_S if refusal is Refusal.NOT_CONFIGURED else None
         status, headers, body = self._dialect.write_refusal(refusal, request, retry_after)
         caller.answer(status, headers, body)
+        self._metrics.record_refusal(refusal.value)
         log_event(
             _LOGGER,
             logging.INFO,
--- a/src/mulberryrill/internal/entry/eventstream.py
+++ b/src/mulberryrill/internal/entry/eventstream.py
@@ -6,8 +6,8 @@
 _ID = re.compile(rb"^id:[ ]?(\d+)\r?$", re.M)
 
 
-class EventSplitter:
-    """Collects the bytes of one stream; only whole events come out."""
+class EventSequence:
+    """Collects the bytes of one stream; only whole events come out, byte for byte as they came."""
 
     def __init__(self, last_id: int | None) -> None:
         self._buffer = b""
--- /dev/null
+++ b/src/mulberryrill/internal/entry/metrics.py
@@ -0,0 +1,74 @@
+"""Counters and latency histograms of one entry process, as Prometheus text."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+from hdrh.histogram import HdrHistogram
+
+from ..core.serving.routetable import CallKind
+
+# Histograms hold 1 ms to 60 s with two significant digits.
+LOWEST_MS, HIGHEST_MS, DIGITS = 1, 60_000, 2
+QUANTILES = (50.0, 95.0, 99.0)
+PREFIX = "mulberryrill_entry"
+
+
+class EntryMetrics:
+    """Owned by the event loop's thread."""
+
+    def __init__(self) -> None:
+        self._calls: Counter[tuple[str, str]] = Counter()
+        self._attempts: Counter[tuple[str, str]] = Counter()
+        self._refusals: Counter[str] = Counter()
+        self._durations = {kind: _create_histogram() for kind in CallKind}
+        self._first_events = _create_histogram()
+
+    def record_call(self, kind: CallKind, result: str, elapsed_s: float) -> None:
+        """Counts a call that has ended."""
+        self._calls[kind.value, result] += 1
+        self._durations[kind].record_value(_clamp_ms(elapsed_s))
+
+    def record_first_event(self, elapsed_s: float) -> None:
+        """Counts the time from sending a stream's attempt to its first event."""
+        self._first_events.record_value(_clamp_ms(elapsed_s))
+
+    def record_attempt(self, service: str, outcome: str) -> None:
+        """Counts an attempt that has ended."""
+        self._attempts[service, outcome] += 1
+
+    def record_refusal(self, reason: str) -> None:
+        """Counts a request that was refused before a target was chosen."""
+        self._refusals[reason] += 1
+
+    def render(self, gauges: Mapping[str, float]) -> bytes:
+        """Returns all metrics; ``gauges`` are the current values of the caller."""
+        lines = [f"{PREFIX}_{name} {value:g}" for name, value in sorted(gauges.items())]
+        for (kind, result), count in sorted(self._calls.items()):
+            lines.append(f'{PREFIX}_calls_total{{kind="{kind}",result="{result}"}} {count}')
+        for (service, outcome), count in sorted(self._attempts.items()):
+            labels = f'service="{service}",outcome="{outcome}"'
+            lines.append(f"{PREFIX}_attempts_total{{{labels}}} {count}")
+        for reason, count in sorted(self._refusals.items()):
+            lines.append(f'{PREFIX}_refusals_total{{reason="{reason}"}} {count}')
+        for call_kind, histogram in self._durations.items():
+            lines += _render_histogram("call_ms", f'kind="{call_kind.value}",', histogram)
+        lines += _render_histogram("first_event_ms", "", self._first_events)
+        return "\n".join([*lines, ""]).encode()
+
+
+def _create_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+
+
+def _clamp_ms(elapsed_s: float) -> int:
+    return min(HIGHEST_MS, max(LOWEST_MS, round(elapsed_s * 1000)))
+
+
+def _render_histogram(name: str, labels: str, histogram: HdrHistogram) -> list[str]:
+    lines = [
+        f'{PREFIX}_{name}{{{labels}quantile="{quantile / 100:g}"}} '
+        f"{histogram.get_value_at_percentile(quantile)}"
+        for quantile in QUANTILES
+    ]
+    suffix = f"{{{labels.rstrip(',')}}}" if labels else ""
+    return [*lines, f"{PREFIX}_{name}_count{suffix} {histogram.get_total_count()}"]
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -73,6 +73,9 @@
         )
         self._callers = Listener(self._loop, settings.callers_address, self._accept_caller)
         self._readiness = Listener(self._loop, settings.readiness_address, self._accept_probe)
+        self._metrics: Listener | None = None
+        if settings.metrics_address:
+            self._metrics = Listener(self._loop, settings.metrics_address, self._accept_metrics)
         self._is_stopping = False
         self._has_ended = False
 
@@ -85,6 +88,8 @@
             try:
                 self._readiness.start()
                 self._callers.start()
+                if self._metrics is not None:
+                    self._metrics.start()
                 self._dispatcher.start()
                 self._peers.start()
                 self._platform.start()
@@ -151,6 +156,8 @@
         self._peers.close()
         self._dispatcher.close()
         self._readiness.close()
+        if self._metrics is not None:
+            self._metrics.close()
 
     def _accept_caller(self, sock: socket.socket) -> None:
         self._dispatcher.add_caller(Caller(self._loop, sock, self._dispatcher))
@@ -158,6 +165,9 @@
     def _accept_probe(self, sock: socket.socket) -> None:
         ProbeConnection(self._loop, sock, self._answer_probe)
 
+    def _accept_metrics(self, sock: socket.socket) -> None:
+        ProbeConnection(self._loop, sock, lambda _: (200, self._dispatcher.render_metrics()))
+
     def _answer_probe(self, request: HttpRequest) -> tuple[int, bytes]:
         is_ready = self._state.is_ready and not self._is_stopping
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
--- a/src/mulberryrill/internal/logs.py
+++ b/src/mulberryrill/internal/logs.py
@@ -1,13 +1,30 @@
-"""JSON logs with numbered events. Known secrets are masked before a line is written."""
+"""JSON logs with numbered events. Known secrets are masked before a line is written.
+
+Writing never blocks: a line that the reader of the stream has no room for is dropped and counted,
+and so are lines beyond a rate, except warnings and errors.
+"""
 
 import logging
 import re
+import select
 import sys
+import time
+from collections.abc import Callable
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
+from .core.buckets import TokenBucket
 from .events import Event
 
+# Bounds the processor time and the volume of logs. An entry instance handles a few calls a second
+# on the machines of today's users, and some fifty at the planned size.
+MAX_LINES_PER_S = 400.0
+MAX_BURST_LINES = 800.0
+# A pipe that polls as writable takes this many bytes without blocking (PIPE_BUF of Linux).
+MAX_LINE_BYTES = 4096
+# The number of dropped lines is written at most this often.
+DROP_REPORT_S = 1.0
 MASK = "***"
 _BEARER = re.compile(r"(?i)(bearer\s+)\S+")
 
@@ -33,9 +50,61 @@
         return _BEARER.sub(rf"\1{MASK}", text)
 
 
-def configure_logging(level: str, process: str, secrets: tuple[str, ...] = ()) -> None:
-    """Sends all logs of this process as JSON lines to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+class BoundedHandler(logging.Handler):
+    """Writes lines to a stream's descriptor without blocking."""
+
+    def __init__(self, stream: TextIO, now: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self._stream = stream
+        self._now = now
+        self._bucket = TokenBucket(MAX_LINES_PER_S, MAX_BURST_LINES, now())
+        self._poll = select.poll()
+        self._poll.register(stream.fileno(), select.POLLOUT)
+        self._dropped = 0
+        self._reported_at = now()
+
+    @property
+    def dropped(self) -> int:
+        """Lines that were dropped and not yet reported."""
+        return self._dropped
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record, or counts it as dropped."""
+        now = self._now()
+        is_limited = record.levelno < logging.WARNING and not self._bucket.take(1.0, now)
+        if is_limited or not self._write(self.format(record)):
+            self._dropped += 1
+        elif self._dropped and now - self._reported_at >= DROP_REPORT_S:
+            self._report(now)
+
+    def _report(self, now: float) -> None:
+        record = logging.LogRecord(
+            __name__, logging.WARNING, "", 0, "log lines were dropped", None, None
+        )
+        record.event = int(Event.LOG_LINES_DROPPED)
+        record.event_name = Event.LOG_LINES_DROPPED.name
+        record.dropped = self._dropped
+        if self._write(self.format(record)):
+            self._dropped = 0
+            self._reported_at = now
+
+    def _write(self, text: str) -> bool:
+        if not self._poll.poll(0):
+            return False
+        data = text.encode("utf-8", "replace")[: MAX_LINE_BYTES - 1] + b"\n"
+        try:
+            self._stream.buffer.write(data)
+            self._stream.buffer.flush()
+        except OSError:
+            return False
+        return True
+
+
+def configure_logging(
+    level: str, process: str, secrets: tuple[str, ...] = (), stream: TextIO | None = None
+) -> None:
+    """Sends all logs of this process as JSON lines to a stream, by default standard error."""
+    handler = BoundedHandler(stream if stream is not None else sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s", static_fields={"process": process}
--- a/src/mulberryrill/internal/program.py
+++ b/src/mulberryrill/internal/program.py
@@ -6,7 +6,7 @@
 import sys
 import threading
 from collections.abc import Callable
-from typing import Any, Protocol, TypeVar, runtime_checkable
+from typing import Any, Protocol, TextIO, TypeVar, runtime_checkable
 
 from absl import app, flags
 from google.protobuf.message import Message
@@ -60,8 +60,12 @@
     settings_type: type[SettingsT],
     build: Callable[[SettingsT], Program],
     list_secrets: Callable[[SettingsT], tuple[str, ...]] = lambda settings: (),
+    log_stream: TextIO | None = None,
 ) -> None:
-    """Runs a program until SIGTERM or SIGINT; exits the process."""
+    """Runs a program until SIGTERM or SIGINT; exits the process.
+
+    Logs go to ``log_stream``, by default standard error.
+    """
 
     def main(argv: list[str]) -> int:
         if len(argv) > 1:
@@ -74,7 +78,7 @@
         try:
             settings = _read_settings(path, settings_type)
             level = getattr(settings, "log_level", "") or "info"
-            configure_logging(level, name, list_secrets(settings))
+            configure_logging(level, name, list_secrets(settings), log_stream)
             program = build(settings)
         except SettingsError as error:
             print(f"{name}: {error}", file=sys.stderr)
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -379,6 +379,7 @@
             readiness_address=f"{LOCAL}:{find_port()}",
             peer_address=f"{LOCAL}:{find_port()}",
             store_address=self.store.address,
+            metrics_address=f"{LOCAL}:{find_port()}",
             bounds=EntryBounds(
                 drain_ms=400,
                 grace_ms=8000,
@@ -429,6 +430,16 @@
         finally:
             connection.close()
 
+    def read_metrics(self) -> str:
+        """Returns the metrics page."""
+        host, port = self.settings.metrics_address.split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def connect(self) -> http.client.HTTPConnection:
         """Opens a caller's connection."""
         host, port = self.settings.callers_address.split(":")
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -158,6 +158,34 @@
         self.assertLess(time.monotonic() - start, 0.5)
 
 
+class TimeoutTest(EntryCase):
+    """Guards against calls that are held beyond their time."""
+
+    def test_call_ends_at_the_timeout_of_its_route(self) -> None:
+        def stay_silent(target: TargetStandin, request, arrival: Arrival) -> None:
+            time.sleep(5.0)
+
+        self.deployment.add_target("t1", "desk", stay_silent)
+        self.deployment.wait_ready()
+        start = time.monotonic()
+        answer = self.deployment.call("/pay/", "POST", b"1", Deadline_Ms="9000")
+        self.assertEqual(answer.status, 504)
+        self.assertAlmostEqual(time.monotonic() - start, 2.0, delta=0.4)
+        start = time.monotonic()
+        self.assertEqual(self.deployment.call("/pay/", "POST", b"1", Deadline_Ms="500").status, 504)
+        self.assertAlmostEqual(time.monotonic() - start, 0.5, delta=0.3)
+
+    def test_silent_target_is_left_for_another(self) -> None:
+        def stay_silent(target: TargetStandin, request, arrival: Arrival) -> None:
+            time.sleep(3.0)
+
+        self.deployment.add_target("t1", "desk", stay_silent)
+        self.deployment.add_target("t2", "desk", answer_plain)
+        self.deployment.wait_ready()
+        for _ in range(4):
+            self.assertEqual(self.deployment.call("/get/").body, b"t2")
+
+
 class StreamTest(EntryCase):
     def test_stream_is_passed_on(self) -> None:
         target = self.deployment.add_target("t1", "lm", answer_stream)
@@ -361,3 +389,16 @@
         caller.join()
         closer.join()
         self.assertEqual(answers, [200])
+
+
+class MetricsTest(EntryCase):
+    def test_calls_and_latencies_are_counted(self) -> None:
+        self.deployment.add_target("t1", "desk", answer_plain)
+        self.deployment.wait_ready()
+        self.deployment.call("/get/")
+        self.deployment.call("/none/")
+        text = self.deployment.read_metrics()
+        self.assertIn('calls_total{kind="idempotent",result="answered"} 1', text)
+        self.assertIn('refusals_total{reason="no route"} 1', text)
+        self.assertIn('call_ms_count{kind="idempotent"} 1', text)
+        self.assertIn("mulberryrill_entry_targets 1", text)
--- /dev/null
+++ b/tests/unit/test_entry_http.py
@@ -0,0 +1,99 @@
+"""HTTP messages of the entry program."""
+
+import unittest
+
+from mulberryrill.errors import HttpError
+from mulberryrill.internal.entry.http import (
+    HeadError,
+    HttpResponse,
+    RequestError,
+    RequestParser,
+    ResponseParser,
+    encode_request,
+    list_end_to_end,
+)
+
+HEAD = b"POST /a HTTP/1.1\r\nHost: a\r\n"
+
+
+class RequestParserTest(unittest.TestCase):
+    """Guards against requests that two readers could understand differently."""
+
+    def read(self, data: bytes, max_head: int = 1000, max_body: int = 100) -> RequestParser:
+        parser = RequestParser(max_head, max_body)
+        parser.feed(data)
+        return parser
+
+    def test_ambiguous_framing_is_refused(self) -> None:
+        for lines in (
+            b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            b"Content-Length: -1\r\n\r\n",
+            b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+            b"X : y\r\n\r\n",
+        ):
+            with self.assertRaises(RequestError, msg=lines) as raised:
+                self.read(HEAD + lines)
+            self.assertIs(raised.exception.reason, HeadError.MALFORMED)
+
+    def test_limits(self) -> None:
+        with self.assertRaises(RequestError) as raised:
+            self.read(HEAD + b"Content-Length: 101\r\n\r\n")
+        self.assertIs(raised.exception.reason, HeadError.BODY_TOO_LARGE)
+        with self.assertRaises(RequestError) as raised:
+            self.read(HEAD + b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"a" * 101 + b"\r\n")
+        self.assertIs(raised.exception.reason, HeadError.BODY_TOO_LARGE)
+        with self.assertRaises(RequestError) as raised:
+            self.read(HEAD + b"X: " + b"a" * 1000)
+        self.assertIs(raised.exception.reason, HeadError.HEAD_TOO_LARGE)
+
+    def test_bytewise_and_chunked_requests_are_read(self) -> None:
+        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        parser = RequestParser(1000, 100)
+        for index in range(len(data)):
+            parser.feed(data[index : index + 1])
+        self.assertEqual(bytes(parser.requests[0].body), b"abc")
+        self.assertFalse(parser.is_reading)
+
+
+class ResponseParserTest(unittest.TestCase):
+    ANSWER = b"HTTP/1.1 200 OK\r\nrequest-id: %s\r\ncontent-length: 2\r\n\r\nok"
+
+    def test_foreign_answer_before_the_right_one_is_dropped(self) -> None:
+        """Guards against an answer that reaches another request's caller."""
+        parser = ResponseParser()
+        parser.accepts = lambda response: response.get(b"request-id") == b"mine"
+        parser.feed(self.ANSWER % b"old" + self.ANSWER % b"mine")
+        head = parser.take_head()
+        assert head is not None
+        self.assertEqual(head.get(b"request-id"), b"mine")
+        self.assertEqual(parser.take_body(), b"ok")
+        self.assertTrue(parser.is_complete and parser.has_dropped)
+
+    def test_answer_after_the_right_one_is_no_part_of_it(self) -> None:
+        parser = ResponseParser()
+        parser.feed(self.ANSWER % b"mine" + self.ANSWER % b"extra")
+        self.assertEqual(parser.take_body(), b"ok")
+        self.assertTrue(parser.has_excess)
+
+    def test_garbage_is_an_error(self) -> None:
+        with self.assertRaises(HttpError):
+            ResponseParser().feed(b"\x00\x01garbage\r\n\r\n")
+
+    def test_body_without_a_length_is_marked(self) -> None:
+        parser = ResponseParser()
+        parser.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        head = parser.take_head()
+        assert isinstance(head, HttpResponse)
+        self.assertTrue(head.is_unframed)
+        self.assertFalse(parser.is_complete)
+
+
+class HeaderTest(unittest.TestCase):
+    def test_headers_of_one_connection_are_not_passed_on(self) -> None:
+        headers = [(b"connection", b"close, X-Hop"), (b"x-hop", b"1"), (b"te", b"x"), (b"a", b"b")]
+        self.assertEqual(list_end_to_end(headers, frozenset()), [(b"a", b"b")])
+
+    def test_bodies_get_a_length(self) -> None:
+        self.assertIn(b"content-length: 0", encode_request(b"POST", b"/", []))
+        self.assertNotIn(b"content-length", encode_request(b"GET", b"/", []))
--- /dev/null
+++ b/tests/unit/test_entry_sharing.py
@@ -0,0 +1,86 @@
+"""What entry instances pass on to each other."""
+
+import unittest
+
+from mulberryrill.internal.core.serving.cacheindex import (
+    CacheEvent,
+    CacheIndex,
+    CacheKey,
+    HolderKind,
+)
+from mulberryrill.internal.entry.cachesharing import FULL_INTERVAL_S, CacheSharing
+from mulberryrill.internal.ids import InstanceId
+
+HOLDER = "10.0.0.1:80"
+
+
+class Node:
+    """One instance's index and its sharing."""
+
+    def __init__(self, name: str, clock: list[float]) -> None:
+        self.clock = clock
+        self.index = CacheIndex()
+        self.index.add_holder(HOLDER, HolderKind.STORE)
+        self.sharing = CacheSharing(self.index, InstanceId(name), lambda: clock[0])
+
+    def read(self, since: int, next_event: int, *parts: str, epoch: int = 1) -> None:
+        events = [CacheEvent(CacheKey("1", part), True, 64) for part in parts]
+        self.index.apply(HOLDER, epoch, next_event, events, self.clock[0])
+        self.sharing.record(HOLDER, since, events)
+
+    def holds(self, part: str) -> bool:
+        return self.index.holds(HOLDER, CacheKey("1", part), 64)
+
+
+class CacheSharingTest(unittest.TestCase):
+    """Guards against an index that is wrong after an update was lost."""
+
+    def setUp(self) -> None:
+        self.clock = [100.0]
+        self.reader, self.peer = Node("i1", self.clock), Node("i2", self.clock)
+
+    def exchange(self) -> None:
+        for update in self.reader.sharing.take_updates():
+            self.peer.sharing.apply(update)
+
+    def test_peers_learn_what_the_reader_reads(self) -> None:
+        self.reader.read(0, 2, "aa")
+        self.exchange()
+        self.reader.read(2, 3, "bb")
+        self.exchange()
+        self.assertTrue(self.peer.holds("aa") and self.peer.holds("bb"))
+
+    def test_gap_is_not_bridged_and_the_next_full_update_repairs_it(self) -> None:
+        self.reader.read(0, 2, "aa")
+        self.exchange()
+        self.reader.read(2, 3, "bb")
+        self.reader.sharing.take_updates()
+        self.reader.read(3, 4, "cc")
+        self.exchange()
+        self.assertFalse(self.peer.holds("cc"))
+        self.clock[0] += FULL_INTERVAL_S
+        self.reader.read(4, 5, "dd")
+        self.exchange()
+        self.assertTrue(all(self.peer.holds(part) for part in ("aa", "bb", "cc", "dd")))
+
+    def test_restarted_holder_is_forgotten_by_peers(self) -> None:
+        self.reader.read(0, 2, "aa")
+        self.exchange()
+        self.clock[0] += FULL_INTERVAL_S
+        self.reader.read(0, 1, "bb", epoch=2)
+        self.exchange()
+        self.assertFalse(self.peer.holds("aa"))
+
+    def test_one_instance_of_a_data_centre_reads_if_there_are_many(self) -> None:
+        names = tuple(InstanceId(f"i{i}") for i in range(20))
+        readers = 0
+        for name in names:
+            node = Node(name, self.clock)
+            node.sharing.set_instances(40, names)
+            readers += node.sharing.is_reader(HOLDER, 12)
+        self.assertEqual(readers, 1)
+
+    def test_each_instance_reads_if_there_are_few(self) -> None:
+        node = Node("i1", self.clock)
+        node.sharing.set_instances(8, (InstanceId("i0"), InstanceId("i1")))
+        self.assertTrue(node.sharing.is_reader(HOLDER, 12))
