--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -70,6 +70,21 @@
         """Returns the version of the model's weights that the target is known to have."""
         return self.versions.get(model)
 
+    def learn_version(self, model: ModelName, version: WeightVersion) -> None:
+        """Takes over a version that the target itself has stated; versions do not fall."""
+        self.versions[model] = max(version, self.versions.get(model, version))
+
+    def correct_version(
+        self, model: ModelName, expected: WeightVersion, newest: WeightVersion
+    ) -> None:
+        """Notes that the target has other weights than expected, so a later version.
+
+        Only the next one is assumed. If the newest were, a target on the way to it would count as
+        done and get no order any more.
+        """
+        if expected < newest and self.versions.get(model) == expected:
+            self.versions[model] = WeightVersion(expected + 1)
+
     def is_cold(self, now: float) -> bool:
         """Whether the target bears only a small rate of calls."""
         return now < self.cold_until
@@ -218,4 +233,4 @@
     ) -> None:
         target.cold_until = max(target.cold_until, now + registration.cold_s - age_s)
         for model, version in registration.models:
-            target.versions[model] = max(version, target.versions.get(model, version))
+            target.learn_version(model, version)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -260,13 +260,13 @@
         verdict, prompt = attempt.verdict, run.call.prompt
         if verdict is None or verdict.is_other_target or prompt is None:
             return
-        versions = attempt.plan.target.versions
+        target, cache = attempt.plan.target, attempt.plan.cache
         for model, version in verdict.versions.items():
-            versions[model] = max(version, versions.get(model, version))
-        wanted = self._state.rollout.get_wanted(prompt.model)
-        if verdict.kind is VerdictKind.MISDIRECTED and wanted is not None:
-            # The target has other weights than expected, so it has been given the named ones.
-            versions[prompt.model] = wanted
+            target.learn_version(model, version)
+        newest = self._state.rollout.get_wanted(prompt.model)
+        is_misdirected = verdict.kind is VerdictKind.MISDIRECTED
+        if is_misdirected and newest is not None and cache is not None and cache.version:
+            target.correct_version(prompt.model, cache.version, newest)
 
     def try_retry(self, run: Run) -> bool:
         """Uses one retry of the service's budget."""
--- a/src/mulberryrill/internal/entry/ordering.py
+++ b/src/mulberryrill/internal/entry/ordering.py
@@ -221,7 +221,7 @@
         target = self._state.targets.get(target_id)
         if target is not None and report is not None:
             for model, version in report.versions.items():
-                target.versions[model] = max(version, target.versions.get(model, version))
+                target.learn_version(model, version)
 
     def _note_holder(self, is_holder: bool) -> None:
         if is_holder == self._is_holder:
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -1,8 +1,8 @@
 """Follows the platform's store and reports what it holds as the product's own types.
 
-Operators' records are rare, so their topic is read with a long wait. Targets write several times a
-second, so a waiting read would return for each record; their topic is read at a fixed pace by one
-instance of each data centre, which passes the records on. The others read only if it falls silent.
+Operators' records are rare, so their topic is read with a wait. Targets write several times a
+second, so a waiting read would return for each record; their topic is read at a fixed pace. One
+instance of each data centre reads and passes the records on; the others read if it falls silent.
 """
 
 import logging
@@ -30,9 +30,13 @@
 )
 from .store import OPERATOR_TOPIC, REGISTRY_TOPIC, KeyedRecord, RecordPage, StoreClient
 
-OPERATOR_WAIT_S = 20.0
-# An instance reads for itself if it was fed nothing for this many intervals.
-FEED_LIMIT = 1.5
+# The store may lose an answer and then stays silent on that connection, so a read must end well
+# inside the three seconds after which a change has to be known again.
+OPERATOR_WAIT_S = 1.5
+# An instance reads for itself if it was fed nothing for this long beyond the reader's pace.
+FEED_MARGIN_S = 0.6
+# How often an instance that is fed looks whether it still is.
+FEED_CHECK_S = 0.3
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.0
 EXPIRED = 410
@@ -76,6 +80,10 @@
         self._retry_s = FIRST_RETRY_S
         self._is_closed = False
 
+    @property
+    def topic(self) -> str:
+        return self._topic
+
     def start(self) -> None:
         self._read()
 
@@ -86,7 +94,7 @@
         if self._is_closed:
             return
         if self._is_fed():
-            self._schedule()
+            self._loop.call_later(FEED_CHECK_S, self._read)
         elif self._next is None:
             self._store.read_newest(self._topic, self._take_newest)
         else:
@@ -96,7 +104,8 @@
         """Whether a peer reads for this instance and has been heard recently."""
         if self._next is None or self._sharing is None or self._sharing.is_reader():
             return False
-        return self._loop.now() - self._fed_at < FEED_LIMIT * self._interval_s
+        limit = self._interval_s + self._wait_s + FEED_MARGIN_S
+        return self._loop.now() - self._fed_at < limit
 
     def feed(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
         """Takes over what a peer has read, if nothing before it is missing."""
@@ -200,6 +209,7 @@
             self._take_operator_records,
             self._take_operator_record,
             partial(self._note_store, OPERATOR_TOPIC),
+            self._create_sharing(OPERATOR_TOPIC),
         )
         self._registry = _TopicFollower(
             loop,
@@ -210,7 +220,7 @@
             self._take_registry,
             self._take_registration,
             partial(self._note_store, REGISTRY_TOPIC),
-            _FeedSharing(self._is_registry_reader, self._share_registry),
+            self._create_sharing(REGISTRY_TOPIC),
         )
 
     def start(self) -> None:
@@ -227,21 +237,24 @@
 
     def take_feed(self, feed: LogFeed) -> None:
         """Takes over what a peer of this data centre has read."""
-        if feed.topic != REGISTRY_TOPIC:
-            return
         records = tuple(
             KeyedRecord(
                 record.key, None if record.is_deleted else record.value, Offset(feed.start + number)
             )
             for number, record in enumerate(feed.records)
         )
-        self._registry.feed(Offset(feed.start), records)
+        for follower in (self._operator_records, self._registry):
+            if follower.topic == feed.topic:
+                follower.feed(Offset(feed.start), records)
+
+    def _create_sharing(self, topic: str) -> _FeedSharing:
+        return _FeedSharing(partial(self._is_reader, topic), partial(self._share, topic))
 
-    def _is_registry_reader(self) -> bool:
-        return choose_member(REGISTRY_TOPIC, self._local_instances) == self._own.instance
+    def _is_reader(self, topic: str) -> bool:
+        return choose_member(topic, self._local_instances) == self._own.instance
 
-    def _share_registry(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
-        feed = LogFeed(topic=REGISTRY_TOPIC, start=start)
+    def _share(self, topic: str, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
+        feed = LogFeed(topic=topic, start=start)
         for record in records:
             is_deleted = record.value is None
             feed.records.add(key=record.key, is_deleted=is_deleted, value=record.value or b"")
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -26,6 +26,8 @@
 PARTITION = 0
 # The store answers in a few milliseconds; a slow one is still waited for.
 CALL_TIMEOUT_S = 2.0
+# Time for the answer of a read after its wait.
+WAIT_MARGIN_S = 0.8
 MAX_READ_KB = 1024
 HTTP_OK = 200
 # Longest part of an error answer that is logged.
@@ -184,7 +186,13 @@
     ) -> None:
         target = f"{path}?{urlencode(query)}".encode()
         request = encode_request(b"GET", target, [(b"host", self._address.encode())])
-        self._call(request, decode, done, is_write=False, timeout_s=CALL_TIMEOUT_S + wait_s)
+        self._call(
+            request,
+            decode,
+            done,
+            is_write=False,
+            timeout_s=max(CALL_TIMEOUT_S, wait_s + WAIT_MARGIN_S),
+        )
 
     def _post(self, target: str, body: bytes, decode: Callable[[bytes], T], done: Done[T]) -> None:
         headers = [(b"host", self._address.encode()), _JSON]
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -116,6 +116,8 @@
         self._first: dict[str, int] = defaultdict(int)
         self._members: dict[str, None] = {}
         self.is_down = False
+        # Waiting reads that began before this was set are never answered.
+        self.loses_waiting_answers = False
         self.loses_append_answers = False
 
     def put(self, topic: str, key: str, value: object) -> None:
@@ -169,6 +171,9 @@
     def _read(self, request: _Handler, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
         end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        if self.loses_waiting_answers and "wait_ms" in query:
+            time.sleep(WAIT_S)
+            return
         with self._changed:
             while len(self._topics[topic]) <= start and time.monotonic() < end:
                 self._changed.wait(max(0.0, end - time.monotonic()))
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -278,6 +278,18 @@
         self.deployment.store.is_down = False
         wait_for(lambda: self.deployment.call("/get/").status == 404)
 
+    def test_lost_answer_of_a_waiting_read_does_not_hide_a_change(self) -> None:
+        """Guards against a read that waits for an answer which the store has lost."""
+        self.deployment.add_target("t1", "desk", answer_plain)
+        self.deployment.wait_ready()
+        self.deployment.store.loses_waiting_answers = True
+        # Ends the read that is under way, so that the next one loses its answer.
+        self.deployment.store.put("keyed.op", "other", {})
+        time.sleep(0.5)
+        self.deployment.store.loses_waiting_answers = False
+        self.deployment.store.put("keyed.op", "config", create_configuration(3, routes=[]))
+        wait_for(lambda: self.deployment.call("/get/").status == 404, timeout_s=3.0)
+
     def test_draining_target_gets_no_new_work(self) -> None:
         first = self.deployment.add_target("t1", "desk", answer_plain)
         self.deployment.wait_ready()
--- a/tests/unit/test_serving_targettable.py
+++ b/tests/unit/test_serving_targettable.py
@@ -6,10 +6,18 @@
 from mulberryrill.internal.core.serving.targettable import (
     LAPSE_GRACE_S,
     Registration,
+    Target,
     TargetState,
     TargetTable,
 )
-from mulberryrill.internal.ids import DataCentre, Incarnation, ServiceName, TargetId
+from mulberryrill.internal.ids import (
+    DataCentre,
+    Incarnation,
+    ModelName,
+    ServiceName,
+    TargetId,
+    WeightVersion,
+)
 
 SERVICE = ServiceName("lm")
 
@@ -81,6 +89,29 @@
         self.assertEqual(self.list_ids(), ["t1"])
 
 
+class VersionTest(unittest.TestCase):
+    """Guards against a target that counts as brought to a version that it does not have."""
+
+    def test_refused_expectation_raises_the_version_by_one_step_only(self) -> None:
+        target = Target(create_registration())
+        model = ModelName("m")
+        target.learn_version(model, WeightVersion(1))
+        target.correct_version(model, WeightVersion(1), WeightVersion(3))
+        self.assertEqual(target.get_version(model), 2)
+        # A second refusal of the same expectation, on its way at the same time, changes nothing.
+        target.correct_version(model, WeightVersion(1), WeightVersion(3))
+        self.assertEqual(target.get_version(model), 2)
+        target.correct_version(model, WeightVersion(2), WeightVersion(3))
+        target.correct_version(model, WeightVersion(3), WeightVersion(3))
+        self.assertEqual(target.get_version(model), 3)
+
+    def test_late_entry_does_not_lower_a_version(self) -> None:
+        target = Target(create_registration())
+        target.learn_version(ModelName("m"), WeightVersion(2))
+        target.learn_version(ModelName("m"), WeightVersion(1))
+        self.assertEqual(target.get_version(ModelName("m")), 2)
+
+
 class ConditionTest(unittest.TestCase):
     """Guards against calls that are sent to a failing target again and again."""
 
