Tell peers which targets refuse calls and which versions they have

Cause: while two of six engines load weights, each of eight instances learned of each by refused calls of its own, up to five for one request.

--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -251,6 +251,8 @@
             target.record_error()
         elif outcome in (Outcome.REJECTED, Outcome.MISDIRECTED):
             target.record_refusal(now, REFUSAL_REST_S)
+            if outcome is Outcome.REJECTED:
+                self._state.news.record_refusal(target.id, target.rests_until)
         elif outcome is not Outcome.CANCELLED or detail == "silent":
             target.record_failure(now)
             self._find_pool(target).close_idle()
@@ -262,6 +264,8 @@
             return
         target, cache = attempt.plan.target, attempt.plan.cache
         for model, version in verdict.versions.items():
+            if version > target.versions.get(model, 0):
+                self._state.news.record_version(target.id, model, version)
             target.learn_version(model, version)
         newest = self._state.rollout.get_wanted(prompt.model)
         is_misdirected = verdict.kind is VerdictKind.MISDIRECTED
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -20,6 +20,7 @@
 from ..logs import log_event
 from ..schema.peers_pb2 import LogFeed, PeerReport
 from .cachesharing import CacheSharing
+from .targetnews import NewsBoard
 
 # Reports are sent at this interval, and more slowly among many peers, so that an instance takes at
 # most MAX_RECEIVED_PER_S reports a second.
@@ -56,6 +57,11 @@
         """Cache events to pass on and to take over."""
         ...
 
+    @property
+    def news(self) -> NewsBoard:
+        """What was learned from targets' answers."""
+        ...
+
 
 class PeerExchange:
     """Publishes this instance's reports and subscribes to its peers'."""
@@ -125,9 +131,11 @@
             )
             for priority, tokens in own.pending.items():
                 load.pending.add(priority=priority, pending_tokens=tokens)
-        report.caches.extend(self._knowledge.sharing.take_updates())
         now = self._loop.now()
-        if report.targets or report.caches or now - self._sent_at >= IDLE_REPORT_S:
+        report.caches.extend(self._knowledge.sharing.take_updates())
+        report.news.extend(self._knowledge.news.take(now))
+        has_content = report.targets or report.caches or report.news
+        if has_content or now - self._sent_at >= IDLE_REPORT_S:
             self._sent_at = now
             self._send(report)
 
@@ -171,7 +179,10 @@
             )
             for load in report.targets
         }
-        self._knowledge.loads.apply_report(InstanceId(report.instance), loads, self._loop.now())
+        now = self._loop.now()
+        self._knowledge.loads.apply_report(InstanceId(report.instance), loads, now)
+        for news in report.news:
+            self._knowledge.news.apply(news, now)
         if is_local:
             for update in report.caches:
                 self._knowledge.sharing.apply(update)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -20,6 +20,7 @@
 from ..logs import log_event
 from .cachesharing import CacheSharing
 from .peers import Peer
+from .targetnews import NewsBoard
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -78,6 +79,7 @@
         self.cache = CacheIndex()
         self.loads = LoadBoard()
         self.sharing = CacheSharing(self.cache, instance, loop.now)
+        self.news = NewsBoard(self.targets)
         self.engine_clock = RemoteClock()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self.local_instances: tuple[InstanceId, ...] = (instance,)
