Log what decided that no target takes a call

Cause: in the incidents a call refused as overloaded had an empty list of attempts, so that its line did not say whether memory or the expected wait decided.

--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -28,6 +28,8 @@
     """Why no target takes a call now, and when its caller should return."""
 
     refusal: Refusal
+    # What decided, for logs.
+    detail: str
     retry_after_s: float = RETRY_AFTER_S
 
 
@@ -113,6 +115,7 @@
         plan = self._owner.plan_attempt(self)
         if isinstance(plan, Rejection):
             self._retry_after_s = plan.retry_after_s
+            self.history.append(f"no target: {plan.detail}")
             self._give_up(plan.refusal)
         else:
             self._begin(plan)
