--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -160,7 +160,7 @@
         """Chooses a target for the run's next attempt."""
         service = run.service
         if service is None or run.time_left_s <= 0:
-            return Rejection(Refusal.NO_TARGET)
+            return Rejection(Refusal.NO_TARGET, "unknown service, or no time left")
         now = self._loop.now()
         targets = self._list_targets(run, service, now)
         request = PlacementRequest(run.call.prompt, find_wall(run.call), run.tried, now)
@@ -170,14 +170,15 @@
                 limit = HELD_SHARE * service.engine.cache_tokens - run.call.prompt.total_tokens
                 candidates = [t for t in candidates if self._count_held(t, now) <= limit]
                 if targets and not candidates:
-                    return Rejection(Refusal.OVERLOADED)
+                    detail = f"no room for {run.call.prompt.total_tokens} tokens"
+                    return Rejection(Refusal.OVERLOADED, f"{detail} on {len(targets)} targets")
             return self._plan_prompt(run, run.call.prompt, candidates, now)
         loads = self._state.loads
         target = self._placement.choose(
             targets, request, service.cold_rate, lambda t: loads.count_running(t.id, now)
         )
         if target is None:
-            return Rejection(Refusal.NO_TARGET)
+            return Rejection(Refusal.NO_TARGET, f"{len(targets)} targets, none may take the call")
         return AttemptPlan(target, run.time_left_s, None, run.last_event_id)
 
     def _count_held(self, target: Target, now: float) -> float:
@@ -188,7 +189,7 @@
     ) -> AttemptPlan | Rejection:
         """Chooses the engine with the earliest first event, or refuses the call."""
         if not candidates:
-            return Rejection(Refusal.NO_TARGET)
+            return Rejection(Refusal.NO_TARGET, "no engine may take the call")
         loads, priority = self._state.loads, run.call.priority
         plans = [self._plan_cache(run, prompt, target, now) for target in candidates]
         waits = [
@@ -200,7 +201,12 @@
             waits[best], run.call.route.latency_objective_s, run.time_left_s
         )
         if not is_admitted(decision):
-            return Rejection(Refusal.OVERLOADED, find_return_delay(decision, self._random.random()))
+            detail = (
+                f"first event expected after {decision.expected_wait_s:.2f} s on the best of"
+                f" {len(candidates)} engines, objective {decision.latency_objective_s:.2f} s"
+            )
+            delay = find_return_delay(decision, self._random.random())
+            return Rejection(Refusal.OVERLOADED, detail, delay)
         return AttemptPlan(
             candidates[best], run.time_left_s, plans[best], run.last_event_id, waits[best]
         )
