--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -114,10 +114,6 @@
         """Counts an error answer of the target itself; it only lowers its rank."""
         self.failing_share += FAILURE_GAIN * (1.0 - self.failing_share)
 
-    def suspect_restart(self, now: float, cold_s: float) -> None:
-        """Treats the target as cold, because its connections broke as they do at a restart."""
-        self.cold_until = max(self.cold_until, now + cold_s)
-
 
 class TargetTable:
     """All targets of the registry, by id."""
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -10,7 +10,7 @@
 from ...errors import EntryError
 from ..core.serving.routetable import Customer, Prompt, Route, RouteTable
 from ..core.serving.targettable import Target
-from ..ids import DataCentre, ModelName, RequestId, WeightVersion
+from ..ids import ModelName, RequestId, WeightVersion
 from .http import Header, HeadError, HttpRequest, HttpResponse
 
 
@@ -157,11 +157,3 @@
     def find_refusal(self, reason: HeadError) -> Refusal:
         """Returns the refusal for bytes that are no request."""
         ...
-
-
-@dataclass(frozen=True)
-class EvacuationChange:
-    """A data centre is taken out or back."""
-
-    data_centre: DataCentre
-    is_evacuated: bool
--- a/src/mulberryrill/platform/targetorders.py
+++ b/src/mulberryrill/platform/targetorders.py
@@ -90,7 +90,10 @@
         expected_orders: int,
         done: Callable[[str, bool], None],
     ) -> None:
-        """Sends an order that waits for running calls to end before the weights are loaded."""
+        """Sends an order to load weights at once; running calls go on under the new ones.
+
+        The mode that waits for running calls refuses new ones for seconds meanwhile.
+        """
 
         def on_reply(reply: Reply | ExchangeFailure) -> None:
             if isinstance(reply, ExchangeFailure):
