--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -22,9 +22,10 @@
 # Running calls that a target in the own data centre may have more than a remote one: a call to
 # another data centre costs a millisecond and its bytes.
 LOCAL_PREFERENCE = 0.5
-# Instances that share the rate of one cold target. Each sends at most one call in its interval, so
-# a window of one second holds at most two calls of each.
-MAX_COLD_SENDERS = 8
+# Most calls that one instance sends to a cold target within any second: its interval may be shorter
+# than a second, but not shorter than half of one.
+COLD_CALLS_PER_SENDER = 2
+MIN_COLD_INTERVAL_S = 0.51
 
 
 @dataclass(frozen=True)
@@ -44,8 +45,11 @@
     Fault pattern answered: a target starts or turns cold while every instance has work for it.
     """
 
-    def __init__(self, instance: InstanceId) -> None:
+    def __init__(self, instance: InstanceId, factor: float, reserve: float) -> None:
         self._instance = instance
+        # All instances together may send rate x factor + reserve calls within a second.
+        self._factor = factor
+        self._reserve = reserve
         self._instances: tuple[InstanceId, ...] = (instance,)
         self._last_sent: dict[TargetId, float] = {}
 
@@ -57,11 +61,13 @@
         """Whether a call may go to the cold target now."""
         if cold_rate <= 0:
             return True
-        senders = rank_members(target, self._instances)[:MAX_COLD_SENDERS]
+        bound = cold_rate * self._factor + self._reserve
+        most = max(1, int(bound / COLD_CALLS_PER_SENDER))
+        senders = rank_members(target, self._instances)[:most]
         if self._instance not in senders:
             return False
         last = self._last_sent.get(target)
-        return last is None or now - last >= len(senders) / cold_rate
+        return last is None or now - last >= max(MIN_COLD_INTERVAL_S, len(senders) / cold_rate)
 
     def record_send(self, target: TargetId, now: float) -> None:
         """Notes a call to a cold target."""
--- a/src/mulberryrill/internal/entry/caller.py
+++ b/src/mulberryrill/internal/entry/caller.py
@@ -79,7 +79,6 @@
         self._out = bytearray()
         self._closes_after_write = False
         self._request: HttpRequest | None = None
-        self._is_chunked = False
         self._timer: Timer | None = None
         self._mask = 0
         self.has_begun_answer = False
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -39,6 +39,9 @@
 # operators allow over all instances.
 BUDGET_SHARE = 0.5
 HOUSEKEEPING_S = 1.0
+# Share of a target's connections that calls may take over all instances; the rest is left for cache
+# events, reports and instances that have just started.
+CONNECTION_SHARE = 0.8
 # Share of an engine's memory that running calls may fill, where shared parts count for each call.
 # Beyond it engines drop kept prompt parts between their fetch and their use, and preempt calls.
 HELD_SHARE = 0.9
@@ -303,7 +306,11 @@
         )
 
     def _list_targets(self, run: Run, service: Service, now: float) -> list[Target]:
-        targets = self._state.targets.list_usable(service.name)
+        targets = [
+            target
+            for target in self._state.targets.list_usable(service.name)
+            if self._has_connection(target, service)
+        ]
         prompt = run.call.prompt
         if prompt is None:
             return targets
@@ -314,6 +321,14 @@
         wanted = rollout.get_wanted(prompt.model)
         return [t for t in targets if wanted is None or t.get_version(prompt.model) == wanted]
 
+    def _has_connection(self, target: Target, service: Service) -> bool:
+        """Whether this instance's share of the target's connections allows one more call."""
+        pool = self._pools.get(target.id)
+        if pool is None or service.max_connections <= 0:
+            return True
+        share = CONNECTION_SHARE * service.max_connections / len(self._state.instances)
+        return pool.can_acquire(max(1, int(share)))
+
     def _plan_cache(self, run: Run, prompt: Prompt, target: Target, now: float) -> CachePlan:
         version = target.get_version(prompt.model)
         if version is None:
--- a/src/mulberryrill/internal/entry/pool.py
+++ b/src/mulberryrill/internal/entry/pool.py
@@ -39,6 +39,10 @@
         """The address of the server."""
         return self._address
 
+    def can_acquire(self, limit: int) -> bool:
+        """Whether a connection is idle or one more may be opened."""
+        return bool(self._idle) or len(self._open) < limit
+
     def acquire(self, needs_fresh: bool) -> Connection:
         """Returns an idle or a new connection.
 
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -63,7 +63,7 @@
         self._clock = clock or SystemClock()
         self._loop = EventLoop(self._clock, "entry")
         instance, data_centre = InstanceId(settings.instance), DataCentre(settings.data_centre)
-        self._state = EntryState(self._loop, instance, data_centre)
+        self._state = EntryState(self._loop, instance, data_centre, settings.bounds)
         self._dispatcher = Dispatcher(self._loop, settings, self._state, dialect)
         peer = Peer(instance, data_centre, settings.peer_address)
         self._peers = PeerExchange(self._loop, peer, self._state)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -18,6 +18,7 @@
 from ..events import Event
 from ..ids import DataCentre, InstanceId, ModelName, TargetId, WeightVersion
 from ..logs import log_event
+from ..schema.settings_pb2 import EntryBounds
 from .cachesharing import CacheSharing
 from .peers import Peer
 from .targetnews import NewsBoard
@@ -68,14 +69,16 @@
 class EntryState:
     """Implements ``StateSink`` and answers the dispatcher's questions."""
 
-    def __init__(self, loop: EventLoop, instance: InstanceId, data_centre: DataCentre) -> None:
+    def __init__(
+        self, loop: EventLoop, instance: InstanceId, data_centre: DataCentre, bounds: EntryBounds
+    ) -> None:
         self._loop = loop
         self._data_centre = data_centre
         self._instance = instance
         self.table: RouteTable | None = None
         self.targets = TargetTable()
         self.rollout = VersionRollout()
-        self.pacer = ColdPacer(instance)
+        self.pacer = ColdPacer(instance, bounds.cold_factor, bounds.cold_reserve)
         self.cache = CacheIndex()
         self.loads = LoadBoard()
         self.sharing = CacheSharing(self.cache, instance, loop.now)
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -392,6 +392,8 @@
                 version_ms=10_000,
                 retry_ratio=0.2,
                 retry_reserve=50,
+                cold_factor=1.5,
+                cold_reserve=5,
             ),
             seed=1,
         )
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -403,6 +403,39 @@
         self.assertEqual(answers, [200])
 
 
+class ConnectionLimitTest(EntryCase):
+    def test_calls_beyond_the_share_of_connections_go_elsewhere_or_are_refused(self) -> None:
+        """Guards against connections that a target resets because all instances have too many."""
+
+        def answer_slowly(target: TargetStandin, request, arrival: Arrival) -> None:
+            time.sleep(0.5)
+            answer_plain(target, request, arrival)
+
+        services = [{"name": "desk", "max_conns": 1}]
+        configuration = create_configuration(2, services=services)
+        self.deployment.store.put("keyed.op", "config", configuration)
+        for name in ("t1", "t2"):
+            self.deployment.add_target(name, "desk", answer_slowly)
+        self.deployment.wait_ready()
+        wait_for(lambda: self.read_version() == 2)
+        statuses: list[int] = []
+        callers = [
+            threading.Thread(
+                target=lambda: statuses.append(self.deployment.call("/pay/", "POST", b"1").status)
+            )
+            for _ in range(3)
+        ]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(sorted(statuses), [200, 200, 503])
+
+    def read_version(self) -> int:
+        table = self.deployment.program.state.table
+        return table.version if table is not None else 0
+
+
 class MetricsTest(EntryCase):
     def test_calls_and_latencies_are_counted(self) -> None:
         self.deployment.add_target("t1", "desk", answer_plain)
