Use the field's terms for cooldowns, updates and isolation; take test ports below the ephemeral range

Renames only, in the code of the entry program: rest is cooldown, news are target updates, wall is the isolated customer, settled is rolled out. Test ports came from the range that the system uses for outgoing connections, so that a connection of another test could take one before its server started.

The cause is not known: the port is a candidate, not a finding.

--- a/src/mulberryrill/internal/core/serving/loads.py
+++ b/src/mulberryrill/internal/core/serving/loads.py
@@ -46,7 +46,7 @@
     loads: dict[TargetId, TargetLoad]
 
 
-class LoadBoard:
+class LoadTable:
     """Loads of each target over all instances, and each target's speed."""
 
     def __init__(self) -> None:
--- a/src/mulberryrill/internal/core/serving/orders.py
+++ b/src/mulberryrill/internal/core/serving/orders.py
@@ -147,7 +147,7 @@
         """Whether any target needs an order."""
         return any(self._find_model(target) is not None for target in targets)
 
-    def find_settled_version(self, targets: list[Target]) -> WeightVersion | None:
+    def find_rolled_out_version(self, targets: list[Target]) -> WeightVersion | None:
         """Returns the lowest version in use once every target has the newest one that was named.
 
         None before that, or if no newer version was named. A salt does not name its model, so the
--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -3,7 +3,7 @@
 Model calls go to the target that the hash of their shared prompt part ranks first, so that all
 instances send the same prompt to the same engine without talking to each other. Load pattern
 answered: many customers whose long prompts return in turn and together exceed one engine's memory.
-Plain calls go to the least loaded target. Failing, resting and cold targets are chosen last.
+Plain calls go to the least loaded target. Failing, cooling and cold targets are chosen last.
 """
 
 import random
@@ -34,7 +34,7 @@
 
     prompt: Prompt | None
     # The customer, if it shares no cached prompt part with others.
-    wall: CustomerName | None
+    isolated_customer: CustomerName | None
     excluded: Collection[TargetId]
     now: float
 
@@ -122,11 +122,11 @@
 
     def _prefer_sound(self, targets: list[Target], now: float) -> list[Target]:
         """Returns the targets in the best condition that any has."""
-        awake = [target for target in targets if not target.is_resting(now)]
-        if not awake:
-            return [min(targets, key=lambda target: target.rests_until)]
-        sound = [t for t in awake if t.failing_share < FAILING_SHARE]
-        return sound or [min(awake, key=lambda target: target.failing_share)]
+        available = [target for target in targets if not target.is_cooling_down(now)]
+        if not available:
+            return [min(targets, key=lambda target: target.cooldown_until)]
+        sound = [t for t in available if t.failing_share < FAILING_SHARE]
+        return sound or [min(available, key=lambda target: target.failing_share)]
 
     def _rate_plain(self, target: Target, running: float) -> tuple[float, float]:
         is_remote = target.registration.data_centre != self._data_centre
@@ -139,12 +139,12 @@
 
     The last part belongs to the call or its session, so the one before it decides.
     """
-    wall = request.wall or ""
+    isolated_customer = request.isolated_customer or ""
     if request.prompt is None or not request.prompt.parts:
-        return wall
+        return isolated_customer
     parts = request.prompt.parts
     part_id, _ = parts[-2] if len(parts) > 1 else parts[-1]
-    return f"{wall}/{part_id}"
+    return f"{isolated_customer}/{part_id}"
 
 
 def rank_stores(part: str, stores: list[Service]) -> list[StoreProfile]:
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -10,9 +10,9 @@
 
 from ...ids import DataCentre, Incarnation, ModelName, ServiceName, TargetId, WeightVersion
 
-# After a failure the target rests this long; the rest doubles with each failure in a row.
-FIRST_REST_S = 0.25
-MAX_REST_S = 4.0
+# After a failure calls avoid the target for this long; the time doubles with each failure in a row.
+FIRST_COOLDOWN_S = 0.25
+MAX_COOLDOWN_S = 4.0
 # Share of failures among recent answers above which a target counts as failing.
 FAILING_SHARE = 0.3
 # Weight of the newest answer in the moving share of failures.
@@ -55,9 +55,9 @@
     removed_at: float | None = None
     failures_in_row: int = 0
     failing_share: float = 0.0
-    rests_until: float = 0.0
+    cooldown_until: float = 0.0
     # When any byte last came from the target.
-    heard_at: float = float("-inf")
+    last_response_at: float = float("-inf")
     # Versions learned from the target's own answers, newer than its registration.
     versions: dict[ModelName, WeightVersion] = field(default_factory=dict)
 
@@ -89,26 +89,26 @@
         """Whether the target bears only a small rate of calls."""
         return now < self.cold_until
 
-    def is_resting(self, now: float) -> bool:
-        """Whether calls should avoid the target after failures."""
-        return now < self.rests_until
+    def is_cooling_down(self, now: float) -> bool:
+        """Whether calls avoid the target after failures."""
+        return now < self.cooldown_until
 
     def record_success(self) -> None:
         """Counts a complete answer."""
         self.failures_in_row = 0
-        self.rests_until = 0.0
+        self.cooldown_until = 0.0
         self.failing_share *= 1.0 - FAILURE_GAIN
 
     def record_failure(self, now: float) -> None:
-        """Counts a broken or missing answer and lets the target rest."""
+        """Counts a broken or missing answer and starts a cooldown."""
         self.failing_share += FAILURE_GAIN * (1.0 - self.failing_share)
-        rest = min(MAX_REST_S, FIRST_REST_S * 2**self.failures_in_row)
+        cooldown = min(MAX_COOLDOWN_S, FIRST_COOLDOWN_S * 2**self.failures_in_row)
         self.failures_in_row += 1
-        self.rests_until = max(self.rests_until, now + rest)
+        self.cooldown_until = max(self.cooldown_until, now + cooldown)
 
-    def record_refusal(self, now: float, rest_s: float) -> None:
+    def record_refusal(self, now: float, cooldown_s: float) -> None:
         """Notes that the target refused a call without running it."""
-        self.rests_until = max(self.rests_until, now + rest_s)
+        self.cooldown_until = max(self.cooldown_until, now + cooldown_s)
 
     def record_error(self) -> None:
         """Counts an error answer of the target itself; it only lowers its rank."""
@@ -179,11 +179,11 @@
             self._registry_returned_at = now
         self._is_registry_down = is_down
 
-    def note_heard(self, address: str, now: float) -> None:
+    def note_response(self, address: str, now: float) -> None:
         """Notes that the target at an address has answered something."""
         for target in self._targets.values():
             if target.registration.address == address:
-                target.heard_at = now
+                target.last_response_at = now
 
     def expire(self, now: float) -> list[TargetId]:
         """Removes entries that did not return after an outage; returns their ids."""
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -38,7 +38,7 @@
 class AttemptOwner(Protocol):
     """Takes what an attempt brings; ``on_outcome`` comes last and once."""
 
-    def on_heard(self, attempt: "Attempt") -> None:
+    def on_response_bytes(self, attempt: "Attempt") -> None:
         """Bytes of the response arrived."""
         ...
 
@@ -114,7 +114,7 @@
     def on_head(self, response: HttpResponse) -> None:
         """Judges the response's status and headers."""
         self.response = response
-        self._owner.on_heard(self)
+        self._owner.on_response_bytes(self)
         self.verdict = self._dialect.judge(response, self._call, self.plan)
         kind = self.verdict.kind
         if kind is VerdictKind.SUCCESS and self._call.route.kind is CallKind.STREAM:
@@ -127,7 +127,7 @@
         """Passes whole events on, or collects a plain answer."""
         if self._has_ended:
             return
-        self._owner.on_heard(self)
+        self._owner.on_response_bytes(self)
         if self._splitter is None:
             self._body += data
             if len(self._body) > MAX_ANSWER_BYTES:
--- a/src/mulberryrill/internal/entry/cacheretention.py
+++ b/src/mulberryrill/internal/entry/cacheretention.py
@@ -18,7 +18,7 @@
 
 CHECK_INTERVAL_S = 2.0
 # Far above the longest fetch, and above the time in which all instances learn of a version.
-SETTLED_S = 6.0
+ROLLED_OUT_S = 6.0
 MAX_FREED_PARTS = 500
 _LOGGER = logging.getLogger(__name__)
 
@@ -43,7 +43,7 @@
         self._state = state
         self._instance = instance
         self._channel = channel
-        self._settled_since: float | None = None
+        self._rolled_out_since: float | None = None
 
     def start(self) -> None:
         """Begins to look for parts that can be freed."""
@@ -51,13 +51,13 @@
 
     def _check(self) -> None:
         now = self._loop.now()
-        version = self._state.rollout.find_settled_version(self._state.targets.targets)
+        version = self._state.rollout.find_rolled_out_version(self._state.targets.targets)
         if version is None:
-            self._settled_since = None
+            self._rolled_out_since = None
             return
-        if self._settled_since is None:
-            self._settled_since = now
-        if now - self._settled_since < SETTLED_S or self._state.table is None:
+        if self._rolled_out_since is None:
+            self._rolled_out_since = now
+        if now - self._rolled_out_since < ROLLED_OUT_S or self._state.table is None:
             return
         for service in self._state.table.list_stores():
             if service.store is not None:
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -133,7 +133,7 @@
             # Dropped parts may be among the missing events.
             self._log(address, "cache events are missing", page)
             index.clear(address)
-        self._state.targets.note_heard(address, self._loop.now())
+        self._state.targets.note_response(address, self._loop.now())
         if page.clock_s is not None:
             self._state.engine_clock.observe(page.clock_s, self._loop.now())
         since = index.get_next_event(address)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -32,7 +32,7 @@
 from .state import EntryState
 
 # A target that refused a call, for example because it was full, is avoided this long.
-REFUSAL_REST_S = 0.25
+REFUSAL_COOLDOWN_S = 0.25
 # Margin before the time at which no call may begin on an older model version.
 VERSION_MARGIN_S = 1.0
 # Retries kept in reserve by each instance, and retries earned by each request, as shares of what
@@ -166,7 +166,9 @@
             return Rejection(Refusal.NO_TARGET, "unknown service, or no time left")
         now = self._loop.now()
         targets = self._list_targets(run, service, now)
-        request = PlacementRequest(run.call.prompt, find_wall(run.call), run.tried, now)
+        request = PlacementRequest(
+            run.call.prompt, find_isolated_customer(run.call), run.tried, now
+        )
         if run.call.prompt is not None:
             candidates = self._placement.list_candidates(targets, request, service.cold_rate)
             if service.engine is not None:
@@ -259,9 +261,9 @@
         elif outcome is Outcome.ERROR:
             target.record_error()
         elif outcome in (Outcome.REJECTED, Outcome.MISDIRECTED):
-            target.record_refusal(now, REFUSAL_REST_S)
+            target.record_refusal(now, REFUSAL_COOLDOWN_S)
             if outcome is Outcome.REJECTED:
-                self._state.news.record_refusal(target.id, target.rests_until)
+                self._state.updates.record_refusal(target.id, target.cooldown_until)
         elif outcome is not Outcome.CANCELLED or detail == "silent":
             target.record_failure(now)
             self._find_pool(target).close_idle()
@@ -274,7 +276,7 @@
         target, cache = attempt.plan.target, attempt.plan.cache
         for model, version in verdict.versions.items():
             if version > target.versions.get(model, 0):
-                self._state.news.record_version(target.id, model, version)
+                self._state.updates.record_version(target.id, model, version)
             target.learn_version(model, version)
         newest = self._state.rollout.get_wanted(prompt.model)
         is_misdirected = verdict.kind is VerdictKind.MISDIRECTED
@@ -335,7 +337,7 @@
             # Nothing is shared until the version is known, since a part made under another version
             # must not be read.
             return CachePlan(salt=run.call.request_id, read_tokens=prompt.prompt_tokens)
-        salt = write_salt(version, find_wall(run.call))
+        salt = write_salt(version, find_isolated_customer(run.call))
         table = self._state.table
         assert table is not None
         transfers = plan_transfers(
@@ -405,7 +407,7 @@
     return call.prompt.total_tokens if call.prompt is not None else 0
 
 
-def find_wall(call: CallRequest) -> CustomerName | None:
+def find_isolated_customer(call: CallRequest) -> CustomerName | None:
     """Returns the customer if it shares no prompt parts with others."""
     customer = call.customer
     return customer.name if customer is not None and customer.is_isolated else None
--- a/src/mulberryrill/internal/entry/ordering.py
+++ b/src/mulberryrill/internal/entry/ordering.py
@@ -24,7 +24,7 @@
 # A loading target is asked for its state this often.
 REPORT_INTERVAL_S = 0.25
 # Loading takes about a second; calls avoid the target meanwhile.
-LOADING_REST_S = 0.8
+LOADING_COOLDOWN_S = 0.8
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -209,8 +209,8 @@
                 self._state.rollout.on_refused(order.target)
             elif target is not None:
                 # It refuses calls while it loads.
-                target.record_refusal(self._loop.now(), LOADING_REST_S)
-                self._state.news.record_refusal(target.id, target.rests_until)
+                target.record_refusal(self._loop.now(), LOADING_COOLDOWN_S)
+                self._state.updates.record_refusal(target.id, target.cooldown_until)
 
         self._channel.send_order(order, self._lease.fence, expected_orders, on_answer)
 
@@ -229,7 +229,7 @@
         if target is not None and report is not None:
             for model, version in report.versions.items():
                 if version > target.versions.get(model, 0):
-                    self._state.news.record_version(target_id, model, version)
+                    self._state.updates.record_version(target_id, model, version)
                 target.learn_version(model, version)
 
     def _note_holder(self, is_holder: bool) -> None:
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -13,14 +13,14 @@
 import zmq
 from google.protobuf.message import DecodeError
 
-from ..core.serving.loads import IDLE_REPORT_S, LoadBoard, TargetLoad
+from ..core.serving.loads import IDLE_REPORT_S, LoadTable, TargetLoad
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import DataCentre, InstanceId, TargetId
 from ..logs import log_event
 from ..schema.peers_pb2 import LogFeed, PeerReport
 from .cachesharing import CacheSharing
-from .targetnews import NewsBoard
+from .targetupdates import TargetUpdates
 
 # Reports are sent at this interval, and more slowly among many peers, so that an instance takes at
 # most MAX_RECEIVED_PER_S reports a second.
@@ -48,7 +48,7 @@
     """What reports are written from and read into."""
 
     @property
-    def loads(self) -> LoadBoard:
+    def loads(self) -> LoadTable:
         """Loads of the targets."""
         ...
 
@@ -58,7 +58,7 @@
         ...
 
     @property
-    def news(self) -> NewsBoard:
+    def updates(self) -> TargetUpdates:
         """What was learned from targets' answers."""
         ...
 
@@ -133,8 +133,8 @@
                 load.pending.add(priority=priority, pending_tokens=tokens)
         now = self._loop.now()
         report.caches.extend(self._knowledge.sharing.take_updates())
-        report.news.extend(self._knowledge.news.take(now))
-        has_content = report.targets or report.caches or report.news
+        report.updates.extend(self._knowledge.updates.take(now))
+        has_content = report.targets or report.caches or report.updates
         if has_content or now - self._sent_at >= IDLE_REPORT_S:
             self._sent_at = now
             self._send(report)
@@ -181,8 +181,8 @@
         }
         now = self._loop.now()
         self._knowledge.loads.apply_report(InstanceId(report.instance), loads, now)
-        for news in report.news:
-            self._knowledge.news.apply(news, now)
+        for updates in report.updates:
+            self._knowledge.updates.apply(updates, now)
         if is_local:
             for update in report.caches:
                 self._knowledge.sharing.apply(update)
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -18,7 +18,7 @@
 SILENCE_SHARE = 0.4
 # A stream stays with its target while that has sent anything within this time: it is only slow, and
 # a second run would add to its load.
-HEARD_LIMIT_S = 1.5
+RESPONSE_AGE_LIMIT_S = 1.5
 # A call that nobody can take now may be served by another instance or a moment later.
 RETRY_AFTER_S = 0.3
 
@@ -128,9 +128,9 @@
         self._watch_silence(attempt)
         self._owner.send_attempt(self, attempt)
 
-    def on_heard(self, attempt: Attempt) -> None:
+    def on_response_bytes(self, attempt: Attempt) -> None:
         """Notes that the target is alive."""
-        attempt.plan.target.heard_at = self._loop.now()
+        attempt.plan.target.last_response_at = self._loop.now()
 
     def on_events(self, attempt: Attempt, events: bytes) -> None:
         """Passes events of the stream on to the caller."""
@@ -253,8 +253,8 @@
     def _on_silence(self, attempt: Attempt) -> None:
         if attempt is not self._attempt or self._is_done:
             return
-        heard_ago = self._loop.now() - attempt.plan.target.heard_at
-        if self.call.route.kind is CallKind.STREAM and heard_ago < HEARD_LIMIT_S:
+        response_age = self._loop.now() - attempt.plan.target.last_response_at
+        if self.call.route.kind is CallKind.STREAM and response_age < RESPONSE_AGE_LIMIT_S:
             self._watch_silence(attempt)
             return
         plan = self._owner.plan_attempt(self)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from ..core.serving.cacheindex import CacheIndex, RemoteClock
-from ..core.serving.loads import LoadBoard
+from ..core.serving.loads import LoadTable
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
 from ..core.serving.routetable import RouteTable
@@ -21,7 +21,7 @@
 from ..schema.settings_pb2 import EntryBounds
 from .cachesharing import CacheSharing
 from .peers import Peer
-from .targetnews import NewsBoard
+from .targetupdates import TargetUpdates
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -80,9 +80,9 @@
         self.rollout = VersionRollout()
         self.pacer = ColdPacer(instance, bounds.cold_factor, bounds.cold_reserve)
         self.cache = CacheIndex()
-        self.loads = LoadBoard()
+        self.loads = LoadTable()
         self.sharing = CacheSharing(self.cache, instance, loop.now)
-        self.news = NewsBoard(self.targets)
+        self.updates = TargetUpdates(self.targets)
         self.engine_clock = RemoteClock()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self.local_instances: tuple[InstanceId, ...] = (instance,)
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -6,6 +6,7 @@
 import base64
 import http.client
 import json
+import random
 import socket
 import struct
 import threading
@@ -28,13 +29,22 @@
 CUSTOMER = "asha"
 MODEL = "m0"
 WAIT_S = 10.0
+FIRST_PORT, LAST_PORT = 15_000, 31_000
 
 
 def find_port() -> int:
-    """Returns a port that is free at this moment."""
-    with socket.socket() as sock:
-        sock.bind((LOCAL, 0))
-        return sock.getsockname()[1]
+    """Returns a free port below the range from which the system takes ports for connections.
+
+    A port of that range may be taken by any connection before its server is started.
+    """
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOCAL, port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_for(condition: Callable[[], bool], timeout_s: float = WAIT_S) -> None:
--- a/tests/unit/test_entry_sharing.py
+++ b/tests/unit/test_entry_sharing.py
@@ -10,7 +10,7 @@
 )
 from mulberryrill.internal.core.serving.targettable import TargetTable
 from mulberryrill.internal.entry.cachesharing import FULL_INTERVAL_S, CacheSharing
-from mulberryrill.internal.entry.targetnews import NewsBoard
+from mulberryrill.internal.entry.targetupdates import TargetUpdates
 from mulberryrill.internal.ids import InstanceId, ModelName, TargetId, WeightVersion
 from tests.unit.test_serving_targettable import create_registration
 
@@ -89,21 +89,21 @@
         self.assertTrue(node.sharing.is_reader(HOLDER, 12))
 
 
-class NewsTest(unittest.TestCase):
+class TargetUpdatesTest(unittest.TestCase):
     """Guards against instances that each send calls to a target which refuses them."""
 
     def test_peers_learn_versions_and_refusals(self) -> None:
         tables = [TargetTable(), TargetTable()]
         for table in tables:
             table.apply(create_registration(), 0.0)
-        first, second = (NewsBoard(table) for table in tables)
+        first, second = (TargetUpdates(table) for table in tables)
         first.record_version(TargetId("t1"), ModelName("m"), WeightVersion(2))
         first.record_refusal(TargetId("t1"), 5.3)
         first.record_refusal(TargetId("t1"), 5.5)
-        for news in first.take(5.0):
-            second.apply(news, 5.1)
+        for updates in first.take(5.0):
+            second.apply(updates, 5.1)
         target = tables[1].targets[0]
         self.assertEqual(target.get_version(ModelName("m")), 2)
-        self.assertTrue(target.is_resting(5.55))
-        self.assertFalse(target.is_resting(5.65))
+        self.assertTrue(target.is_cooling_down(5.55))
+        self.assertFalse(target.is_cooling_down(5.65))
         self.assertEqual(first.take(5.0), [])
--- a/tests/unit/test_serving_admission.py
+++ b/tests/unit/test_serving_admission.py
@@ -13,7 +13,7 @@
 from mulberryrill.internal.core.serving.loads import (
     INITIAL_RATE,
     REPORT_LIMIT_S,
-    LoadBoard,
+    LoadTable,
     TargetLoad,
 )
 from mulberryrill.internal.ids import InstanceId, TargetId
@@ -21,9 +21,9 @@
 TARGET = TargetId("t")
 
 
-class LoadBoardTest(unittest.TestCase):
+class LoadTableTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.board = LoadBoard()
+        self.board = LoadTable()
 
     def test_own_and_reported_work_is_added(self) -> None:
         self.board.add_pending(TARGET, 0, 1000)
@@ -97,7 +97,7 @@
 
     def play(self, is_limited: bool) -> tuple[float, float]:
         """Returns the shares of short and long prompts with a first event in time."""
-        numbers, board = random.Random(1), LoadBoard()
+        numbers, board = random.Random(1), LoadTable()
         rate, step = 50_000.0, 0.01
         classes = ((0, 2368, 0.5, 3.0, 13.0), (1, 11_992, 0.8, 4.0, 3.7))
         queue: list[_Queued] = []
@@ -126,7 +126,7 @@
     def read(
         self,
         queue: list["_Queued"],
-        board: LoadBoard,
+        board: LoadTable,
         budget: float,
         now: float,
         in_time: list[int],
--- a/tests/unit/test_serving_orders.py
+++ b/tests/unit/test_serving_orders.py
@@ -98,14 +98,14 @@
             self.rollout.on_sent(order, 0.0)
         self.assertEqual(len(self.rollout.list_due(self.targets, ORDER_DOUBT_S)), 2)
 
-    def test_version_is_settled_when_all_targets_have_it(self) -> None:
+    def test_version_is_rolled_out_when_all_targets_have_it(self) -> None:
         """Guards against parts that are freed while a target may still fetch them."""
-        self.assertIsNone(self.rollout.find_settled_version(self.targets))
+        self.assertIsNone(self.rollout.find_rolled_out_version(self.targets))
         self.rollout.set_wanted(MODEL, WeightVersion(2), 0.0)
-        self.assertIsNone(self.rollout.find_settled_version(self.targets))
+        self.assertIsNone(self.rollout.find_rolled_out_version(self.targets))
         for target in self.targets:
             target.versions[MODEL] = WeightVersion(2)
-        self.assertEqual(self.rollout.find_settled_version(self.targets), 2)
+        self.assertEqual(self.rollout.find_rolled_out_version(self.targets), 2)
 
     def test_nothing_is_due_when_all_have_the_version(self) -> None:
         self.rollout.set_wanted(MODEL, WeightVersion(1), 0.0)
--- a/tests/unit/test_serving_placement.py
+++ b/tests/unit/test_serving_placement.py
@@ -51,7 +51,7 @@
         second = create_placement("i2").list_candidates(targets, self.request(), 0.0)
         self.assertEqual([t.id for t in first], [t.id for t in second])
 
-    def test_resting_and_failing_targets_are_chosen_last(self) -> None:
+    def test_cooling_and_failing_targets_are_chosen_last(self) -> None:
         targets = create_targets(3)
         targets[0].record_failure(0.0)
         for _ in range(10):
@@ -59,7 +59,7 @@
         chosen = create_placement().list_candidates(targets, self.request(0.1), 0.0)
         self.assertEqual([t.id for t in chosen], ["t2"])
 
-    def test_a_resting_target_is_used_when_all_others_are_excluded(self) -> None:
+    def test_a_cooling_target_is_used_when_all_others_are_excluded(self) -> None:
         """Guards against refusals while a target might answer."""
         targets = create_targets(1)
         targets[0].record_failure(0.0)
--- a/tests/unit/test_serving_targettable.py
+++ b/tests/unit/test_serving_targettable.py
@@ -115,14 +115,14 @@
 class ConditionTest(unittest.TestCase):
     """Guards against calls that are sent to a failing target again and again."""
 
-    def test_rest_doubles_with_failures_and_ends_with_a_success(self) -> None:
+    def test_cooldown_doubles_with_failures_and_ends_with_a_success(self) -> None:
         table = TargetTable()
         table.apply(create_registration(), 0.0)
         target = table.targets[0]
         target.record_failure(10.0)
-        self.assertTrue(target.is_resting(10.2))
-        self.assertFalse(target.is_resting(10.3))
+        self.assertTrue(target.is_cooling_down(10.2))
+        self.assertFalse(target.is_cooling_down(10.3))
         target.record_failure(10.3)
-        self.assertTrue(target.is_resting(10.7))
+        self.assertTrue(target.is_cooling_down(10.7))
         target.record_success()
-        self.assertFalse(target.is_resting(10.7))
+        self.assertFalse(target.is_cooling_down(10.7))
