Count a peer's feed as the return of the store

By the logs, front-ladadika-2 took the removal at second 15.317 for an entry that lapsed in an outage, and noted the store's return at 15.318, while its peers had noted it at 12.5: empty feeds did not count as a return. Ruled out: late feeds (the removal arrived 0.3 s after the acknowledgement). The regression test fails before and passes after.

--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -50,7 +50,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class _TopicFollower:
+class TopicFollower:
     """Reads one keyed topic: first the newest record of each key, then what follows."""
 
     def __init__(
@@ -82,12 +82,15 @@
 
     @property
     def topic(self) -> str:
+        """The topic that is read."""
         return self._topic
 
     def start(self) -> None:
+        """Begins to read."""
         self._read()
 
     def close(self) -> None:
+        """Stops reading."""
         self._is_closed = True
 
     def _read(self) -> None:
@@ -96,9 +99,9 @@
         if self._is_fed():
             self._loop.call_later(FEED_CHECK_S, self._read)
         elif self._next is None:
-            self._store.read_newest(self._topic, self._take_newest)
+            self._store.read_newest(self._topic, self.take_newest)
         else:
-            self._store.read_keyed(self._topic, self._next, self._wait_s, self._take_records)
+            self._store.read_keyed(self._topic, self._next, self._wait_s, self.take_records)
 
     def _is_fed(self) -> bool:
         """Whether a peer reads for this instance and has been heard recently."""
@@ -113,12 +116,14 @@
             return
         self._fed_at = self._loop.now()
         new = [record for record in records if record.offset >= self._next]
+        # The peer reached the store, also if it read nothing new. This must be known before its
+        # records are applied: an entry that is removed during an outage is kept for a while.
+        self._succeed(Offset(new[-1].offset + 1) if new else self._next)
         for record in new:
             self._on_record(record)
-        if new:
-            self._succeed(Offset(new[-1].offset + 1))
 
-    def _take_newest(self, page: RecordPage | StoreCallError) -> None:
+    def take_newest(self, page: RecordPage | StoreCallError) -> None:
+        """Takes the newest record of each key."""
         if isinstance(page, StoreCallError):
             self._fail(page)
             return
@@ -130,7 +135,8 @@
         self._on_all(page.records)
         self._schedule()
 
-    def _take_records(self, page: RecordPage | StoreCallError) -> None:
+    def take_records(self, page: RecordPage | StoreCallError) -> None:
+        """Takes the records that follow those which were read."""
         if isinstance(page, StoreCallError):
             if page.status == EXPIRED:
                 log_event(
@@ -200,7 +206,7 @@
         self._generation = 0
         self._is_closed = False
         self._unreachable: set[str] = set()
-        self._operator_records = _TopicFollower(
+        self._operator_records = TopicFollower(
             loop,
             store,
             OPERATOR_TOPIC,
@@ -211,7 +217,7 @@
             partial(self._note_store, OPERATOR_TOPIC),
             self._create_sharing(OPERATOR_TOPIC),
         )
-        self._registry = _TopicFollower(
+        self._registry = TopicFollower(
             loop,
             store,
             REGISTRY_TOPIC,
--- /dev/null
+++ b/tests/regressions/test_stale_outage_delays_drain.py
@@ -0,0 +1,47 @@
+"""A leaving target got work for two more seconds, because an outage of the store seemed to last.
+
+Seen in a hunt on kimolia-plateia (hunt-7909-19): an instance that is fed by a peer had lost the
+store once. Empty feeds did not count as its return, so that the next removal of an entry looked like
+one that lapsed during the outage, and the target was kept for the time of grace.
+"""
+
+import unittest
+
+from mulberryrill.errors import StoreCallError
+from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.eventloop import EventLoop
+from mulberryrill.internal.ids import Offset
+from mulberryrill.platform.follower import TopicFollower
+from mulberryrill.platform.store import KeyedRecord, RecordPage, StoreClient
+
+
+class StaleOutageTest(unittest.TestCase):
+    def setUp(self) -> None:
+        loop = EventLoop(ManualClock(), "test")
+        self.events: list[object] = []
+        self.follower = TopicFollower(
+            loop,
+            StoreClient(loop, "127.0.0.1:1"),
+            "keyed.servers",
+            0.0,
+            1.0,
+            lambda records: None,
+            self.events.append,
+            lambda is_reachable, detail: self.events.append(is_reachable),
+        )
+        self.follower.take_newest(RecordPage((), Offset(5)))
+        self.follower.take_records(StoreCallError("lost", 0, False))
+        self.events.clear()
+
+    def test_empty_feed_shows_that_the_store_is_back(self) -> None:
+        self.follower.feed(Offset(5), ())
+        self.assertEqual(self.events, [True])
+
+    def test_return_of_the_store_is_known_before_records_are_applied(self) -> None:
+        record = KeyedRecord("t1", None, Offset(5))
+        self.follower.feed(Offset(5), (record,))
+        self.assertEqual(self.events, [True, record])
+
+    def test_feed_after_a_gap_tells_nothing(self) -> None:
+        self.follower.feed(Offset(7), ())
+        self.assertEqual(self.events, [])
