--- a/tests/regressions/test_stale_outage_delays_drain.py
+++ b/tests/regressions/test_stale_outage_delays_drain.py
@@ -1,8 +1,8 @@
 """A leaving target got work for two more seconds, because an outage of the store seemed to last.
 
 Seen in a hunt on kimolia-plateia (hunt-7909-19): an instance that is fed by a peer had lost the
-store once. Empty feeds did not count as its return, so that the next removal of an entry looked like
-one that lapsed during the outage, and the target was kept for the time of grace.
+store once. Empty feeds did not count as its return, so that the next removal of an entry looked
+like one that lapsed during the outage, and the target was kept for the time of grace.
 """
 
 import unittest
