Replace the listeners of gateways and operators by one on an event loop

Cause: werkzeug's server gave each connection a thread of a bounded pool from its first byte on, so 20 half-sent requests kept everybody out until they timed out. It closed each connection after one answer, answered one of three pipelined requests, answered bad bytes with an HTML page, and named itself and its version.

Now an event loop owns each connection from its first byte, with the parser and the caller's connection of the entry process, which move to internal/http/. A thread is taken only while a whole request is handled. The gateway's callers are on its relay loop; CallerConnection is a thin layer over that. Stand-ins still close each connection after its answer.

Ruled out: more threads (the count of half-sent requests has no bound), and handling requests on the loop itself (folding and JSON of large prompts would delay the streams of others).

--- a/src/mulberryrill/internal/control/admin.py
+++ b/src/mulberryrill/internal/control/admin.py
@@ -6,7 +6,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 from werkzeug.wrappers import Request, Response
 
-from ..httpserver import create_problem
+from ..http.server import create_problem
 from .metrics import REGISTRY
 
 
--- a/src/mulberryrill/internal/control/operators.py
+++ b/src/mulberryrill/internal/control/operators.py
@@ -13,12 +13,12 @@
 
 from ...errors import SettingsError
 from ..events import Event
-from ..httpserver import create_problem
+from ..http.server import create_problem
 from ..ids import Executed, create_id
 from ..logs import log_event
 from ..schema.log_pb2 import DataCentreState
 from ..schema.settings_pb2 import SiteOperator
-from ..settings.documents import MAX_DOCUMENT_BYTES, check_document
+from ..settings.documents import check_document
 from .messages import (
     Call,
     CallAnswer,
@@ -137,9 +137,6 @@
             return ShowDocument(service)
         base_revision = _read_integer(request, "base_revision")
         reason = request.args.get("reason", "")[:MAX_REASON_CHARACTERS]
-        if (request.content_length or 0) > MAX_DOCUMENT_BYTES:
-            detail = f"A document has at most {MAX_DOCUMENT_BYTES} bytes."
-            raise _InvalidCallError(create_problem(413, "Document too long", detail))
         text = _check_text(service, request.get_data())
         change_id = _read_change_id(request)
         return SubmitDocument(service, text, base_revision, author, reason, change_id)
--- a/src/mulberryrill/internal/control/program.py
+++ b/src/mulberryrill/internal/control/program.py
@@ -10,12 +10,13 @@
 from ..core.membership import Membership
 from ..core.quarantine import Quarantine
 from ..core.slots import SlotClient, SlotHolder
-from ..httpserver import HttpServer
+from ..http.server import HttpServer
 from ..ids import DataCentre, InstanceId
 from ..platform.listclient import ListClient
 from ..platform.logclient import LogClient
 from ..schema.settings_pb2 import ControlSettings
 from ..schema.wire_pb2 import Member, MemberKind, MemberState
+from ..settings.documents import MAX_DOCUMENT_BYTES
 from .admin import AdminInterface
 from .claims import list_claim_streams
 from .documents import STREAM
@@ -216,6 +217,12 @@
         )
         admin = AdminInterface(self._main.is_healthy, self._main.is_ready)
         return (
-            HttpServer(settings.operators, operators.handle, OPERATOR_THREADS),
+            HttpServer(
+                settings.operators,
+                operators.handle,
+                OPERATOR_THREADS,
+                keeps_connections=True,
+                max_body_bytes=MAX_DOCUMENT_BYTES,
+            ),
             HttpServer(settings.admin, admin.handle, ADMIN_THREADS),
         )
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -5,10 +5,10 @@
 from typing import Protocol
 
 from ..core.serving.routetable import CallKind
+from ..http.messages import HttpResponse
 from .connection import Connection, ExchangeFailure
 from .dialect import AttemptPlan, CallRequest, Dialect, Verdict, VerdictKind
 from .eventstream import EventSequence
-from .http import HttpResponse
 
 # Larger answers of plain services are refused rather than kept in memory.
 MAX_ANSWER_BYTES = 16_777_216
--- a/src/mulberryrill/internal/entry/connection.py
+++ b/src/mulberryrill/internal/entry/connection.py
@@ -13,8 +13,8 @@
 
 from ...errors import HttpError
 from ..eventloop import EventLoop, Timer
-from .http import HttpResponse, ResponseParser
-from .sockets import RECEIVE_BYTES, open_connection
+from ..http.messages import HttpResponse, ResponseParser
+from ..http.sockets import RECEIVE_BYTES, open_connection
 
 
 class FailureKind(Enum):
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -10,8 +10,8 @@
 from ...errors import EntryError
 from ..core.serving.routetable import Customer, Prompt, Route, RouteTable
 from ..core.serving.targettable import Target
+from ..http.messages import Header, HeadError, HttpRequest, HttpResponse
 from ..ids import ModelName, RequestId, WeightVersion
-from .http import Header, HeadError, HttpRequest, HttpResponse
 
 
 class Refusal(Enum):
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -11,11 +11,12 @@
 from ..core.serving.targettable import Target
 from ..eventloop import EventLoop
 from ..events import Event
+from ..http.caller import Caller
+from ..http.messages import HeadError, HttpRequest
 from ..ids import CustomerName, DataCentre, ServiceName, TargetId
 from ..logs import log_event
 from ..schema.settings_pb2 import EntrySettings
 from .attempt import Attempt, Outcome
-from .caller import Caller
 from .dialect import (
     AttemptPlan,
     CachePlan,
@@ -25,7 +26,6 @@
     Refusal,
     VerdictKind,
 )
-from .http import HeadError, HttpRequest
 from .metrics import EntryMetrics
 from .pool import ConnectionPool
 from .run import RETRY_AFTER_S, Rejection, Run
--- a/src/mulberryrill/internal/entry/exchange.py
+++ b/src/mulberryrill/internal/entry/exchange.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from ..eventloop import EventLoop
+from ..http.messages import HttpResponse
 from .connection import Connection, ExchangeFailure, FailureKind
-from .http import HttpResponse
 from .pool import ConnectionPool
 
 
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -12,14 +12,15 @@
 from ..clock import Clock, SystemClock
 from ..eventloop import EventLoop
 from ..events import Event
+from ..http.caller import Caller
+from ..http.listener import Listener, ProbeConnection
+from ..http.messages import HttpRequest
+from ..http.sockets import set_options
 from ..ids import DataCentre, InstanceId
 from ..logs import log_event
 from ..schema.settings_pb2 import EntrySettings
-from .caller import Caller
 from .dialect import Dialect
 from .dispatcher import Dispatcher
-from .http import HttpRequest
-from .listener import Listener, ProbeConnection
 from .peers import Peer, PeerExchange
 from .state import EntryState
 
@@ -160,6 +161,7 @@
             self._metrics.close()
 
     def _accept_caller(self, sock: socket.socket) -> None:
+        set_options(sock)
         self._dispatcher.add_caller(Caller(self._loop, sock, self._dispatcher))
 
     def _accept_probe(self, sock: socket.socket) -> None:
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -5,9 +5,9 @@
 
 from ..core.serving.routetable import CallKind, Service
 from ..eventloop import EventLoop, Timer
+from ..http.caller import Caller
 from ..ids import TargetId
 from .attempt import Answer, Attempt, Outcome
-from .caller import Caller
 from .dialect import AttemptPlan, CallRequest, Dialect, Refusal
 
 # Sendings of one call, those included that did not run or did not arrive.
--- a/src/mulberryrill/internal/gateway/answers.py
+++ b/src/mulberryrill/internal/gateway/answers.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from ..httpserver import PROBLEM_TYPE
+from ..http.server import PROBLEM_TYPE
 from ..ids import Executed, RequestId
 from .caller import encode_json
 
--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -460,7 +460,7 @@
             self._limit_buffer(call, run)
 
     def _limit_buffer(self, call: Call, run: Attempt | Forward) -> None:
-        if call.caller.buffered > self._options.relay_buffer_bytes:
+        if call.caller.is_full:
             run.pause()
 
     def on_result(self, attempt: Attempt, result: AttemptResult) -> None:
--- a/src/mulberryrill/internal/gateway/frontend.py
+++ b/src/mulberryrill/internal/gateway/frontend.py
@@ -5,12 +5,11 @@
 import re
 from collections.abc import Callable
 
-from werkzeug.exceptions import ClientDisconnected, RequestEntityTooLarge
 from werkzeug.wrappers import Request, Response
 
 from ..clock import Clock
 from ..core.snapshot import CustomerView, ServiceConfig, Snapshot, hash_token
-from ..httpserver import DetachedConnectionError, HttpServer
+from ..http.server import DetachedConnectionError, HttpServer
 from ..ids import Executed, RequestId, ServiceName, create_id
 from .answers import Action, Failure
 from .attempts import build_target_path
@@ -42,13 +41,11 @@
         self,
         loop: RelayLoop,
         clock: Clock,
-        max_body_bytes: int,
         get_snapshot: Callable[[], Snapshot],
         submit: Callable[[Call], None],
     ) -> None:
         self._loop = loop
         self._clock = clock
-        self._max_body_bytes = max_body_bytes
         self._get_snapshot = get_snapshot
         self._submit = submit
         self.server: HttpServer | None = None
@@ -59,7 +56,7 @@
         request_id = _read_request_id(request)
         is_model = not request.path.startswith(SERVICE_PREFIX)
         try:
-            body = self._read_body(request)
+            body = request.get_data(cache=False)
             snapshot = self._get_snapshot()
             if not snapshot.ready:
                 raise RefusedError(_create_not_ready())
@@ -76,23 +73,6 @@
         self._hand_over(request, call, received)
         raise DetachedConnectionError
 
-    def _read_body(self, request: Request) -> bytes:
-        request.max_content_length = self._max_body_bytes
-        try:
-            return request.get_data(cache=False)
-        except RequestEntityTooLarge as error:
-            raise RefusedError(
-                Failure(
-                    413,
-                    "Body too large",
-                    f"The body exceeds {self._max_body_bytes} bytes.",
-                    Executed.NO,
-                    Action.CHANGE_REQUEST,
-                )
-            ) from error
-        except ClientDisconnected as error:
-            raise RefusedError(_create_bad_request("The body is not complete.")) from error
-
     def _read_model_call(
         self,
         request: Request,
@@ -192,11 +172,10 @@
 
     def _hand_over(self, request: Request, call_request: CallRequest, received: float) -> None:
         assert self.server is not None
-        connection = self.server.detach(request)
-        is_http11 = request.environ.get("SERVER_PROTOCOL") == "HTTP/1.1"
+        caller = self.server.take(request)
         call = Call(
             request=call_request,
-            caller=CallerConnection(self._loop, connection, is_http11),
+            caller=CallerConnection(self._loop, caller),
             received=received,
             received_wall=self._clock.wall(),
             deadline=received + call_request.config.deadline_s,
--- a/src/mulberryrill/internal/gateway/program.py
+++ b/src/mulberryrill/internal/gateway/program.py
@@ -15,7 +15,7 @@
 from ..core.slots import GatewaySlots
 from ..core.snapshot import SnapshotHolder
 from ..events import Event
-from ..httpserver import HttpServer, create_problem
+from ..http.server import HttpServer, create_problem
 from ..logs import log_event
 from ..schema.settings_pb2 import GatewaySettings
 from ..schema.wire_pb2 import Envelope, SnapshotAck, SnapshotUpdate
@@ -63,11 +63,18 @@
         self._front_end = FrontEnd(
             self._loop,
             self._clock,
-            options.max_body_bytes,
             lambda: self._holder.current,
             self._dispatcher.submit,
         )
-        self._server = HttpServer(settings.callers, self._front_end.handle, options.worker_threads)
+        self._server = HttpServer(
+            settings.callers,
+            self._front_end.handle,
+            options.worker_threads,
+            loop=self._loop,
+            keeps_connections=True,
+            max_body_bytes=options.max_body_bytes,
+            max_buffered_bytes=options.relay_buffer_bytes,
+        )
         self._front_end.server = self._server
         self._admin = HttpServer(settings.admin, self._handle_admin, ADMIN_THREADS)
         self._is_stopping = threading.Event()
--- a/src/mulberryrill/internal/entry/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -8,7 +8,7 @@
 
 from ..core.serving.routetable import CallerLimits
 from ..eventloop import EventLoop, Timer
-from .http import (
+from .messages import (
     CRLF,
     LAST_CHUNK,
     Header,
@@ -19,7 +19,7 @@
     encode_chunk,
     encode_head,
 )
-from .sockets import RECEIVE_BYTES, set_options
+from .sockets import RECEIVE_BYTES
 
 # Bytes that wait for a slow caller before the target's connection is paused.
 MAX_BUFFERED_BYTES = 262_144
@@ -69,10 +69,18 @@
 class Caller:
     """Reads requests one at a time and writes their answers."""
 
-    def __init__(self, loop: EventLoop, sock: socket.socket, owner: CallerOwner) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        sock: socket.socket,
+        owner: CallerOwner,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
+    ) -> None:
+        """``sock`` is connected and does not block."""
         self._loop = loop
         self._socket = sock
         self._owner = owner
+        self._max_buffered_bytes = max_buffered_bytes
         limits = owner.limits
         self._parser = RequestParser(limits.max_head_bytes, limits.max_body_bytes)
         self._state = CallerState.READING
@@ -81,7 +89,10 @@
         self._request: HttpRequest | None = None
         self._timer: Timer | None = None
         self._mask = 0
+        self._is_chunked = True
         self.has_begun_answer = False
+        # When the caller last took bytes, or when bytes began to wait for it.
+        self.last_progress = loop.now()
         self.on_gone: Callable[[], None] | None = None
         self.on_drained: Callable[[], None] | None = None
 
@@ -90,31 +101,43 @@
         """Whether the connection has ended."""
         return self._state is CallerState.CLOSED
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether the connection waits for a request or its rest."""
+        return self._state is CallerState.READING
+
     @property
     def is_idle(self) -> bool:
         """Whether no byte of a request has arrived and no answer is due."""
         return self._state is CallerState.READING and not self._parser.is_reading and not self._out
 
+    @property
+    def buffered(self) -> int:
+        """Bytes that the caller has not taken yet."""
+        return len(self._out)
+
     @property
     def is_full(self) -> bool:
         """Whether the caller reads more slowly than its answer arrives."""
-        return len(self._out) > MAX_BUFFERED_BYTES
+        return len(self._out) > self._max_buffered_bytes
 
     def start(self) -> None:
         """Begins to read."""
-        set_options(self._socket)
         self._set_watch()
         self._arm_timer(self._owner.limits.idle_timeout_s)
 
     def close(self) -> None:
         """Closes the connection at once."""
-        if self._state is CallerState.CLOSED:
-            return
+        if self._state is not CallerState.CLOSED:
+            self.release().close()
+
+    def release(self) -> socket.socket:
+        """Gives the open socket away; bytes that were read after the request are lost."""
         self._state = CallerState.CLOSED
         self._cancel_timer()
         self._loop.unwatch(self._socket.fileno())
-        self._socket.close()
         self._owner.on_closed(self)
+        return self._socket
 
     def answer(
         self, status: int, headers: list[Header], body: bytes = b"", *, close: bool = False
@@ -124,39 +147,56 @@
             return
         closes = self._decide_close(close)
         lines = [*headers, (b"content-length", b"%d" % len(body)), *self._list_connection(closes)]
-        self._out += encode_head(status, lines) + body
+        # The answer to HEAD has the headers of the answer to GET and no body.
+        is_head = self._request is not None and self._request.method == b"HEAD"
+        self._queue(encode_head(status, lines) + (b"" if is_head else body))
         self._finish(closes)
 
     def begin_stream(self, status: int, headers: list[Header]) -> None:
-        """Sends the head of an answer whose body follows in chunks."""
+        """Sends the head of an answer whose body follows in pieces.
+
+        HTTP/1.0 has no chunks: there the end of the connection ends the body.
+        """
+        if self._state is not CallerState.ANSWERING:
+            return
         self.has_begun_answer = True
-        self._closes_after_write = self._decide_close(False)
-        lines = [
-            *headers,
-            (b"transfer-encoding", b"chunked"),
-            *self._list_connection(self._closes_after_write),
-        ]
-        self._out += encode_head(status, lines)
+        self._is_chunked = self._request is None or self._request.is_http11
+        self._closes_after_write = self._decide_close(not self._is_chunked)
+        framing = [(b"transfer-encoding", b"chunked")] if self._is_chunked else []
+        lines = [*headers, *framing, *self._list_connection(self._closes_after_write)]
+        self._queue(encode_head(status, lines))
         self._loop.flush_at_end(self._write)
 
     def send_piece(self, data: bytes) -> None:
         """Sends a piece of a streamed body."""
         if data and self._state is CallerState.ANSWERING:
-            self._out += encode_chunk(data)
+            self._queue(encode_chunk(data) if self._is_chunked else data)
             self._loop.flush_at_end(self._write)
 
     def end_stream(self) -> None:
         """Ends a streamed body as complete."""
         if self._state is CallerState.ANSWERING:
-            self._out += LAST_CHUNK
+            if self._is_chunked:
+                self._queue(LAST_CHUNK)
             self._finish(self._closes_after_write)
 
+    def abort_stream(self) -> None:
+        """Ends a streamed body so that the caller can see that it is not complete."""
+        if self._state is CallerState.ANSWERING:
+            self.on_gone = self.on_drained = None
+            self._linger()
+
     def refuse(self, status: int, headers: list[Header], body: bytes) -> None:
         """Answers bytes that are no request, then drops what follows and closes."""
         lines = [*headers, (b"content-length", b"%d" % len(body)), (b"connection", b"close")]
-        self._out += encode_head(status, lines) + body
+        self._queue(encode_head(status, lines) + body)
         self._linger()
 
+    def _queue(self, data: bytes) -> None:
+        if not self._out:
+            self.last_progress = self._loop.now()
+        self._out += data
+
     def _linger(self) -> None:
         self._state = CallerState.LINGERING
         self._arm_timer(LINGER_S)
@@ -233,7 +273,7 @@
             return
         if self._parser.expects_continue and self._state is CallerState.READING:
             self._parser.expects_continue = False
-            self._out += _CONTINUE
+            self._queue(_CONTINUE)
             self._write()
         if self._state is CallerState.READING:
             if self._parser.requests:
@@ -269,6 +309,8 @@
             self._on_eof()
             return
         del self._out[:sent]
+        if sent:
+            self.last_progress = self._loop.now()
         if was_full and not self.is_full and self.on_drained is not None:
             self.on_drained()
         if not self._out and self._state is CallerState.LINGERING:
--- a/src/mulberryrill/internal/entry/listener.py
+++ b/src/mulberryrill/internal/http/listener.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ..eventloop import EventLoop
-from .http import HttpRequest, RequestError, RequestParser, encode_head
+from .messages import HttpRequest, RequestError, RequestParser, encode_head
 from .sockets import RECEIVE_BYTES, open_listener, set_options
 
 # Connections accepted in one turn of the loop.
@@ -17,34 +17,60 @@
     """Accepts connections and passes them on."""
 
     def __init__(
-        self, loop: EventLoop, address: str, on_accept: Callable[[socket.socket], None]
+        self,
+        loop: EventLoop,
+        address: str,
+        on_accept: Callable[[socket.socket], None],
+        *,
+        is_shared: bool = False,
     ) -> None:
+        """With ``is_shared``, several processes may listen on the address."""
         self._loop = loop
         self._address = address
         self._on_accept = on_accept
+        self._is_shared = is_shared
         self._socket: socket.socket | None = None
 
+    @property
+    def port(self) -> int:
+        """The bound port, useful when the address asks for port 0; 0 while not open."""
+        return self._socket.getsockname()[1] if self._socket is not None else 0
+
+    def open(self) -> None:
+        """Binds the address; raises OSError. May be called from any thread."""
+        self._socket = open_listener(self._address, is_shared=self._is_shared)
+
     def start(self) -> None:
-        """Opens the socket; raises OSError."""
-        self._socket = open_listener(self._address)
+        """Accepts connections, after opening the socket if that was not done; raises OSError."""
+        if self._socket is None:
+            self.open()
+        assert self._socket is not None
         self._loop.watch(self._socket.fileno(), select.EPOLLIN, self._accept)
 
     def close(self) -> None:
         """Accepts no more; open connections stay."""
         if self._socket is not None:
+            # Callers whose connections wait here would otherwise see a reset.
+            while self._accept_one():
+                pass
             self._loop.unwatch(self._socket.fileno())
             self._socket.close()
             self._socket = None
 
     def _accept(self, mask: int) -> None:
         for _ in range(MAX_ACCEPTS):
-            if self._socket is None:
+            if self._socket is None or not self._accept_one():
                 return
-            try:
-                sock, _ = self._socket.accept()
-            except OSError:
-                return
-            self._on_accept(sock)
+
+    def _accept_one(self) -> bool:
+        assert self._socket is not None
+        try:
+            sock, _ = self._socket.accept()
+        except OSError:
+            return False
+        sock.setblocking(False)
+        self._on_accept(sock)
+        return True
 
 
 class ProbeConnection:
--- a/src/mulberryrill/internal/entry/http.py
+++ b/src/mulberryrill/internal/http/messages.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from http import HTTPStatus
 
 import httptools
 
@@ -32,21 +33,7 @@
 )
 CRLF = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
-REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    421: b"Misdirected Request",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
+REASONS = {status.value: status.phrase.encode("ascii") for status in HTTPStatus}
 
 
 class HeadError(Enum):
@@ -92,6 +79,7 @@
     # Path and query as sent.
     target: bytes = b""
     keeps_alive: bool = True
+    is_http11: bool = True
 
 
 @dataclass
@@ -152,6 +140,7 @@
         request = self._request
         request.method = self._parser.get_method()
         request.keeps_alive = self._parser.should_keep_alive()
+        request.is_http11 = self._parser.get_http_version() == "1.1"
         self._is_in_head = False
         size = sum(len(name) + len(value) + 4 for name, value in request.headers)
         self._head_bytes = 0
--- a/src/mulberryrill/internal/entry/sockets.py
+++ b/src/mulberryrill/internal/http/sockets.py
@@ -42,11 +42,13 @@
     return sock
 
 
-def open_listener(address: str) -> socket.socket:
-    """Returns a listening socket."""
+def open_listener(address: str, *, is_shared: bool = False) -> socket.socket:
+    """Returns a listening socket; with ``is_shared``, several processes may listen there."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if is_shared:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.setblocking(False)
         sock.bind(split_address(address))
         sock.listen(LISTEN_BACKLOG)
--- a/src/mulberryrill/internal/standins/engine.py
+++ b/src/mulberryrill/internal/standins/engine.py
@@ -17,7 +17,7 @@
 
 from ..events import Event
 from ..history.writer import HistoryWriter
-from ..httpserver import DetachedConnectionError, HttpServer, create_problem
+from ..http.server import DetachedConnectionError, HttpServer, create_problem
 from ..logs import log_event
 from ..schema.settings_pb2 import EngineSettings
 from .answers import StreamAnswer, format_json_answer
--- a/src/mulberryrill/internal/standins/platform.py
+++ b/src/mulberryrill/internal/standins/platform.py
@@ -10,7 +10,7 @@
 
 from ...errors import OffsetExpiredError
 from ..clock import Clock, SystemClock
-from ..httpserver import HttpServer
+from ..http.server import HttpServer
 from ..schema.settings_pb2 import PlatformSettings
 from .logstreams import LogStreams
 from .memberlist import MemberList
--- a/src/mulberryrill/internal/standins/requests.py
+++ b/src/mulberryrill/internal/standins/requests.py
@@ -8,7 +8,7 @@
 from werkzeug.exceptions import BadRequest
 from werkzeug.wrappers import Request, Response
 
-from ..httpserver import DetachedConnectionError, HttpServer
+from ..http.server import DetachedConnectionError, HttpServer
 
 
 def read_json_object(request: Request) -> dict[str, object]:
--- a/src/mulberryrill/internal/standins/service.py
+++ b/src/mulberryrill/internal/standins/service.py
@@ -8,7 +8,7 @@
 from werkzeug.wrappers import Request, Response
 
 from ..history.writer import HistoryWriter
-from ..httpserver import HttpServer, create_problem
+from ..http.server import HttpServer, create_problem
 from ..ids import create_id
 from ..schema.settings_pb2 import PlainServiceSettings
 from .registration import Registration
--- a/src/mulberryrill/internal/standins/store.py
+++ b/src/mulberryrill/internal/standins/store.py
@@ -8,7 +8,7 @@
 from werkzeug.wrappers import Request, Response
 
 from ..history.writer import HistoryWriter
-from ..httpserver import HttpServer, create_problem
+from ..http.server import HttpServer, create_problem
 from ..schema.settings_pb2 import StoreSettings
 from .blocks import BlockTable, StoreError
 from .registration import Registration
--- a/src/mulberryrill/platform/cacheevents.py
+++ b/src/mulberryrill/platform/cacheevents.py
@@ -7,9 +7,9 @@
 from ..internal.entry.cachewatch import CachePage
 from ..internal.entry.connection import ExchangeFailure
 from ..internal.entry.exchange import Reply, exchange
-from ..internal.entry.http import encode_request
 from ..internal.entry.pool import ConnectionPool
 from ..internal.eventloop import EventLoop
+from ..internal.http.messages import encode_request
 
 HTTP_OK = 200
 # Added to the time that a read waits for events.
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -11,7 +11,7 @@
     Verdict,
     VerdictKind,
 )
-from ..internal.entry.http import (
+from ..internal.http.messages import (
     Header,
     HeadError,
     HttpRequest,
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -15,9 +15,9 @@
 from ..errors import StoreCallError
 from ..internal.entry.connection import ExchangeFailure, FailureKind
 from ..internal.entry.exchange import Reply, exchange
-from ..internal.entry.http import Header, encode_request
 from ..internal.entry.pool import ConnectionPool
 from ..internal.eventloop import EventLoop
+from ..internal.http.messages import Header, encode_request
 from ..internal.ids import Offset
 
 # Topics with the newest record of each key: operators' wishes and registered targets.
--- a/src/mulberryrill/platform/targetorders.py
+++ b/src/mulberryrill/platform/targetorders.py
@@ -7,10 +7,10 @@
 from ..internal.core.serving.orders import LeaseRecord, VersionOrder
 from ..internal.entry.connection import ExchangeFailure
 from ..internal.entry.exchange import Reply, exchange
-from ..internal.entry.http import encode_request
 from ..internal.entry.ordering import LeaseView, TargetReport
 from ..internal.entry.pool import ConnectionPool
 from ..internal.eventloop import EventLoop
+from ..internal.http.messages import encode_request
 from ..internal.ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
 from .store import RecordPage, StoreClient
 
--- a/tests/unit/test_http.py
+++ b/tests/unit/test_http_server.py
@@ -7,8 +7,8 @@
 from werkzeug.wrappers import Request, Response
 
 from mulberryrill.errors import HttpError
+from mulberryrill.internal.http.server import DetachedConnectionError, HttpServer
 from mulberryrill.internal.httpclient import HttpClient
-from mulberryrill.internal.httpserver import DetachedConnectionError, HttpServer
 from mulberryrill.internal.schema.settings_pb2 import Listen
 
 
--- a/tests/unit/test_load.py
+++ b/tests/unit/test_load.py
@@ -6,7 +6,7 @@
 from werkzeug.wrappers import Request, Response
 
 from mulberryrill.errors import LoadError
-from mulberryrill.internal.httpserver import HttpServer
+from mulberryrill.internal.http.server import HttpServer
 from mulberryrill.internal.load.client import Result
 from mulberryrill.internal.load.plan import plan_requests
 from mulberryrill.internal.load.report import summarize
--- a/tests/unit/test_platform_clients.py
+++ b/tests/unit/test_platform_clients.py
@@ -7,7 +7,7 @@
 
 from mulberryrill.errors import AppendInDoubtError, OffsetExpiredError, PlatformError
 from mulberryrill.internal.core.records import MAX_RECORD_BYTES
-from mulberryrill.internal.httpserver import DetachedConnectionError, HttpServer
+from mulberryrill.internal.http.server import DetachedConnectionError, HttpServer
 from mulberryrill.internal.ids import Offset
 from mulberryrill.internal.platform.listclient import ListClient, encode_member, parse_member
 from mulberryrill.internal.platform.logclient import LogClient
