Drop pools of addresses that are not used any more; share the histogram

Cause: the channels for cache events and for orders each kept a map of pools by address and never dropped one, so replaced targets added up. AddressPools holds the map once and drops pools without connections. The entry process and the gateway had a latency histogram each; there is one now, without prometheus_client, which the entry process lacks.

Ruled out: dropping by the list of registered targets, which these channels do not have and which lags behind.

--- a/src/mulberryrill/internal/entry/metrics.py
+++ b/src/mulberryrill/internal/entry/metrics.py
@@ -3,13 +3,11 @@
 from collections import Counter
 from collections.abc import Mapping
 
-from hdrh.histogram import HdrHistogram
-
 from ..core.serving.routetable import CallKind
+from ..latency import LatencyHistogram
 
-# Histograms hold 1 ms to 60 s with two significant digits.
-LOWEST_MS, HIGHEST_MS, DIGITS = 1, 60_000, 2
-QUANTILES = (50.0, 95.0, 99.0)
+# Histograms of this size take a few kilobytes each.
+RESOLUTION_S, LONGEST_S, DIGITS = 0.001, 60.0, 2
 PREFIX = "mulberryrill_entry"
 
 
@@ -26,11 +24,11 @@
     def record_call(self, kind: CallKind, result: str, elapsed_s: float) -> None:
         """Counts a call that has ended."""
         self._calls[kind.value, result] += 1
-        self._durations[kind].record_value(_clamp_ms(elapsed_s))
+        self._durations[kind].record(elapsed_s)
 
     def record_first_event(self, elapsed_s: float) -> None:
         """Counts the time from sending a stream's attempt to its first event."""
-        self._first_events.record_value(_clamp_ms(elapsed_s))
+        self._first_events.record(elapsed_s)
 
     def record_attempt(self, service: str, outcome: str) -> None:
         """Counts an attempt that has ended."""
@@ -56,19 +54,15 @@
         return "\n".join([*lines, ""]).encode()
 
 
-def _create_histogram() -> HdrHistogram:
-    return HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
-
-
-def _clamp_ms(elapsed_s: float) -> int:
-    return min(HIGHEST_MS, max(LOWEST_MS, round(elapsed_s * 1000)))
+def _create_histogram() -> LatencyHistogram:
+    return LatencyHistogram(RESOLUTION_S, LONGEST_S, DIGITS)
 
 
-def _render_histogram(name: str, labels: str, histogram: HdrHistogram) -> list[str]:
+def _render_histogram(name: str, labels: str, histogram: LatencyHistogram) -> list[str]:
+    count, _, quantiles = histogram.summarize()
     lines = [
-        f'{PREFIX}_{name}{{{labels}quantile="{quantile / 100:g}"}} '
-        f"{histogram.get_value_at_percentile(quantile)}"
-        for quantile in QUANTILES
+        f'{PREFIX}_{name}{{{labels}quantile="{quantile:g}"}} {round(seconds * 1000)}'
+        for quantile, seconds in quantiles.items()
     ]
     suffix = f"{{{labels.rstrip(',')}}}" if labels else ""
-    return [*lines, f"{PREFIX}_{name}_count{suffix} {histogram.get_total_count()}"]
+    return [*lines, f"{PREFIX}_{name}_count{suffix} {count}"]
--- a/src/mulberryrill/internal/entry/pool.py
+++ b/src/mulberryrill/internal/entry/pool.py
@@ -1,4 +1,4 @@
-"""Kept connections to one address, with a limit on their number."""
+"""Kept connections to servers, with a limit on their number for each address."""
 
 from collections.abc import Callable
 
@@ -91,3 +91,37 @@
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
+
+
+class AddressPools:
+    """One pool for each address in use; pools without connections are dropped."""
+
+    def __init__(self, loop: EventLoop) -> None:
+        self._loop = loop
+        self._pools: dict[str, ConnectionPool] = {}
+
+    @property
+    def size(self) -> int:
+        """Number of pools."""
+        return len(self._pools)
+
+    def find(self, address: str) -> ConnectionPool:
+        """Returns the pool of an address."""
+        pool = self._pools.get(address)
+        if pool is None:
+            self._drop_unused()
+            pool = self._pools[address] = ConnectionPool(self._loop, address)
+        return pool
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
+
+    def _drop_unused(self) -> None:
+        """Targets come and go, so addresses that are not used any more would add up."""
+        for address, pool in list(self._pools.items()):
+            pool.close_expired()
+            if pool.size == 0:
+                del self._pools[address]
--- a/src/mulberryrill/internal/gateway/metrics.py
+++ b/src/mulberryrill/internal/gateway/metrics.py
@@ -1,9 +1,7 @@
 """Metrics of one gateway: Prometheus counters, and HDR histograms for latencies."""
 
-import threading
 from collections.abc import Callable, Iterable
 
-from hdrh.histogram import HdrHistogram
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -14,35 +12,7 @@
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client.registry import Collector
 
-MAX_LATENCY_US = 3600 * 1_000_000
-SIGNIFICANT_DIGITS = 3
-QUANTILES = (0.5, 0.95, 0.99)
-MICROSECONDS = 1_000_000
-
-
-class LatencyHistogram:
-    """Seconds recorded with microsecond resolution; thread-safe."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
-        self._sum = 0.0
-
-    def record(self, seconds: float) -> None:
-        """Adds one value; longer ones than an hour count as an hour."""
-        value = min(max(1, round(seconds * MICROSECONDS)), MAX_LATENCY_US)
-        with self._lock:
-            self._histogram.record_value(value)
-            self._sum += seconds
-
-    def summarize(self) -> tuple[int, float, dict[float, float]]:
-        """Returns count, sum and quantiles in seconds."""
-        with self._lock:
-            quantiles = {
-                q: self._histogram.get_value_at_percentile(q * 100) / MICROSECONDS
-                for q in QUANTILES
-            }
-            return self._histogram.get_total_count(), self._sum, quantiles
+from ..latency import LatencyHistogram
 
 
 class _LatencyCollector(Collector):
--- a/src/mulberryrill/platform/cacheevents.py
+++ b/src/mulberryrill/platform/cacheevents.py
@@ -2,16 +2,16 @@
 
 import json
 from collections.abc import Callable
+from http import HTTPStatus
 
 from ..internal.core.serving.cacheindex import CacheEvent, CacheKey
 from ..internal.entry.cachewatch import CachePage
 from ..internal.entry.connection import ExchangeFailure
 from ..internal.entry.exchange import Reply, exchange
-from ..internal.entry.pool import ConnectionPool
+from ..internal.entry.pool import AddressPools
 from ..internal.eventloop import EventLoop
 from ..internal.http.messages import encode_request
 
-HTTP_OK = 200
 # Added to the time that a read waits for events.
 ANSWER_TIME_S = 0.5
 FREE_TIMEOUT_S = 1.0
@@ -23,12 +23,11 @@
 
     def __init__(self, loop: EventLoop) -> None:
         self._loop = loop
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools = AddressPools(loop)
 
     def close(self) -> None:
         """Closes the connections."""
-        for pool in self._pools.values():
-            pool.close()
+        self._pools.close()
 
     def read_events(
         self, address: str, since: int, wait_s: float, done: Callable[[CachePage | None], None]
@@ -36,14 +35,14 @@
         """Reads events from a number on; None without a readable answer."""
 
         def on_reply(reply: Reply | ExchangeFailure) -> None:
-            if isinstance(reply, Reply) and reply.status == HTTP_OK:
+            if isinstance(reply, Reply) and reply.status == HTTPStatus.OK:
                 done(_read_page(reply.body))
             else:
                 done(None)
 
         headers = [(b"host", address.encode()), (b"wait-ms", b"%d" % int(wait_s * 1000))]
         request = encode_request(b"GET", b"/-/kv-events?since=%d" % since, headers)
-        pool = self._find_pool(address)
+        pool = self._pools.find(address)
         exchange(self._loop, pool, request, wait_s + ANSWER_TIME_S, on_reply)
 
     def free_parts(
@@ -52,18 +51,12 @@
         """Frees parts of a store if it has not restarted; reports whether it did."""
 
         def on_reply(reply: Reply | ExchangeFailure) -> None:
-            done(isinstance(reply, Reply) and reply.status == HTTP_OK)
+            done(isinstance(reply, Reply) and reply.status == HTTPStatus.OK)
 
         body = {"epoch": epoch, "parts": [[key.salt, key.part] for key in parts]}
         headers = [(b"host", address.encode()), (b"content-type", b"application/json")]
         request = encode_request(b"POST", b"/-/kv-free", headers, json.dumps(body).encode())
-        exchange(self._loop, self._find_pool(address), request, FREE_TIMEOUT_S, on_reply)
-
-    def _find_pool(self, address: str) -> ConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = ConnectionPool(self._loop, address)
-        return pool
+        exchange(self._loop, self._pools.find(address), request, FREE_TIMEOUT_S, on_reply)
 
 
 def _read_page(body: bytes) -> CachePage | None:
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -9,6 +9,7 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -29,7 +30,6 @@
 # Time for the answer of a read after its wait.
 WAIT_MARGIN_S = 0.8
 MAX_READ_KB = 1024
-HTTP_OK = 200
 # Longest part of an error answer that is logged.
 MAX_DETAIL_BYTES = 200
 _READ_HEAD = struct.Struct(">QQ")
@@ -213,7 +213,7 @@
                 # A refused connection means that nothing was done.
                 in_doubt = is_write and result.kind is not FailureKind.CONNECT
                 done(StoreCallError(f"store: {result.message}", 0, in_doubt))
-            elif result.status != HTTP_OK:
+            elif result.status != HTTPStatus.OK:
                 # Every answer but 200 means that nothing was done.
                 detail = result.body[:MAX_DETAIL_BYTES].decode("latin-1")
                 message = f"store: {result.status} {detail}"
@@ -225,7 +225,9 @@
             try:
                 return decode(body)
             except (ValueError, KeyError, IndexError, TypeError, struct.error) as error:
-                return StoreCallError(f"store: unreadable answer: {error!r}", HTTP_OK, is_write)
+                return StoreCallError(
+                    f"store: unreadable answer: {error!r}", HTTPStatus.OK, is_write
+                )
 
         exchange(self._loop, self._pool, request, timeout_s, finish)
 
--- a/src/mulberryrill/platform/targetorders.py
+++ b/src/mulberryrill/platform/targetorders.py
@@ -2,13 +2,14 @@
 
 import json
 from collections.abc import Callable
+from http import HTTPStatus
 
 from ..errors import StoreCallError
 from ..internal.core.serving.orders import LeaseRecord, VersionOrder
 from ..internal.entry.connection import ExchangeFailure
 from ..internal.entry.exchange import Reply, exchange
 from ..internal.entry.ordering import LeaseView, TargetReport
-from ..internal.entry.pool import ConnectionPool
+from ..internal.entry.pool import AddressPools
 from ..internal.eventloop import EventLoop
 from ..internal.http.messages import encode_request
 from ..internal.ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
@@ -19,7 +20,6 @@
 # An order that is answered later than this counts as lost; it may still be carried out.
 ORDER_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.5
-HTTP_OK = 200
 ORDER_ANSWERS = {
     200: "order already holds",
     202: "order accepted",
@@ -38,12 +38,11 @@
         self._loop = loop
         self._store = store
         self._instance = instance
-        self._pools: dict[str, ConnectionPool] = {}
+        self._pools = AddressPools(loop)
 
     def close(self) -> None:
         """Closes the connections to targets."""
-        for pool in self._pools.values():
-            pool.close()
+        self._pools.close()
 
     def read_lease(self, done: Callable[[LeaseView | None], None]) -> None:
         """Reports the newest lease record; None if the store did not answer."""
@@ -76,12 +75,12 @@
         """Asks a target for its state; None without a readable answer."""
 
         def on_reply(reply: Reply | ExchangeFailure) -> None:
-            is_answer = isinstance(reply, Reply) and reply.status == HTTP_OK
+            is_answer = isinstance(reply, Reply) and reply.status == HTTPStatus.OK
             done(_read_report(reply.body) if is_answer else None)  # type: ignore[union-attr]
 
         headers = [(b"host", address.encode()), (b"expect-instance", target.encode())]
         request = encode_request(b"GET", b"/-/report", headers)
-        exchange(self._loop, self._find_pool(address), request, REPORT_TIMEOUT_S, on_reply)
+        exchange(self._loop, self._pools.find(address), request, REPORT_TIMEOUT_S, on_reply)
 
     def send_order(
         self,
@@ -118,13 +117,7 @@
             (b"expect-instance", order.target.encode()),
         ]
         request = encode_request(b"POST", b"/-/order", headers, json.dumps(body).encode())
-        exchange(self._loop, self._find_pool(order.address), request, ORDER_TIMEOUT_S, on_reply)
-
-    def _find_pool(self, address: str) -> ConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = ConnectionPool(self._loop, address)
-        return pool
+        exchange(self._loop, self._pools.find(order.address), request, ORDER_TIMEOUT_S, on_reply)
 
 
 def _read_report(body: bytes) -> TargetReport | None:
