Take signals from the first line of the entry program on

Cause: handlers were installed after imports and the reading of settings, so a SIGHUP in the first half second of a process ended it, and SIGTERM ended it with the signal's code.

Before: test_entry_program fails (process ended, never ready); after: it passes.

--- a/src/mulberryrill/internal/program.py
+++ b/src/mulberryrill/internal/program.py
@@ -68,6 +68,7 @@
     """
 
     def main(argv: list[str]) -> int:
+        signals = _Signals()
         if len(argv) > 1:
             print(f"{name}: unexpected argument {argv[1]!r}; use --settings FILE", file=sys.stderr)
             return EXIT_SETTINGS_INVALID
@@ -84,7 +85,7 @@
             print(f"{name}: {error}", file=sys.stderr)
             return EXIT_SETTINGS_INVALID
         reloader = _Reloader(path, settings_type, program, settings)
-        return _serve(name, program, reloader)
+        return _serve(name, program, reloader, signals)
 
     app.run(main)
 
@@ -95,6 +96,17 @@
     return settings
 
 
+class _Signals:
+    """Takes signals from the start on, since SIGHUP would otherwise end the process."""
+
+    def __init__(self) -> None:
+        self.stop = threading.Event()
+        self.reload = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.stop.set())
+        signal.signal(signal.SIGHUP, lambda *_: self.reload.set())
+
+
 class _Reloader:
     """Reads the settings again when their file has changed; a mistake changes nothing."""
 
@@ -106,15 +118,13 @@
         self._program = program
         self._settings = settings
         self._modified_ns = self._find_modified()
-        self.is_asked = threading.Event()
 
-    def check(self) -> None:
+    def check(self, is_asked: bool) -> None:
         """Reloads after a signal or a change of the file."""
         modified_ns = self._find_modified()
-        if modified_ns == self._modified_ns and not self.is_asked.is_set():
+        if modified_ns == self._modified_ns and not is_asked:
             return
         self._modified_ns = modified_ns
-        self.is_asked.clear()
         if not isinstance(self._program, ReloadableProgram):
             return
         try:
@@ -136,19 +146,17 @@
             return 0
 
 
-def _serve(name: str, program: Program, reloader: _Reloader) -> int:
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    signal.signal(signal.SIGHUP, lambda *_: reloader.is_asked.set())
+def _serve(name: str, program: Program, reloader: _Reloader, signals: _Signals) -> int:
     try:
         program.start()
     except (MulberryrillError, OSError) as error:
         log_event(_LOGGER, logging.ERROR, Event.TASK_FAILED, f"{name} cannot start: {error}")
         return EXIT_START_FAILED
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STARTED, f"{name} started")
-    while not stop.wait(RELOAD_CHECK_S):
-        reloader.check()
+    while not signals.stop.wait(RELOAD_CHECK_S):
+        is_asked = signals.reload.is_set()
+        signals.reload.clear()
+        reloader.check(is_asked)
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STOPPING, f"{name} is stopping")
     program.close()
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STOPPED, f"{name} stopped")
--- /dev/null
+++ b/tests/common/entryfleet.py
@@ -0,0 +1,401 @@
+"""Entry processes with the store and targets of the users' platform played by this process.
+
+Every connection between them passes a ``Link``. Targets report what they run to a
+``PromiseChecker``.
+"""
+
+import contextlib
+import http.client
+import itertools
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from enum import Enum
+from pathlib import Path
+
+import yaml
+
+from .entry import (
+    CUSTOMER,
+    HOST,
+    LOCAL,
+    MODEL,
+    Arrival,
+    PlatformStore,
+    TargetStandin,
+    _Handler,
+    create_configuration,
+    find_port,
+)
+from .links import Link, LinkState
+from .promises import GRACE_S, CallKind, CallRecord, Disturbances, PromiseChecker
+
+STREAM_EVENTS = 8
+EVENT_INTERVAL_S = 0.015
+PLAIN_WORK_S = 0.005
+SLOW_FACTOR = 20
+HANG_S = 3.0
+CALL_TIMEOUT_S = 6.0
+READY_TIMEOUT_S = 30.0
+KEYS = 40
+COLD_S = 3.0
+SERVICES = ("desk", "lm")
+DATA_CENTRES = ("z1", "z2")
+PATHS = {
+    CallKind.GET: ("GET", "/get/"),
+    CallKind.PAY: ("POST", "/pay/"),
+    CallKind.STREAM: ("POST", "/quick/"),
+    CallKind.RESUMABLE: ("POST", "/plan/"),
+}
+TIMEOUT_S = 2.0
+ENTRY_SCRIPT = Path(__file__).resolve().parents[2] / "deploy" / "entry.py"
+
+
+class TargetFault(Enum):
+    """How a target treats calls."""
+
+    NONE = "none"
+    BREAK = "break"
+    REJECT = "reject"
+    HANG = "hang"
+    SLOW = "slow"
+    UNSIGNED = "unsigned"
+
+
+class FleetTarget(TargetStandin):
+    """A target whose answers name the request and the run."""
+
+    def __init__(self, name: str, service: str, data_centre: str, checker: PromiseChecker) -> None:
+        super().__init__(name, lambda target, request, arrival: self.serve(request, arrival))
+        self.service = service
+        self.data_centre = data_centre
+        self.fault = TargetFault.NONE
+        self.link: Link | None = None
+        self._checker = checker
+        self._runs = itertools.count()
+
+    @property
+    def address(self) -> str:
+        port = self.link.port if self.link is not None else self.port
+        return f"{LOCAL}:{port}"
+
+    def serve(self, request: _Handler, arrival: Arrival) -> None:
+        """Runs a call, or rejects it, according to the fault."""
+        headers = arrival.headers
+        request_id = headers.get("request-id", "")
+        self.arrivals.clear()
+        if headers.get("expect-instance", self.name) != self.name:
+            request.reply(421, b"", Not_Run="1", Request_Id=request_id)
+            return
+        if self.fault is TargetFault.REJECT:
+            request.reply(503, b"", Not_Run="1", Request_Id=request_id)
+            return
+        stamp = f"{self.name}/{next(self._runs)}"
+        self._checker.add_run(request_id, self.name, stamp, headers.get("tenant"))
+        slowness = SLOW_FACTOR if self.fault is TargetFault.SLOW else 1
+        if self.fault is TargetFault.HANG:
+            time.sleep(HANG_S)
+        signature = {
+            "Request_Id": request_id,
+            "Server_Stamp": stamp,
+            "Weight_Versions": str(self.version),
+        }
+        if self.fault is TargetFault.UNSIGNED:
+            del signature["Server_Stamp"]
+        if "/get/" in arrival.path or "/pay/" in arrival.path:
+            time.sleep(PLAIN_WORK_S * slowness)
+            if self.fault is TargetFault.BREAK:
+                self._break(request)
+                return
+            request.reply(200, f"{request_id}:{stamp}".encode(), **signature)
+            return
+        self._stream(request, arrival, signature, slowness)
+
+    def _stream(
+        self, request: _Handler, arrival: Arrival, signature: dict[str, str], slowness: int
+    ) -> None:
+        request.send_response(200)
+        for name, value in signature.items():
+            request.send_header(name.replace("_", "-"), value)
+        request.send_header("content-type", "text/event-stream")
+        request.send_header("transfer-encoding", "chunked")
+        request.end_headers()
+        first = int(arrival.headers.get("last-event-id", 0)) + 1
+        for number in range(first, STREAM_EVENTS + 1):
+            time.sleep(EVENT_INTERVAL_S * slowness)
+            if self.fault is TargetFault.BREAK and number > STREAM_EVENTS // 2:
+                self._break(request)
+                return
+            event = f"id: {number}\ndata: {signature['Request_Id']}:{number}\n\n".encode()
+            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            request.wfile.flush()
+        request.wfile.write(b"0\r\n\r\n")
+
+    def _break(self, request: _Handler) -> None:
+        request.close_connection = True
+        with contextlib.suppress(OSError):
+            request.connection.shutdown(socket.SHUT_RDWR)
+
+    def _take_order(self, request: _Handler, body: dict) -> None:
+        self._checker.add_order(self.name, body["holder"], body["fence"])
+        super()._take_order(request, body)
+
+
+class EntryProcess:
+    """One entry process and its link to the store."""
+
+    def __init__(self, name: str, data_centre: str, store: PlatformStore, folder: Path) -> None:
+        self.name = name
+        self.link = Link(LOCAL, store.port)
+        self.callers_port = find_port()
+        self.readiness_port = find_port()
+        self.log_file = folder / f"{name}.log"
+        self._settings_file = folder / f"{name}.yaml"
+        # One fault at a time changes whether the process runs.
+        self.lock = threading.Lock()
+        self.process: subprocess.Popen | None = None
+        settings = {
+            "instance": name,
+            "data_centre": data_centre,
+            "callers_address": f"{LOCAL}:{self.callers_port}",
+            "readiness_address": f"{LOCAL}:{self.readiness_port}",
+            "peer_address": f"{LOCAL}:{find_port()}",
+            "store_address": f"{LOCAL}:{self.link.port}",
+            "metrics_address": f"{LOCAL}:{find_port()}",
+            "bounds": {
+                "drain_ms": 3000,
+                "grace_ms": int(GRACE_S * 1000),
+                "order_lease_ms": 3000,
+                "version_ms": 10_000,
+                "retry_ratio": 0.2,
+                "retry_reserve": 50,
+                "cold_factor": 1.5,
+                "cold_reserve": 5,
+            },
+            "log_level": "info",
+        }
+        self._settings_file.write_text(yaml.safe_dump(settings), encoding="utf-8")
+
+    def start(self) -> None:
+        """Starts the process and waits for its first line; its log is appended to a file."""
+        with open(self.log_file, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, ENTRY_SCRIPT, "--settings", self._settings_file],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        # No program can take a signal before its interpreter runs.
+        end = time.monotonic() + READY_TIMEOUT_S
+        while not _takes_signal(self.process.pid, signal.SIGHUP) and time.monotonic() < end:
+            time.sleep(0.005)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends the process at once, also while it is paused."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait()
+
+    def ask_ready(self) -> bool:
+        """Asks for readiness as the balancer does."""
+        connection = http.client.HTTPConnection(LOCAL, self.readiness_port, timeout=0.5)
+        try:
+            connection.request("GET", "/-/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+
+def _takes_signal(pid: int, number: signal.Signals) -> bool:
+    """Whether a process ignores or handles a signal, from Linux's status of processes."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return True
+    masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+    return any(mask >> (number - 1) & 1 for mask in masks)
+
+
+class EntryFleet:
+    """Store, targets and entry processes of two data centres."""
+
+    def __init__(self, instances: int = 4, targets: int = 8) -> None:
+        self.disturbances = Disturbances()
+        self.checker = PromiseChecker(self.disturbances)
+        self.keys = [f"key-of-{CUSTOMER}/{number}" for number in range(KEYS)]
+        self.configuration_version = 0
+        self.weight_version = 1
+        self.store = PlatformStore()
+        self._folder = tempfile.TemporaryDirectory(prefix="mulberryrill-fleet-")
+        folder = Path(self._folder.name)
+        self.entries = [
+            EntryProcess(f"front-{n}", DATA_CENTRES[n % 2], self.store, folder)
+            for n in range(instances)
+        ]
+        self._names = itertools.count(1)
+        self.targets = [self._create_target(n) for n in range(targets)]
+
+    def start(self) -> None:
+        """Starts everything and waits until all instances are ready."""
+        self.store.start()
+        self.apply_configuration()
+        for target in self.targets:
+            target.start()
+            target.link = Link(LOCAL, target.port)
+            self.register(target)
+        for entry in self.entries:
+            entry.start()
+        for entry in self.entries:
+            self.wait_ready(entry)
+
+    def close(self) -> None:
+        """Ends what was started."""
+        for entry in self.entries:
+            if entry.process is not None and entry.process.poll() is None:
+                entry.kill()
+            entry.link.close()
+        for target in self.targets:
+            if target.link is not None:
+                target.link.close()
+            target.close()
+        self.store.close()
+        self._folder.cleanup()
+
+    def wait_ready(self, entry: EntryProcess) -> None:
+        """Waits until an instance is ready; raises AssertionError."""
+        end = time.monotonic() + READY_TIMEOUT_S
+        while not entry.ask_ready():
+            if time.monotonic() > end:
+                raise AssertionError(f"{entry.name} is not ready:\n{entry.log_file.read_text()}")
+            time.sleep(0.05)
+
+    def _create_target(self, number: int) -> FleetTarget:
+        name = f"t{next(self._names)}"
+        data_centre = DATA_CENTRES[number // 2 % 2]
+        return FleetTarget(name, SERVICES[number % 2], data_centre, self.checker)
+
+    def register(self, target: FleetTarget, **changes: object) -> None:
+        """Writes a target's entry of the registry."""
+        entry = target.describe(target.service, zone=target.data_centre, **changes)
+        self.store.put("keyed.servers", target.name, entry)
+
+    def replace(self, target: FleetTarget, service: str, *, is_cold: bool) -> None:
+        """Lets another target take over the address; the entry of the old one is deleted."""
+        old = target.name
+        target.name = f"t{next(self._names)}"
+        target.service = service
+        target.orders = []
+        target.version = self.weight_version
+        self.store.put("keyed.servers", old, None)
+        # Only the configuration of engines has limits for cold targets.
+        cold_s = COLD_S if is_cold and service == "lm" else 0.0
+        if cold_s:
+            self.checker.note_cold(target.name, time.monotonic() + cold_s)
+        self.register(target, cold_remaining_ms=int(cold_s * 1000))
+
+    def apply_configuration(self) -> None:
+        """Writes a configuration with the keys that are left."""
+        self.configuration_version += 1
+        tenants = [{"name": CUSTOMER, "api_keys": self.keys}]
+        configuration = create_configuration(self.configuration_version, tenants=tenants)
+        self.store.put("keyed.op", "config", configuration)
+
+    def name_weights(self) -> None:
+        """Names the next weights of the model."""
+        self.weight_version += 1
+        value = {"model": MODEL, "version": self.weight_version}
+        self.store.put("keyed.op", f"version/{MODEL}", value)
+
+    def find_old_targets(self) -> list[str]:
+        """Returns the engines that do not have the newest weights."""
+        return [
+            target.name
+            for target in self.targets
+            if target.service == "lm" and target.version != self.weight_version
+        ]
+
+    def set_store_state(self, state: LinkState) -> None:
+        """Changes all instances' links to the store."""
+        for entry in self.entries:
+            entry.link.set_state(state)
+
+
+class FleetCaller:
+    """A caller that keeps its connection to an instance until that ends it."""
+
+    def __init__(self, fleet: EntryFleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+        self._count = itertools.count()
+        self._entry: EntryProcess | None = None
+        self._connection: http.client.HTTPConnection | None = None
+
+    def call(self, entry: EntryProcess, kind: CallKind, key: str) -> int | None:
+        """Makes one call; returns the status of a whole answer. ``entry`` is used if the caller
+        has no open connection."""
+        if self._connection is None:
+            self._entry = entry
+            self._connection = http.client.HTTPConnection(
+                LOCAL, entry.callers_port, timeout=CALL_TIMEOUT_S
+            )
+        assert self._entry is not None
+        request_id = f"{self._name}-{next(self._count)}"
+        record = CallRecord(request_id, kind, self._entry.name, time.monotonic(), TIMEOUT_S, key)
+        self._fleet.checker.add_call(record)
+        try:
+            return self._exchange(record)
+        except (OSError, http.client.HTTPException):
+            self._fleet.checker.add_cut(request_id)
+            self.close()
+            return None
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _exchange(self, record: CallRecord) -> int:
+        assert self._connection is not None
+        method, path = PATHS[record.kind]
+        is_model = record.kind in (CallKind.STREAM, CallKind.RESUMABLE)
+        headers = {
+            "Host": HOST,
+            "Request-Id": record.request_id,
+            "X-Api-Key": record.key,
+            "Deadline-Ms": str(int(TIMEOUT_S * 1000)),
+        }
+        if is_model:
+            headers |= {"Model": MODEL, "Token-Usage": "1000,16", "Prefix-Hash": "aa:500,bb:300"}
+        self._connection.request(method, path, b"{}" if method == "POST" else None, headers)
+        response = self._connection.getresponse()
+        body = response.read()
+        stamp = response.getheader("server-stamp")
+        is_whole = _is_stream(record, body) if is_model else _is_plain(record, stamp, body)
+        self._fleet.checker.add_answer(record.request_id, response.status, stamp, is_whole)
+        if response.will_close:
+            self.close()
+        return response.status
+
+
+def _is_plain(record: CallRecord, stamp: str | None, body: bytes) -> bool:
+    return body == f"{record.request_id}:{stamp}".encode()
+
+
+def _is_stream(record: CallRecord, body: bytes) -> bool:
+    expected = "".join(
+        f"id: {number}\ndata: {record.request_id}:{number}\n\n"
+        for number in range(1, STREAM_EVENTS + 1)
+    )
+    return body == expected.encode()
