Run entry processes under random faults and check what callers and targets see

Cause: the random fault run covered gateways and control processes only; the entry process had the users' bench and tests with one fault each.

Links can be delayed, silenced in one direction and reset.

Ruled out: checking histories of the processes afterwards, since the entry process must be judged by what others see.

--- /dev/null
+++ b/benches/entryfaults.py
@@ -0,0 +1,329 @@
+"""Random faults against entry processes; ``tests.common.promises`` checks what is seen meanwhile.
+
+Faults come from outside: signals, links that are delayed, silenced, cut or reset, a store that is
+down, forgets or loses answers, and targets that crash, reject, hang, break or are replaced.
+"""
+
+import random
+import shutil
+import signal
+import subprocess
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from tests.common.entry import CUSTOMER
+from tests.common.entryfleet import EntryFleet, EntryProcess, FleetCaller, FleetTarget, TargetFault
+from tests.common.links import LinkState
+from tests.common.promises import GRACE_S, STORE, CallKind, unplanned
+
+from .randomwork import RandomWork, Step
+
+CALLERS = 8
+KINDS = [CallKind.GET, CallKind.PAY, CallKind.PAY, CallKind.STREAM, CallKind.RESUMABLE]
+MAX_FAULT_S = 4.0
+# A process ends this much after its grace period at the latest.
+STOP_SLACK_S = 1.0
+# The balancer takes an instance out after two missed answers, a second apart.
+BALANCER_LAG_S = 2.0
+RECOVER_S = 15.0
+RECOVERED_CALLS = 5
+LINK_FAULTS = [
+    LinkState.DELAYED,
+    LinkState.PAUSED,
+    LinkState.PAUSED_OUTWARD,
+    LinkState.PAUSED_BACK,
+    LinkState.CUT,
+    LinkState.RESET,
+]
+
+
+class EntryFaultRun(RandomWork):
+    """One run on one fleet."""
+
+    def __init__(self, fleet: EntryFleet, seed: int) -> None:
+        super().__init__(seed)
+        self._fleet = fleet
+        self._ready = set(fleet.entries)
+
+    def list_work(self) -> list[tuple[str, Step]]:
+        """Returns callers, the balancer, operators and faults."""
+        callers = [(f"caller-{number}", self._create_caller(number)) for number in range(CALLERS)]
+        return [
+            *callers,
+            ("balancer", self._poll_readiness),
+            ("keys", self._withdraw_key),
+            ("weights", self._name_weights),
+            ("processes", self._disturb_process),
+            ("more processes", self._disturb_process),
+            ("store links", self._disturb_store_link),
+            ("store", self._disturb_store),
+            ("targets", self._disturb_target),
+            ("more targets", self._disturb_target),
+            ("replacements", self._replace_target),
+        ]
+
+    def check_recovery(self) -> None:
+        """Waits until each instance serves again and the engines have the newest weights."""
+        end = time.monotonic() + RECOVER_S
+        for entry in self._fleet.entries:
+            with entry.lock:
+                if not self._serves(entry, end):
+                    self._fleet.checker.violate("RECOVER", f"{entry.name} does not serve")
+        while (old := self._fleet.find_old_targets()) and time.monotonic() < end:
+            time.sleep(0.1)
+        if old:
+            self._fleet.checker.violate("VERSION", f"{old} have old weights")
+
+    def _serves(self, entry: EntryProcess, end: float) -> bool:
+        caller = FleetCaller(self._fleet, f"recovery-{entry.name}")
+        answered = 0
+        while answered < RECOVERED_CALLS and time.monotonic() < end:
+            status = caller.call(entry, CallKind.GET, self._fleet.keys[-1])
+            answered = answered + 1 if status == 200 else 0
+            time.sleep(0.02)
+        caller.close()
+        return answered == RECOVERED_CALLS
+
+    def _create_caller(self, number: int) -> Step:
+        caller = FleetCaller(self._fleet, f"c{number}")
+        return lambda generator: self._call(caller, generator)
+
+    def _call(self, caller: FleetCaller, generator: random.Random) -> None:
+        entries = [entry for entry in self._fleet.entries if entry in self._ready]
+        if not entries:
+            self.pause(generator, 0.1, 0.2)
+            return
+        key = generator.choice(self._fleet.keys)
+        caller.call(generator.choice(entries), generator.choice(KINDS), key)
+        if generator.random() < 0.02:
+            caller.close()
+        self.pause(generator, 0.0, 0.05)
+
+    def _poll_readiness(self, generator: random.Random) -> None:
+        misses = dict.fromkeys(self._fleet.entries, 0)
+        while not self._stop.wait(BALANCER_LAG_S / 2):
+            for entry in self._fleet.entries:
+                misses[entry] = 0 if entry.ask_ready() else misses[entry] + 1
+                if misses[entry] == 0:
+                    self._ready.add(entry)
+                elif misses[entry] >= 2:
+                    self._ready.discard(entry)
+
+    def _withdraw_key(self, generator: random.Random) -> None:
+        """Callers go on with the key for a while."""
+        self.pause(generator, 2.0, 6.0)
+        if len(self._fleet.keys) <= 2 or self._stop.is_set():
+            return
+        key = self._fleet.keys[0]
+        self._fleet.keys.remove(key)
+        self._fleet.apply_configuration()
+        self._fleet.checker.note_withdrawn(key)
+        self.count("key withdrawn")
+        caller = FleetCaller(self._fleet, f"old-{key.removeprefix(f'key-of-{CUSTOMER}/')}")
+        for _ in range(20):
+            caller.call(generator.choice(self._fleet.entries), CallKind.GET, key)
+            self.pause(generator, 0.1, 0.5)
+            caller.close()
+
+    def _name_weights(self, generator: random.Random) -> None:
+        self.pause(generator, 5.0, 10.0)
+        self._fleet.name_weights()
+        self.count("weights named")
+
+    @contextmanager
+    def _disturb(self, *names: str) -> Iterator[None]:
+        for name in names:
+            self._fleet.disturbances.begin(name)
+        try:
+            yield
+        finally:
+            for name in names:
+                self._fleet.disturbances.end(name)
+
+    def _disturb_process(self, generator: random.Random) -> None:
+        self.pause(generator, 0.5, 4.0)
+        entry = generator.choice(self._fleet.entries)
+        step = generator.choice(
+            [self._kill, self._pause, self._stop_planned, self._stop_then_kill, self._flap]
+        )
+        with entry.lock:
+            if self._check_alive(entry):
+                self.count(f"process {step.__name__.strip('_')}")
+                step(entry, generator)
+
+    def _check_alive(self, entry: EntryProcess) -> bool:
+        assert entry.process is not None
+        code = entry.process.poll()
+        if code is None:
+            return True
+        self._fleet.checker.violate("FAULT", f"{entry.name} ended by itself with {code}")
+        entry.start()
+        return False
+
+    def _restart(self, entry: EntryProcess) -> None:
+        entry.start()
+        self._fleet.wait_ready(entry)
+
+    def _kill(self, entry: EntryProcess, generator: random.Random) -> None:
+        with self._disturb(entry.name, unplanned(entry.name)):
+            entry.kill()
+            self.pause(generator, 0.0, 2.0)
+            entry.start()
+
+    def _pause(self, entry: EntryProcess, generator: random.Random) -> None:
+        with self._disturb(entry.name, unplanned(entry.name)):
+            entry.send_signal(signal.SIGSTOP)
+            if generator.random() < 0.3:
+                entry.send_signal(signal.SIGHUP)
+            self.pause(generator, 0.1, MAX_FAULT_S)
+            entry.send_signal(signal.SIGCONT)
+
+    def _stop_planned(self, entry: EntryProcess, generator: random.Random) -> None:
+        with self._disturb(entry.name):
+            was_ready = entry.ask_ready()
+            entry.send_signal(signal.SIGTERM)
+            if generator.random() < 0.3:
+                self.pause(generator, 0.0, 1.0)
+                entry.send_signal(generator.choice([signal.SIGTERM, signal.SIGHUP]))
+            self._wait_end(entry, was_ready)
+            entry.start()
+
+    def _wait_end(self, entry: EntryProcess, was_ready: bool) -> None:
+        """A process that was not ready yet may be ended by the signal itself."""
+        assert entry.process is not None
+        try:
+            code = entry.process.wait(GRACE_S + STOP_SLACK_S)
+        except subprocess.TimeoutExpired:
+            self._fleet.checker.violate("GRACE", f"{entry.name} runs on after its grace period")
+            entry.kill()
+            return
+        if code != 0 and (was_ready or code != -signal.SIGTERM):
+            self._fleet.checker.violate("FAULT", f"{entry.name} stopped with code {code}")
+
+    def _stop_then_kill(self, entry: EntryProcess, generator: random.Random) -> None:
+        with self._disturb(entry.name, unplanned(entry.name)):
+            entry.send_signal(signal.SIGTERM)
+            self.pause(generator, 0.0, 2.0)
+            entry.kill()
+            entry.start()
+
+    def _flap(self, entry: EntryProcess, generator: random.Random) -> None:
+        """Kills a process again while it starts, and pauses the next one."""
+        with self._disturb(entry.name, unplanned(entry.name)):
+            for _ in range(2):
+                entry.kill()
+                entry.start()
+                self.pause(generator, 0.1, 0.8)
+                entry.send_signal(signal.SIGHUP)
+            entry.send_signal(signal.SIGSTOP)
+            self.pause(generator, 0.1, 1.0)
+            entry.send_signal(signal.SIGCONT)
+
+    def _disturb_store_link(self, generator: random.Random) -> None:
+        self.pause(generator, 0.5, 3.0)
+        entry = generator.choice(self._fleet.entries)
+        state = generator.choice(LINK_FAULTS)
+        self.count(f"store link {state.value}")
+        with self._disturb(entry.name, unplanned(entry.name)):
+            entry.link.set_state(state)
+            self.pause(generator, 0.2, MAX_FAULT_S)
+            entry.link.set_state(LinkState.OPEN)
+
+    def _disturb_store(self, generator: random.Random) -> None:
+        self.pause(generator, 2.0, 8.0)
+        store = self._fleet.store
+        fault = generator.choice(["down", "silent", "forgets", "loses appends", "loses reads"])
+        self.count(f"store {fault}")
+        with self._disturb(STORE):
+            if fault == "down":
+                store.is_down = True
+            elif fault == "silent":
+                self._fleet.set_store_state(LinkState.PAUSED)
+            elif fault == "forgets":
+                for topic in ("keyed.op", "keyed.servers"):
+                    store.forget_history(topic)
+            store.loses_append_answers = fault == "loses appends"
+            store.loses_waiting_answers = fault == "loses reads"
+            self.pause(generator, 0.2, MAX_FAULT_S)
+            store.is_down = store.loses_append_answers = store.loses_waiting_answers = False
+            if fault == "silent":
+                self._fleet.set_store_state(LinkState.OPEN)
+
+    def _disturb_target(self, generator: random.Random) -> None:
+        self.pause(generator, 0.2, 2.0)
+        target = generator.choice(self._fleet.targets)
+        if generator.random() < 0.5:
+            fault = generator.choice(list(TargetFault))
+            self.count(f"target {fault.value}")
+            with self._disturb(target.name):
+                target.fault = fault
+                self.pause(generator, 0.2, MAX_FAULT_S)
+                target.fault = TargetFault.NONE
+            return
+        state = generator.choice(LINK_FAULTS)
+        self.count(f"target link {state.value}")
+        assert target.link is not None
+        with self._disturb(target.name):
+            target.link.set_state(state)
+            self.pause(generator, 0.2, MAX_FAULT_S)
+            target.link.set_state(LinkState.OPEN)
+
+    def _replace_target(self, generator: random.Random) -> None:
+        """Drains a target or loses it; another one takes over its address."""
+        self.pause(generator, 1.0, 4.0)
+        target = generator.choice(self._fleet.targets)
+        old = target.name
+        if generator.random() < 0.6:
+            self.count("target drained")
+            self._fleet.register(target, state="draining")
+            self._fleet.checker.note_leaving(old)
+            self.pause(generator, 3.5, 6.0)
+            self._take_over(target, generator)
+        else:
+            self.count("target lost")
+            with self._disturb(old):
+                assert target.link is not None
+                target.link.set_state(generator.choice([LinkState.RESET, LinkState.PAUSED]))
+                self.pause(generator, 0.5, 2.0)
+                self._take_over(target, generator)
+                target.link.set_state(LinkState.OPEN)
+
+    def _take_over(self, target: FleetTarget, generator: random.Random) -> None:
+        services = [other.service for other in self._fleet.targets if other is not target]
+        # Each service keeps two targets at least.
+        service = min(("desk", "lm"), key=services.count)
+        if services.count(service) > 2:
+            service = generator.choice(["desk", "lm"])
+        self._fleet.replace(target, service, is_cold=generator.random() < 0.7)
+
+
+def run_entry_faults(seed: int, seconds: float) -> bool:
+    """Carries out one run and prints its counts and violations; returns whether it was clean."""
+    fleet = EntryFleet()
+    try:
+        fleet.start()
+        run = EntryFaultRun(fleet, seed)
+        run.run(seconds)
+        run.check_recovery()
+        fleet.checker.check_end()
+        violations = list(fleet.checker.violations)
+        if violations:
+            keep_logs(fleet, Path(f"run/faults-{seed}"))
+    finally:
+        fleet.close()
+    print(f"seed {seed}, {seconds:g} s")
+    for what, count in sorted((run.counts + fleet.checker.counts).items()):
+        print(f"  {what}: {count}")
+    for violation in violations:
+        print(f"violation: {violation}")
+    return not violations
+
+
+def keep_logs(fleet: EntryFleet, folder: Path) -> None:
+    """Copies the logs of a run with violations, so that their cause can be found."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for entry in fleet.entries:
+        shutil.copy(entry.log_file, folder / entry.log_file.name)
+    print(f"logs are kept in {folder}")
--- a/benches/faults.py
+++ b/benches/faults.py
@@ -1,6 +1,9 @@
 """Runs real processes under random faults from a fixed seed and checks the histories.
 
-Run: PYTHONPATH=src python -m benches.faults [--seed N] [--seconds N]
+Run: PYTHONPATH=src python -m benches.faults [--deployment entry] [--seed N] [--runs N]
+[--seconds N]
+With "--deployment entry" the entry processes of the users' platform run (benches/entryfaults.py),
+else gateways and control processes:
 Callers send streams, plain calls and calls that must run once, which they repeat with the same key
 at other instances; operators change documents and drain and return a data centre. Meanwhile
 processes are killed and paused, links to the platform cut or stalled, and stand-ins fail. Then
@@ -11,10 +14,7 @@
 import random
 import shutil
 import sys
-import threading
 import time
-from collections import Counter
-from collections.abc import Callable
 from pathlib import Path
 
 from absl import app, flags
@@ -26,6 +26,9 @@
 from tests.common.deployment import Deployment, create_site, read_owner
 from tests.common.links import LinkState
 
+from .entryfaults import run_entry_faults
+from .randomwork import RandomWork, Step
+
 INSTANCES = [f"{centre}-{number}" for centre in ("kariakoo", "msasani") for number in (1, 2)]
 DATA_CENTRES = ("kariakoo", "msasani")
 CALLERS = 6
@@ -37,36 +40,21 @@
 DRAINED_S = 8.0
 
 _SEED = flags.DEFINE_integer("seed", 1, "seed of callers and faults")
-_SECONDS = flags.DEFINE_float("seconds", 600.0, "length of the run")
+_SECONDS = flags.DEFINE_float("seconds", 600.0, "length of each run")
+_RUNS = flags.DEFINE_integer("runs", 1, "number of runs, with one seed after the other")
+_DEPLOYMENT = flags.DEFINE_enum("deployment", "gateway", ["gateway", "entry"], "programs to run")
 
 
-class FaultRun:
-    """One run. Counts what was done, by kind."""
+class FaultRun(RandomWork):
+    """One run."""
 
     def __init__(self, deployment: Deployment, seed: int) -> None:
-        self.counts: Counter[str] = Counter()
+        super().__init__(seed)
         self._deployment = deployment
-        self._seed = seed
-        self._stop = threading.Event()
-        self._lock = threading.Lock()
-        self._revisions = deployment.apply_documents()
-
-    def run(self, seconds: float) -> None:
-        """Runs callers, operators and faults at the same time, then heals everything."""
-        threads = [
-            threading.Thread(
-                target=self._repeat, args=(work, random.Random(f"{self._seed}/{name}"))
-            )
-            for name, work in self._list_work()
-        ]
-        for thread in threads:
-            thread.start()
-        time.sleep(seconds)
-        self._stop.set()
-        for thread in threads:
-            thread.join()
-
-    def _list_work(self) -> list[tuple[str, Callable[[random.Random], None]]]:
+        deployment.apply_documents()
+
+    def list_work(self) -> list[tuple[str, Step]]:
+        """Returns callers, operators and faults."""
         callers = [(f"caller-{n}", self._call) for n in range(CALLERS)]
         return [
             *callers,
@@ -77,17 +65,6 @@
             ("standin-faults", self._fail_standin),
         ]
 
-    def _repeat(self, work: Callable[[random.Random], None], generator: random.Random) -> None:
-        while not self._stop.is_set():
-            try:
-                work(generator)
-            except (AssertionError, HttpError) as error:
-                self._count(f"failed step: {type(error).__name__}")
-
-    def _count(self, what: str) -> None:
-        with self._lock:
-            self.counts[what] += 1
-
     def _call(self, generator: random.Random) -> None:
         instance = generator.choice(INSTANCES)
         kind = generator.choice(["stream", "completion", "lookup", "pay", "pay"])
@@ -95,12 +72,12 @@
             self._pay(generator)
         elif kind == "lookup":
             answer = self._deployment.call(instance, "stock", "/lookup", b"sugar?")
-            self._count(f"lookup {answer.status if answer else 'cut'}")
+            self.count(f"lookup {answer.status if answer else 'cut'}")
         else:
             prompt = f"question {generator.randrange(40)} " * generator.choice([3, 900])
             text = self._deployment.complete(instance, prompt, 20, stream=kind == "stream")
-            self._count(f"{kind} {'whole' if text is not None else 'not whole'}")
-        self._stop.wait(generator.uniform(0, 0.2))
+            self.count(f"{kind} {'whole' if text is not None else 'not whole'}")
+        self.pause(generator, 0, 0.2)
 
     def _pay(self, generator: random.Random) -> None:
         key = create_key(int(time.time() * 1000))
@@ -108,27 +85,27 @@
         for _ in range(MAX_REPEATS):
             instance = generator.choice(INSTANCES)
             answer = self._deployment.call(instance, "stock", "/pay", body, key=key, timeout_s=8)
-            self._count(f"pay {answer.status if answer else 'cut'}")
+            self.count(f"pay {answer.status if answer else 'cut'}")
             if answer is not None and answer.status in (200, 409):
                 return
-            self._stop.wait(generator.uniform(0, 0.5))
+            self.pause(generator, 0, 0.5)
 
     def _change_document(self, generator: random.Random) -> None:
-        self._stop.wait(generator.uniform(0.5, 3))
+        self.pause(generator, 0.5, 3)
         instance = generator.choice(INSTANCES)
         document = self._deployment.operate(instance, "GET", "/v1/documents/stock")
         body = document.parse_json()
         if document.status != 200 or not isinstance(body, dict):
-            self._count(f"read document {document.status}")
+            self.count(f"read document {document.status}")
             return
         base = int(body["revision"]) - generator.choice([0, 0, 0, 1])
         path = f"/v1/documents/stock?base_revision={base}&reason=fault%20run"
         text = str(body["document"]).encode()
         answer = self._deployment.operate(instance, "PUT", path, text, read_owner(text))
-        self._count(f"change {answer.status}")
+        self.count(f"change {answer.status}")
 
     def _drain(self, generator: random.Random) -> None:
-        self._stop.wait(generator.uniform(5, 15))
+        self.pause(generator, 5, 15)
         centre = generator.choice(DATA_CENTRES)
         for state, pause_s in (("DRAINED", DRAINED_S), ("IN_SERVICE", 0.0)):
             self._order(generator, centre, state)
@@ -142,38 +119,38 @@
                 instance = generator.choice(INSTANCES)
                 path = f"/v1/datacentres/{centre}/orders"
                 answer = self._deployment.operate(instance, "POST", path, body)
-                self._count(f"order {state} {answer.status}")
+                self.count(f"order {state} {answer.status}")
                 if answer.status // 100 == 2:
                     return
             except HttpError:
-                self._count(f"order {state} not answered")
+                self.count(f"order {state} not answered")
 
     def _fail_process(self, generator: random.Random) -> None:
-        self._stop.wait(generator.uniform(0.5, 4))
+        self.pause(generator, 0.5, 4)
         parts = generator.choice(["gateway", "control"])
         name = f"{generator.choice(INSTANCES)}-{parts}"
         if generator.random() < 0.5:
-            self._count(f"kill {parts}")
+            self.count(f"kill {parts}")
             self._deployment.kill(name)
-            self._stop.wait(generator.uniform(0, 2))
+            self.pause(generator, 0, 2)
             self._deployment.start_process(name)
             return
-        self._count(f"pause {parts}")
+        self.count(f"pause {parts}")
         self._deployment.pause(name)
-        self._stop.wait(generator.uniform(0.1, MAX_FAULT_S))
+        self.pause(generator, 0.1, MAX_FAULT_S)
         self._deployment.resume(name)
 
     def _fail_link(self, generator: random.Random) -> None:
-        self._stop.wait(generator.uniform(1, 5))
+        self.pause(generator, 1, 5)
         instance = generator.choice(INSTANCES)
         state = generator.choice([LinkState.CUT, LinkState.PAUSED])
-        self._count(f"link {state.value}")
+        self.count(f"link {state.value}")
         self._deployment.set_link(instance, "platform", state)
-        self._stop.wait(generator.uniform(0.5, MAX_FAULT_S))
+        self.pause(generator, 0.5, MAX_FAULT_S)
         self._deployment.set_link(instance, "platform", LinkState.OPEN)
 
     def _fail_standin(self, generator: random.Random) -> None:
-        self._stop.wait(generator.uniform(1, 5))
+        self.pause(generator, 1, 5)
         centre = generator.choice(DATA_CENTRES)
         choices: list[tuple[str, dict[str, object]]] = [
             ("platform", {"lose_answers": 3}),
@@ -188,10 +165,10 @@
             (f"{centre}-service-1", {"reject": 2}),
         ]
         name, faults = generator.choice(choices)
-        self._count(f"fault {next(iter(faults))}")
+        self.count(f"fault {next(iter(faults))}")
         self._deployment.set_faults(name, **faults)
         if name == "platform":
-            self._stop.wait(generator.uniform(0.5, MAX_FAULT_S))
+            self.pause(generator, 0.5, MAX_FAULT_S)
             self._deployment.set_faults("platform", log="up", list="up")
 
 
@@ -231,7 +208,11 @@
 
 def main(argv: list[str]) -> None:
     """Runs and exits with 1 on a violation."""
-    sys.exit(0 if run_faults(_SEED.value, _SECONDS.value) else 1)
+    run = run_entry_faults if _DEPLOYMENT.value == "entry" else run_faults
+    seeds = range(_SEED.value, _SEED.value + _RUNS.value)
+    dirty = [seed for seed in seeds if not run(seed, _SECONDS.value)]
+    print(f"{len(seeds)} runs, violations with the seeds {dirty}" if dirty else "no violations")
+    sys.exit(1 if dirty else 0)
 
 
 if __name__ == "__main__":
