Let instances without the store learn from their peers; avoid replaced targets

A cut-off instance was fed by a peer only if that one had been chosen as the reader and no message was missed.

421 that no later version explains doubles the time without calls, over all instances of the data centre. Whoever reads the store shares what it reads; an instance that cannot read says so, is passed over as the reader and gets the newest record of each key from the one that reads. A peer that is behind does not keep others from reading.

Ruled out: taking a target out for good after one 421, because the answer does not say who gave it and versions change under a rollout; sharing failed connections, because a cut-off instance would report every target.

Tests: MisdirectionTest, LogSharingTest, TargetUpdatesTest; they fail on the code before, which has neither.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -56,6 +56,8 @@
     failures_in_row: int = 0
     failing_share: float = 0.0
     cooldown_until: float = 0.0
+    # Calls in a row to which another target answered at this address.
+    misdirections_in_row: int = 0
     # When any byte last came from the target.
     last_response_at: float = float("-inf")
     # Versions learned from the target's own answers, newer than its registration.
@@ -76,14 +78,17 @@
 
     def correct_version(
         self, model: ModelName, expected: WeightVersion, newest: WeightVersion
-    ) -> None:
+    ) -> bool:
         """Notes that the target has other weights than expected, so a later version.
 
         Only the next one is assumed. If the newest were, a target on the way to it would count as
-        done and get no order any more.
+        done and get no order any more. Returns False if there is no later version.
         """
-        if expected < newest and self.versions.get(model) == expected:
+        if expected >= newest:
+            return False
+        if self.versions.get(model) == expected:
             self.versions[model] = WeightVersion(expected + 1)
+        return True
 
     def is_cold(self, now: float) -> bool:
         """Whether the target bears only a small rate of calls."""
@@ -96,6 +101,7 @@
     def record_success(self) -> None:
         """Counts a complete answer."""
         self.failures_in_row = 0
+        self.misdirections_in_row = 0
         self.cooldown_until = 0.0
         self.failing_share *= 1.0 - FAILURE_GAIN
 
@@ -110,6 +116,17 @@
         """Notes that the target refused a call without running it."""
         self.cooldown_until = max(self.cooldown_until, now + cooldown_s)
 
+    def record_misdirection(self, now: float, count: int = 0) -> None:
+        """Notes that another target, or one with other weights, answered at the address.
+
+        Fault pattern answered: a target restarts under another id and its entry stays until it
+        lapses, or longer for an instance that is cut off from the registry. ``count`` is the
+        number of such answers in a row that a peer has seen.
+        """
+        self.misdirections_in_row = max(count, self.misdirections_in_row + (count == 0))
+        cooldown = FIRST_COOLDOWN_S * 2 ** (self.misdirections_in_row - 1)
+        self.record_refusal(now, min(MAX_COOLDOWN_S, cooldown))
+
     def record_error(self) -> None:
         """Counts an error answer of the target itself; it only lowers its rank."""
         self.failing_share += FAILURE_GAIN * (1.0 - self.failing_share)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -255,24 +255,29 @@
         self._metrics.record_attempt(target.registration.service, outcome.value)
         self._end_pending(run, attempt)
         self._state.loads.remove_run(target.id, count_held_tokens(run.call))
-        self._learn_version(run, attempt)
+        has_later_version = self._learn_version(run, attempt)
         if outcome is Outcome.ANSWERED:
             target.record_success()
         elif outcome is Outcome.ERROR:
             target.record_error()
-        elif outcome in (Outcome.REJECTED, Outcome.MISDIRECTED):
+        elif outcome is Outcome.REJECTED:
             target.record_refusal(now, REFUSAL_COOLDOWN_S)
-            if outcome is Outcome.REJECTED:
-                self._state.updates.record_refusal(target.id, target.cooldown_until)
+            self._state.updates.record_refusal(target.id, target.cooldown_until)
+        elif outcome is Outcome.MISDIRECTED and has_later_version:
+            target.record_refusal(now, REFUSAL_COOLDOWN_S)
+        elif outcome is Outcome.MISDIRECTED:
+            target.record_misdirection(now)
+            self._state.updates.record_misdirection(target.id, target.misdirections_in_row)
         elif outcome is not Outcome.CANCELLED or detail == "silent":
             target.record_failure(now)
             self._find_pool(target).close_idle()
 
-    def _learn_version(self, run: Run, attempt: Attempt) -> None:
-        """Takes the version of a target's weights from its answer."""
+    def _learn_version(self, run: Run, attempt: Attempt) -> bool:
+        """Takes the version of a target's weights from its answer; returns whether a later version
+        than expected explains that the target did not run the call."""
         verdict, prompt = attempt.verdict, run.call.prompt
         if verdict is None or verdict.is_other_target or prompt is None:
-            return
+            return False
         target, cache = attempt.plan.target, attempt.plan.cache
         for model, version in verdict.versions.items():
             if version > target.versions.get(model, 0):
@@ -281,7 +286,8 @@
         newest = self._state.rollout.get_wanted(prompt.model)
         is_misdirected = verdict.kind is VerdictKind.MISDIRECTED
         if is_misdirected and newest is not None and cache is not None and cache.version:
-            target.correct_version(prompt.model, cache.version, newest)
+            return target.correct_version(prompt.model, cache.version, newest)
+        return False
 
     def try_retry(self, run: Run) -> bool:
         """Uses one retry of the service's budget."""
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -18,7 +18,7 @@
 from ..events import Event
 from ..ids import DataCentre, InstanceId, TargetId
 from ..logs import log_event
-from ..schema.peers_pb2 import LogFeed, PeerReport
+from ..schema.peers_pb2 import LogFeed, LogRequest, PeerReport
 from .cachesharing import CacheSharing
 from .targetupdates import TargetUpdates
 
@@ -29,6 +29,8 @@
 # With more instances than this, reports go only to those of the own data centre.
 MAX_MESH = 16
 HIGH_WATER_MARK = 100
+# The first frame of a message names its recipient; others are not sent it.
+TO_ALL = b"*"
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
 _LOGGER = logging.getLogger(__name__)
@@ -77,6 +79,7 @@
         self._descriptor = -1
         self._is_closed = False
         self.on_feed: Callable[[LogFeed], None] | None = None
+        self.on_request: Callable[[InstanceId, LogRequest], None] | None = None
         self._sent_at = float("-inf")
 
     @property
@@ -92,7 +95,8 @@
             sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         self._publisher.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
         self._subscriber.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
-        self._subscriber.setsockopt(zmq.SUBSCRIBE, b"")
+        self._subscriber.setsockopt(zmq.SUBSCRIBE, TO_ALL)
+        self._subscriber.setsockopt(zmq.SUBSCRIBE, _write_recipient(self._own.instance))
         self._publisher.bind(f"tcp://{self._own.address}")
         self._descriptor = self._subscriber.fileno()
         self._loop.watch(self._descriptor, select.EPOLLIN, self._receive)
@@ -139,24 +143,30 @@
             self._sent_at = now
             self._send(report)
 
-    def send_feed(self, feed: LogFeed) -> None:
-        """Passes on at once what was read of the platform's log."""
+    def send_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
+        """Passes on at once what was read of the platform's log, to one peer or to all."""
         report = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
         report.feeds.append(feed)
+        self._send(report, TO_ALL if instance is None else _write_recipient(instance))
+
+    def send_request(self, request: LogRequest) -> None:
+        """Asks the peers for records of the platform's log that this instance misses."""
+        report = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+        report.requests.append(request)
         self._send(report)
 
-    def _send(self, report: PeerReport) -> None:
+    def _send(self, report: PeerReport, recipient: bytes = TO_ALL) -> None:
         if not self._is_closed:
-            self._publisher.send(report.SerializeToString(), zmq.NOBLOCK)
+            self._publisher.send_multipart([recipient, report.SerializeToString()], zmq.NOBLOCK)
 
     def _receive(self, mask: int) -> None:
         # The descriptor is edge-triggered: all messages must be taken.
         while True:
             try:
-                data = self._subscriber.recv(zmq.NOBLOCK)
+                frames = self._subscriber.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            self._take(data)
+            self._take(frames[-1])
 
     def _take(self, data: bytes) -> None:
         report = PeerReport()
@@ -166,10 +176,9 @@
             log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, f"peer report: {error}")
             return
         is_local = report.data_centre == self._own.data_centre
-        if report.feeds:
-            for feed in report.feeds if is_local else ():
-                if self.on_feed is not None:
-                    self.on_feed(feed)
+        if report.feeds or report.requests:
+            if is_local:
+                self._take_log(report)
             return
         loads = {
             TargetId(load.target): TargetLoad(
@@ -186,3 +195,17 @@
         if is_local:
             for update in report.caches:
                 self._knowledge.sharing.apply(update)
+
+    def _take_log(self, report: PeerReport) -> None:
+        """Takes records of the platform's log, or a peer's request for them."""
+        for feed in report.feeds:
+            if self.on_feed is not None:
+                self.on_feed(feed)
+        for request in report.requests:
+            if self.on_request is not None:
+                self.on_request(InstanceId(report.instance), request)
+
+
+def _write_recipient(instance: InstanceId) -> bytes:
+    """Returns the first frame of a message; its end keeps one name from being part of another."""
+    return b"@" + instance.encode() + b"|"
--- a/src/mulberryrill/internal/entry/targetupdates.py
+++ b/src/mulberryrill/internal/entry/targetupdates.py
@@ -20,6 +20,7 @@
         self._targets = targets
         self._versions: dict[tuple[TargetId, ModelName], WeightVersion] = {}
         self._cooldowns: dict[TargetId, float] = {}
+        self._misdirections: dict[TargetId, int] = {}
 
     def record_version(self, target: TargetId, model: ModelName, version: WeightVersion) -> None:
         """Notes a version that a target has newly stated."""
@@ -29,6 +30,10 @@
         """Notes that a target refuses calls."""
         self._cooldowns[target] = cooldown_until
 
+    def record_misdirection(self, target: TargetId, count: int) -> None:
+        """Notes how many calls in a row another target has answered at a target's address."""
+        self._misdirections[target] = count
+
     def take(self, now: float) -> list[TargetUpdate]:
         """Returns what was learned since the last call."""
         updates = [
@@ -39,7 +44,11 @@
             if cooldown_until - now >= MIN_COOLDOWN_S:
                 cooldown_ms = round((cooldown_until - now) * MS_PER_S)
                 updates.append(TargetUpdate(target=target, cooldown_ms=cooldown_ms))
-        self._versions, self._cooldowns = {}, {}
+        updates += [
+            TargetUpdate(target=target, misdirections=count)
+            for target, count in self._misdirections.items()
+        ]
+        self._versions, self._cooldowns, self._misdirections = {}, {}, {}
         return updates
 
     def apply(self, updates: TargetUpdate, now: float) -> None:
@@ -51,3 +60,5 @@
             target.learn_version(ModelName(updates.model), WeightVersion(updates.version))
         if updates.cooldown_ms:
             target.record_refusal(now, updates.cooldown_ms / MS_PER_S)
+        if updates.misdirections > target.misdirections_in_row:
+            target.record_misdirection(now, updates.misdirections)
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -2,16 +2,17 @@
 
 Operators' records are rare, so their topic is read with a wait. Targets write several times a
 second, so a waiting read would return for each record; their topic is read at a fixed pace. One
-instance of each data centre reads and passes the records on; the others read if it falls silent.
+instance of each data centre reads and passes the records on; another one takes over if it falls
+silent. Instances that cannot reach the store get what they miss from the one that reads.
 """
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
+from typing import Protocol
 
 from ..errors import CorruptRecordError, StoreCallError
-from ..internal.core.rendezvous import choose_member
+from ..internal.core.rendezvous import rank_members
 from ..internal.core.serving.targettable import Registration
 from ..internal.entry.peers import Peer
 from ..internal.entry.state import StateSink
@@ -19,7 +20,7 @@
 from ..internal.events import Event
 from ..internal.ids import DataCentre, InstanceId, Offset, TargetId
 from ..internal.logs import log_event
-from ..internal.schema.peers_pb2 import LogFeed
+from ..internal.schema.peers_pb2 import LogFeed, LogRequest
 from .records import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -36,7 +37,15 @@
 # An instance reads for itself if it was fed nothing for this long beyond the reader's pace.
 FEED_MARGIN_S = 0.6
 # How often an instance that is fed looks whether it still is.
-FEED_CHECK_S = 0.3
+FEED_CHECK_S = 0.15
+# Instances take over from a silent reader one after the other, up to this many. All steps together
+# must leave time within the three seconds after which a leaving target may get no work.
+TAKEOVER_STEP_S = 0.1
+TAKEOVER_STEPS = 3
+# An instance that asked for records this recently cannot read for others.
+CUT_OFF_S = 3.0
+# Pause between two requests for missing records, and between two answers.
+CATCH_UP_INTERVAL_S = 0.5
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.0
 EXPIRED = 410
@@ -63,7 +72,7 @@
         on_all: Callable[[tuple[KeyedRecord, ...]], None],
         on_record: Callable[[KeyedRecord], None],
         on_store: Callable[[bool, str], None],
-        sharing: "_FeedSharing | None" = None,
+        sharing: "FeedSharing | None" = None,
     ) -> None:
         self._loop = loop
         self._store = store
@@ -79,6 +88,11 @@
         self._highest_end = Offset(0)
         self._retry_s = FIRST_RETRY_S
         self._is_closed = False
+        # The newest record of each key, for instances that have missed some.
+        self._newest: dict[str, KeyedRecord] = {}
+        self._read_at = float("-inf")
+        self._asked_at = float("-inf")
+        self._answered_at: dict[InstanceId, float] = {}
 
     @property
     def topic(self) -> str:
@@ -96,23 +110,28 @@
     def _read(self) -> None:
         if self._is_closed:
             return
-        if self._is_fed():
+        if self.is_fed():
             self._loop.call_later(FEED_CHECK_S, self._read)
         elif self._next is None:
             self._store.read_newest(self._topic, self.take_newest)
         else:
             self._store.read_keyed(self._topic, self._next, self._wait_s, self.take_records)
 
-    def _is_fed(self) -> bool:
+    def is_fed(self) -> bool:
         """Whether a peer reads for this instance and has been heard recently."""
         if self._next is None or self._sharing is None or self._sharing.is_reader():
             return False
-        limit = self._interval_s + self._wait_s + FEED_MARGIN_S
+        delay = TAKEOVER_STEP_S * min(TAKEOVER_STEPS, self._sharing.find_rank())
+        limit = self._interval_s + self._wait_s + FEED_MARGIN_S + delay
         return self._loop.now() - self._fed_at < limit
 
     def feed(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
-        """Takes over what a peer has read, if nothing before it is missing."""
+        """Takes over what a peer has read; asks for what is missing before it."""
         if self._next is None or start > self._next:
+            self._ask_peers()
+            return
+        if start + len(records) < self._next:
+            # The peer is behind, so it must not keep this instance from reading.
             return
         self._fed_at = self._loop.now()
         new = [record for record in records if record.offset >= self._next]
@@ -120,7 +139,36 @@
         # records are applied: an entry that is removed during an outage is kept for a while.
         self._succeed(Offset(new[-1].offset + 1) if new else self._next)
         for record in new:
-            self._on_record(record)
+            self._take(record)
+
+    def feed_newest(self, end: Offset, records: tuple[KeyedRecord, ...]) -> None:
+        """Takes over the newest record of each key from a peer, unless nothing is missing."""
+        if self._next is not None and end <= self._next:
+            return
+        self._fed_at = self._loop.now()
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.LOG_FROM_PEER,
+            "records that were missed come from a peer",
+            topic=self._topic,
+            offset=self._next,
+            end=end,
+        )
+        self._succeed(end)
+        self._take_all(records)
+
+    def answer(self, instance: InstanceId, next_offset: Offset) -> None:
+        """Sends the newest records to a peer that misses those from an offset on."""
+        now = self._loop.now()
+        is_current = now - self._read_at < self._interval_s + self._wait_s + FEED_MARGIN_S
+        if self._sharing is None or self._next is None or not is_current:
+            return
+        last = self._answered_at.get(instance, float("-inf"))
+        if next_offset >= self._next or now - last < CATCH_UP_INTERVAL_S:
+            return
+        self._answered_at[instance] = now
+        self._sharing.send_newest(instance, self._next, tuple(self._newest.values()))
 
     def take_newest(self, page: RecordPage | StoreCallError) -> None:
         """Takes the newest record of each key."""
@@ -131,8 +179,9 @@
             # A stale copy must not bring back what was replaced.
             self._loop.call_later(self._retry_s, self._read)
             return
+        self._read_at = self._loop.now()
         self._succeed(page.end)
-        self._on_all(page.records)
+        self._take_all(page.records)
         self._schedule()
 
     def take_records(self, page: RecordPage | StoreCallError) -> None:
@@ -151,13 +200,32 @@
             self._fail(page)
             return
         for record in page.records:
-            self._on_record(record)
+            self._take(record)
         start = self._next or Offset(0)
-        if self._sharing is not None and self._sharing.is_reader():
+        self._read_at = self._loop.now()
+        if self._sharing is not None:
             self._sharing.send(start, page.records)
         self._succeed(Offset(page.records[-1].offset + 1) if page.records else start)
         self._schedule()
 
+    def _take(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._newest.pop(record.key, None)
+        else:
+            self._newest[record.key] = record
+        self._on_record(record)
+
+    def _take_all(self, records: tuple[KeyedRecord, ...]) -> None:
+        self._newest = {record.key: record for record in records if record.value is not None}
+        self._on_all(records)
+
+    def _ask_peers(self) -> None:
+        """Tells the peers that this instance misses records, or cannot read them."""
+        now = self._loop.now()
+        if self._sharing is not None and now - self._asked_at >= CATCH_UP_INTERVAL_S:
+            self._asked_at = now
+            self._sharing.ask(self._next or Offset(0))
+
     def _succeed(self, next_offset: Offset) -> None:
         self._next = next_offset
         self._highest_end = Offset(max(self._highest_end, next_offset))
@@ -173,16 +241,82 @@
     def _fail(self, error: StoreCallError) -> None:
         if error.status != EXPIRED:
             self._on_store(False, str(error))
+            self._ask_peers()
         self._loop.call_later(self._retry_s, self._read)
         self._retry_s = min(MAX_RETRY_S, self._retry_s * 2)
 
 
-@dataclass(frozen=True)
-class _FeedSharing:
+class LogPeers(Protocol):
+    """The way to the other instances of the data centre."""
+
+    def send_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
+        """Passes records on to one instance, or to all."""
+        ...
+
+    def send_request(self, request: LogRequest) -> None:
+        """Asks all instances for records."""
+        ...
+
+
+class FeedSharing:
     """Who reads a topic for its data centre, and how the others get the records."""
 
-    is_reader: Callable[[], bool]
-    send: Callable[[Offset, tuple[KeyedRecord, ...]], None]
+    def __init__(
+        self,
+        topic: str,
+        own: InstanceId,
+        now: Callable[[], float],
+        peers: "LogPeers",
+    ) -> None:
+        self._topic = topic
+        self._own = own
+        self._now = now
+        self._peers = peers
+        self._instances: tuple[InstanceId, ...] = (own,)
+        self._cut_off: dict[InstanceId, float] = {}
+
+    def set_instances(self, instances: tuple[InstanceId, ...]) -> None:
+        """Takes the instances of the data centre."""
+        self._instances = instances
+
+    def is_reader(self) -> bool:
+        """Whether this instance reads for the others."""
+        return self.find_rank() == 0
+
+    def find_rank(self) -> int:
+        """Returns how many instances would read before this one."""
+        now = self._now()
+        able = [i for i in self._instances if now - self._cut_off.get(i, -CUT_OFF_S) >= CUT_OFF_S]
+        ranked = rank_members(self._topic, able)
+        return ranked.index(self._own) if self._own in ranked else len(ranked)
+
+    def note_cut_off(self, instance: InstanceId) -> None:
+        """Notes that an instance cannot read the topic now."""
+        self._cut_off[instance] = self._now()
+
+    def ask(self, next_offset: Offset) -> None:
+        """Asks the peers for the records from an offset on."""
+        self.note_cut_off(self._own)
+        self._peers.send_request(LogRequest(topic=self._topic, next=next_offset))
+
+    def send(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
+        """Passes records on to all peers."""
+        self._peers.send_feed(self._write(start, records), None)
+
+    def send_newest(
+        self, instance: InstanceId, end: Offset, records: tuple[KeyedRecord, ...]
+    ) -> None:
+        """Sends the newest record of each key to one peer."""
+        feed = self._write(end, records)
+        feed.is_newest = True
+        self._peers.send_feed(feed, instance)
+
+    def _write(self, start: Offset, records: tuple[KeyedRecord, ...]) -> LogFeed:
+        feed = LogFeed(topic=self._topic, start=start)
+        for record in records:
+            is_deleted = record.value is None
+            feed.records.add(key=record.key, is_deleted=is_deleted, value=record.value or b"")
+        return feed
 
 
 class StoreFollower:
@@ -195,14 +329,16 @@
         sink: StateSink,
         own: Peer,
         registry_interval_s: float,
-        send_feed: Callable[[LogFeed], None],
+        peers: LogPeers,
     ) -> None:
         self._loop = loop
         self._store = store
         self._sink = sink
         self._own = own
-        self._send_feed = send_feed
-        self._local_instances: tuple[InstanceId, ...] = (own.instance,)
+        self._sharing = {
+            topic: FeedSharing(topic, own.instance, loop.now, peers)
+            for topic in (OPERATOR_TOPIC, REGISTRY_TOPIC)
+        }
         self._generation = 0
         self._is_closed = False
         self._unreachable: set[str] = set()
@@ -215,7 +351,7 @@
             self._take_operator_records,
             self._take_operator_record,
             partial(self._note_store, OPERATOR_TOPIC),
-            self._create_sharing(OPERATOR_TOPIC),
+            self._sharing[OPERATOR_TOPIC],
         )
         self._registry = TopicFollower(
             loop,
@@ -226,7 +362,7 @@
             self._take_registry,
             self._take_registration,
             partial(self._note_store, REGISTRY_TOPIC),
-            self._create_sharing(REGISTRY_TOPIC),
+            self._sharing[REGISTRY_TOPIC],
         )
 
     def start(self) -> None:
@@ -250,21 +386,19 @@
             for number, record in enumerate(feed.records)
         )
         for follower in (self._operator_records, self._registry):
-            if follower.topic == feed.topic:
+            if follower.topic != feed.topic:
+                continue
+            if feed.is_newest:
+                follower.feed_newest(Offset(feed.start), records)
+            else:
                 follower.feed(Offset(feed.start), records)
 
-    def _create_sharing(self, topic: str) -> _FeedSharing:
-        return _FeedSharing(partial(self._is_reader, topic), partial(self._share, topic))
-
-    def _is_reader(self, topic: str) -> bool:
-        return choose_member(topic, self._local_instances) == self._own.instance
-
-    def _share(self, topic: str, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
-        feed = LogFeed(topic=topic, start=start)
-        for record in records:
-            is_deleted = record.value is None
-            feed.records.add(key=record.key, is_deleted=is_deleted, value=record.value or b"")
-        self._send_feed(feed)
+    def take_request(self, instance: InstanceId, request: LogRequest) -> None:
+        """Answers a peer of this data centre that misses records, if this instance reads."""
+        for follower in (self._operator_records, self._registry):
+            if follower.topic == request.topic:
+                self._sharing[request.topic].note_cut_off(instance)
+                follower.answer(instance, Offset(request.next))
 
     def _note_store(self, topic: str, is_reachable: bool, detail: str) -> None:
         if is_reachable:
@@ -334,7 +468,8 @@
             return
         peers = [peer for member in members if (peer := _read_member(member))]
         local = {p.instance for p in peers if p.data_centre == self._own.data_centre}
-        self._local_instances = tuple(sorted({*local, self._own.instance}))
+        for sharing in self._sharing.values():
+            sharing.set_instances(tuple(sorted({*local, self._own.instance})))
         self._sink.on_peers(peers)
 
 
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -38,9 +38,10 @@
             state,
             own,
             bounds.drain_ms / 1000 / READS_PER_DRAIN,
-            peers.send_feed,
+            peers,
         )
         peers.on_feed = self._follower.take_feed
+        peers.on_request = self._follower.take_request
         self._channel = PlatformOrderChannel(loop, self._store, instance)
         self._cache_channel = PlatformCacheChannel(loop)
         self._cache = CacheWatch(loop, state, self._cache_channel)
--- a/tests/unit/test_entry_sharing.py
+++ b/tests/unit/test_entry_sharing.py
@@ -107,3 +107,16 @@
         self.assertTrue(target.is_cooling_down(5.55))
         self.assertFalse(target.is_cooling_down(5.65))
         self.assertEqual(first.take(5.0), [])
+
+    def test_peers_learn_that_another_target_answers(self) -> None:
+        tables = [TargetTable(), TargetTable()]
+        for table in tables:
+            table.apply(create_registration(), 0.0)
+        first, second = (TargetUpdates(table) for table in tables)
+        first.record_misdirection(TargetId("t1"), 3)
+        for update in first.take(5.0):
+            second.apply(update, 5.0)
+            # A repeated report does not make the time longer.
+            second.apply(update, 5.5)
+        self.assertEqual(tables[1].targets[0].cooldown_until, 6.0)
+        self.assertEqual(first.take(5.0), [])
--- /dev/null
+++ b/tests/unit/test_platform_follower.py
@@ -0,0 +1,156 @@
+"""Instances of a data centre read the platform's store for each other."""
+
+import unittest
+from collections.abc import Callable
+
+from mulberryrill.errors import StoreCallError
+from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.eventloop import EventLoop
+from mulberryrill.internal.ids import InstanceId, Offset
+from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
+from mulberryrill.platform.follower import CUT_OFF_S, FeedSharing, TopicFollower
+from mulberryrill.platform.store import KeyedRecord, RecordPage, StoreClient
+
+TOPIC = "keyed.servers"
+LOST = StoreCallError("lost", 0, False)
+
+
+class SilentStore(StoreClient):
+    """A store whose answers the test gives."""
+
+    def read_newest(self, topic: str, done: Callable) -> None:
+        return
+
+    def read_keyed(self, topic: str, start: Offset, wait_s: float, done: Callable) -> None:
+        return
+
+
+class Node:
+    """A follower on one instance; its messages go to the other nodes of ``nodes``."""
+
+    def __init__(self, name: str, clock: ManualClock, nodes: dict[InstanceId, "Node"]) -> None:
+        self.name = InstanceId(name)
+        self.nodes = nodes
+        nodes[self.name] = self
+        loop = EventLoop(clock, name)
+        self.sharing = FeedSharing(TOPIC, self.name, clock.monotonic, self)
+        self.records: dict[str, bytes | None] = {}
+        self.sent_snapshots = 0
+        self.follower = TopicFollower(
+            loop,
+            SilentStore(loop, "127.0.0.1:1"),
+            TOPIC,
+            0.0,
+            1.0,
+            self.take_all,
+            lambda record: self.records.update({record.key: record.value}),
+            lambda is_reachable, detail: None,
+            self.sharing,
+        )
+
+    def take_all(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.records = {record.key: record.value for record in records}
+
+    def send_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
+        self.sent_snapshots += feed.is_newest
+        records = tuple(
+            KeyedRecord(r.key, None if r.is_deleted else r.value, Offset(feed.start + number))
+            for number, r in enumerate(feed.records)
+        )
+        for node in self.nodes.values():
+            if node is self or instance not in (None, node.name):
+                continue
+            take = node.follower.feed_newest if feed.is_newest else node.follower.feed
+            take(Offset(feed.start), records)
+
+    def send_request(self, request: LogRequest) -> None:
+        for node in self.nodes.values():
+            if node is not self:
+                node.sharing.note_cut_off(self.name)
+                node.follower.answer(self.name, Offset(request.next))
+
+
+def write(*values: tuple[str, bytes | None], start: int) -> tuple[KeyedRecord, ...]:
+    return tuple(KeyedRecord(key, v, Offset(start + n)) for n, (key, v) in enumerate(values))
+
+
+class LogSharingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.nodes: dict[InstanceId, Node] = {}
+        names = tuple(InstanceId(f"front-{number}") for number in range(4))
+        for name in names:
+            Node(name, self.clock, self.nodes)
+        for node in self.nodes.values():
+            node.sharing.set_instances(names)
+        self.order = sorted(self.nodes.values(), key=lambda node: node.sharing.find_rank())
+        for node in self.order:
+            node.follower.take_newest(RecordPage(write(("t1", b"1"), start=0), Offset(1)))
+
+    def test_next_instance_reads_when_the_first_one_cannot(self) -> None:
+        """Guards against instances that each read, or none, while the reader is cut off."""
+        first, second = self.order[:2]
+        first.follower.take_records(LOST)
+        self.assertTrue(second.sharing.is_reader())
+        self.assertFalse(first.sharing.is_reader())
+        self.clock.advance(CUT_OFF_S)
+        self.assertTrue(first.sharing.is_reader())
+        self.assertFalse(second.sharing.is_reader())
+
+    def test_records_reach_all_from_whoever_reads(self) -> None:
+        """Guards against a cut-off reader that leaves its data centre with old targets."""
+        page = RecordPage(write(("t2", b"2"), ("t1", None), start=1), Offset(3))
+        self.order[1].follower.take_records(page)
+        for node in self.order:
+            self.assertEqual(node.records.get("t2"), b"2")
+            self.assertIsNone(node.records.get("t1"))
+
+    def test_instance_that_missed_records_gets_the_newest_ones(self) -> None:
+        """Guards against an instance that stays behind because it missed one message."""
+        reader, behind = self.order[0], self.order[3]
+        del self.nodes[behind.name]
+        reader.follower.take_records(RecordPage(write(("t1", None), start=1), Offset(2)))
+        self.nodes[behind.name] = behind
+        self.assertIn("t1", behind.records)
+        reader.follower.take_records(RecordPage(write(("t2", b"2"), start=2), Offset(3)))
+        self.assertEqual(behind.records, {"t2": b"2"})
+        self.assertEqual(reader.sent_snapshots, 1)
+
+    def test_instance_without_the_store_is_told_what_it_misses(self) -> None:
+        reader, behind = self.order[0], self.order[3]
+        del self.nodes[behind.name]
+        reader.follower.take_records(RecordPage(write(("t3", b"3"), start=1), Offset(2)))
+        self.nodes[behind.name] = behind
+        behind.follower.take_records(LOST)
+        self.assertEqual(behind.records, {"t1": b"1", "t3": b"3"})
+
+    def test_old_state_is_not_taken_over(self) -> None:
+        """Guards against configuration that goes back."""
+        ahead = self.order[3]
+        ahead.follower.take_records(RecordPage(write(("t1", b"2"), start=1), Offset(2)))
+        ahead.follower.feed_newest(Offset(1), write(("t1", b"1"), start=0))
+        self.assertEqual(ahead.records, {"t1": b"2"})
+
+    def test_instance_that_has_not_read_lately_answers_nothing(self) -> None:
+        """Guards against a peer's old knowledge that is taken for news of the store."""
+        self.order[0].follower.take_records(RecordPage(write(("t2", b"2"), start=1), Offset(2)))
+        self.clock.advance(5.0)
+        late = Node("front-9", self.clock, self.nodes)
+        late.follower.feed(Offset(2), ())
+        self.assertEqual(late.records, {})
+
+    def test_peer_that_is_behind_does_not_keep_others_from_reading(self) -> None:
+        """Guards against a reader with an old copy of the topic that silences its peers."""
+        ahead, behind = self.order[3], self.order[0]
+        ahead.follower.take_records(RecordPage(write(("t1", b"2"), start=1), Offset(2)))
+        self.clock.advance(5.0)
+        ahead.follower.feed(Offset(1), ())
+        self.assertFalse(ahead.follower.is_fed())
+        ahead.follower.feed(Offset(2), ())
+        self.assertTrue(ahead.follower.is_fed())
+        self.assertTrue(behind.sharing.is_reader())
+
+    def test_starting_instance_learns_from_a_peer(self) -> None:
+        late = Node("front-9", self.clock, self.nodes)
+        late.follower.take_newest(LOST)
+        self.assertEqual(late.records, {"t1": b"1"})
--- a/tests/unit/test_serving_targettable.py
+++ b/tests/unit/test_serving_targettable.py
@@ -126,3 +126,42 @@
         self.assertTrue(target.is_cooling_down(10.7))
         target.record_success()
         self.assertFalse(target.is_cooling_down(10.7))
+
+
+class MisdirectionTest(unittest.TestCase):
+    """Guards against calls to the address of a target that has restarted under another id.
+
+    Seen on a grown day: 16% of the calls to engines got 421 from nine restarted ones for up to
+    13 s, because each instance tried each of them again every quarter of a second.
+    """
+
+    def setUp(self) -> None:
+        self.target = Target(create_registration())
+
+    def test_each_answer_in_a_row_doubles_the_time_without_calls(self) -> None:
+        now = 0.0
+        waits = []
+        for _ in range(6):
+            self.target.record_misdirection(now)
+            waits.append(self.target.cooldown_until - now)
+            now = self.target.cooldown_until
+        self.assertEqual(waits, [0.25, 0.5, 1.0, 2.0, 4.0, 4.0])
+
+    def test_count_of_a_peer_is_taken_over(self) -> None:
+        self.target.record_misdirection(0.0, count=4)
+        self.assertEqual(self.target.cooldown_until, 2.0)
+        self.target.record_misdirection(2.0)
+        self.assertEqual(self.target.cooldown_until, 6.0)
+
+    def test_an_answer_ends_the_row(self) -> None:
+        self.target.record_misdirection(0.0)
+        self.target.record_success()
+        self.assertFalse(self.target.is_cooling_down(0.1))
+        self.target.record_misdirection(1.0)
+        self.assertEqual(self.target.cooldown_until, 1.25)
+
+    def test_later_version_of_a_rollout_explains_the_answer(self) -> None:
+        model = ModelName("m0")
+        self.target.learn_version(model, WeightVersion(1))
+        self.assertTrue(self.target.correct_version(model, WeightVersion(1), WeightVersion(2)))
+        self.assertFalse(self.target.correct_version(model, WeightVersion(2), WeightVersion(2)))
