Learn how long targets keep idle connections

Two immediate resets on rested connections within 10 s limit the rest of a service's connections to 0.7 of the shorter one, until 30 s after the last reset.

Ruled out: a lower fixed limit, which gives up kept connections of sound targets; one reset as evidence, since a target that restarts resets too.

--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -86,6 +86,11 @@
         """The newest event that was passed on."""
         return self._splitter.last_id if self._splitter is not None else self.plan.last_event_id
 
+    @property
+    def rested_s(self) -> float:
+        """How long the connection had rested before the call was sent on it, in seconds."""
+        return self._connection.rested_s if self._connection is not None else 0.0
+
     def start(self, connection: Connection) -> None:
         """Sends the request."""
         self._connection = connection
--- a/src/mulberryrill/internal/entry/connection.py
+++ b/src/mulberryrill/internal/entry/connection.py
@@ -90,6 +90,8 @@
         self.idle_since = loop.now()
         self.idle_limit_s: float | None = None
         self.exchanges = 0
+        # How long the connection had rested before its exchange; 0 for the first one.
+        self.rested_s = 0.0
 
     @property
     def is_closed(self) -> bool:
@@ -119,6 +121,7 @@
         self._handler = handler
         self._response = None
         self._is_sent = False
+        self.rested_s = self._loop.now() - self.idle_since if self.exchanges else 0.0
         self.exchanges += 1
         self._parser.reset()
         self._parser.accepts = accepts
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -6,6 +6,7 @@
 from ..core.retries import RetryBudget
 from ..core.serving.admission import AdmissionRequest, find_return_delay, is_admitted
 from ..core.serving.cacheindex import find_read_tokens, plan_transfers, write_salt
+from ..core.serving.idlelimits import IdleLimits
 from ..core.serving.placement import Placement, PlacementRequest, choose_engine
 from ..core.serving.routetable import CallerLimits, Prompt, Service
 from ..core.serving.targettable import Target
@@ -33,6 +34,8 @@
 
 # A target that refused a call, for example because it was full, is avoided this long.
 REFUSAL_COOLDOWN_S = 0.25
+# A reset that comes later than this after a call was sent says nothing about its connection's rest.
+RESET_S = 0.05
 # Margin before the time at which no call may begin on an older model version.
 VERSION_MARGIN_S = 1.0
 # Retries kept in reserve by each instance, and retries earned by each request, as shares of what
@@ -66,6 +69,7 @@
             DataCentre(settings.data_centre), state.pacer, self._random.getrandbits(32)
         )
         self._pools: dict[TargetId, ConnectionPool] = {}
+        self._idle_limits = IdleLimits()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._callers: set[Caller] = set()
         self._runs: set[Run] = set()
@@ -228,7 +232,8 @@
             self._state.loads.add_pending(target.id, run.call.priority, cache.read_tokens)
         self._state.loads.add_run(target.id, count_held_tokens(run.call))
         pool = self._find_pool(target)
-        attempt.start(pool.acquire(needs_fresh=not run.call.route.is_repeatable))
+        max_idle_s = self._idle_limits.find_limit(target.registration.service, now)
+        attempt.start(pool.acquire(not run.call.route.is_repeatable, max_idle_s))
 
     def on_first_output(self, run: Run, attempt: Attempt) -> None:
         """Learns the target's speed and takes the prompt off its queue."""
@@ -269,9 +274,18 @@
             target.record_misdirection(now)
             self._state.updates.record_misdirection(target.id, target.misdirections_in_row)
         elif outcome is not Outcome.CANCELLED or detail == "silent":
+            if outcome is Outcome.BROKEN:
+                self._learn_idle_limit(attempt, now)
             target.record_failure(now)
             self._find_pool(target).close_idle()
 
+    def _learn_idle_limit(self, attempt: Attempt, now: float) -> None:
+        """Notes a kept connection that was reset as soon as a call was sent on it."""
+        is_reset = attempt.response is None and now - attempt.started_at < RESET_S
+        if is_reset and attempt.rested_s > 0:
+            service = attempt.plan.target.registration.service
+            self._idle_limits.record_reset(service, attempt.rested_s, now)
+
     def _learn_version(self, run: Run, attempt: Attempt) -> bool:
         """Takes the version of a target's weights from its answer; returns whether a later version
         than expected explains that the target did not run the call."""
--- a/src/mulberryrill/internal/entry/pool.py
+++ b/src/mulberryrill/internal/entry/pool.py
@@ -43,10 +43,11 @@
         """Whether a connection is idle or one more may be opened."""
         return bool(self._idle) or len(self._open) < limit
 
-    def acquire(self, needs_fresh: bool) -> Connection:
+    def acquire(self, needs_fresh: bool, max_idle_s: float | None = None) -> Connection:
         """Returns an idle or a new connection.
 
-        ``needs_fresh`` avoids those that the server may be about to close.
+        ``needs_fresh`` avoids those that the server may be about to close, ``max_idle_s`` those
+        that have rested longer.
         """
         now = self._loop.now()
         while self._idle:
@@ -55,6 +56,8 @@
             limit = (connection.idle_limit_s or DEFAULT_IDLE_S) * SAFE_IDLE_SHARE
             if needs_fresh:
                 limit = min(limit, SAFE_IDLE_S)
+            if max_idle_s is not None:
+                limit = min(limit, max_idle_s)
             if not connection.is_closed and idle_s < limit:
                 return connection
             connection.close()
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -126,6 +126,28 @@
         self.assertEqual(self.deployment.call("/pay/", "POST", b"2").status, 502)
         self.assertEqual([a.body for a in target.arrivals], [b"1", b"2"])
 
+    def test_connections_that_targets_forget_are_not_used_again(self) -> None:
+        """Guards against payments that are lost on connections which have rested for long."""
+        target = self.deployment.add_target("t1", "desk", answer_plain)
+        self.deployment.wait_ready()
+        last: dict[object, float] = {}
+
+        def forget_rested(standin: TargetStandin, request, arrival: Arrival) -> None:
+            rested = time.monotonic() - last.get(request.connection, time.monotonic())
+            if rested > 0.3:
+                break_connection(standin, request, arrival)
+            else:
+                answer_plain(standin, request, arrival)
+            last[request.connection] = time.monotonic()
+
+        target.behaviour = forget_rested
+        statuses = []
+        for _ in range(6):
+            statuses.append(self.deployment.call("/pay/", "POST", b"1").status)
+            time.sleep(0.4)
+        self.assertEqual(statuses.count(502), 2)
+        self.assertEqual(statuses[-2:], [200, 200])
+
     def test_refused_payment_is_offered_to_another_target(self) -> None:
         self.deployment.add_target("t1", "desk", refuse)
         self.deployment.add_target("t2", "desk", answer_plain)
