Close a connection whose stream ends while the process stops

Cause: whether a connection stays open is decided with a stream's head. One that began before SIGTERM left its connection open; the next request on it was taken 5.3 s after SIGTERM and cut off at the end of the grace period.

The end of a stream looks again whether the process stops.

Ruled out: the listener's backlog and idle connections, which are closed 3 s after SIGTERM; the request came on a connection that was busy then.

Before: test_stream_keeps_connection_past_stop gets an answer on the old connection; after: the connection ends.

--- a/src/mulberryrill/internal/http/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -178,7 +178,8 @@
         if self._state is CallerState.ANSWERING:
             if self._is_chunked:
                 self._queue(LAST_CHUNK)
-            self._finish(self._closes_after_write)
+            # The process may have begun to stop since the head was sent.
+            self._finish(self._closes_after_write or self._owner.is_stopping)
 
     def abort_stream(self) -> None:
         """Ends a streamed body so that the caller can see that it is not complete."""
--- /dev/null
+++ b/tests/regressions/test_stream_keeps_connection_past_stop.py
@@ -0,0 +1,49 @@
+"""A stopping process took a request on the connection of a stream that had begun before the stop.
+
+Seen in a hunt on kimolia-plateia (restarts, seed 51925543489): the stream's head was sent before
+SIGTERM, so its connection stayed open after the stream's end. The next request on it was taken
+5 s after SIGTERM and cut off when the grace period ended.
+"""
+
+import threading
+import time
+import unittest
+
+from tests.common.entry import KEY, MODEL, Arrival, TargetStandin, run_entry, wait_for
+
+HEAD = f"Host: a.example\r\nX-Api-Key: {KEY}\r\nDeadline-Ms: 2000\r\n"
+PROMPT = f"Model: {MODEL}\r\nToken-Usage: 100,4\r\nPrefix-Hash: aa:50,bb:50\r\n"
+STREAM = f"POST /plan/ HTTP/1.1\r\nRequest-Id: r-1\r\n{HEAD}{PROMPT}Content-Length: 0\r\n\r\n"
+NEXT = f"GET /get/ HTTP/1.1\r\nRequest-Id: r-2\r\n{HEAD}\r\n"
+
+
+def stream_slowly(target: TargetStandin, request, arrival: Arrival) -> None:
+    """Sends three events with a second between the first and the last."""
+    target.begin_stream(request, arrival)
+    for number in range(1, 4):
+        target.send_event(request, number)
+        time.sleep(0.5)
+    request.wfile.write(b"0\r\n\r\n")
+
+
+class StreamPastStopTest(unittest.TestCase):
+    def test_connection_ends_with_its_stream(self) -> None:
+        with run_entry() as deployment:
+            deployment.add_target("t1", "lm", stream_slowly)
+            desk = deployment.add_target("t2", "desk", lambda *_: None)
+            deployment.wait_ready()
+            with deployment.open_socket() as caller:
+                caller.sendall(STREAM.encode())
+                received = b""
+                while b"id: 1" not in received:
+                    received += caller.recv(65_536)
+                closer = threading.Thread(target=deployment.program.close)
+                closer.start()
+                wait_for(lambda: deployment.ask_ready() == 503)
+                while not received.endswith(b"0\r\n\r\n"):
+                    received += caller.recv(65_536)
+                self.assertIn(b"id: 3", received)
+                caller.sendall(NEXT.encode())
+                self.assertEqual(caller.recv(65_536), b"")
+            closer.join()
+            self.assertEqual(desk.arrivals, [])
