Label shared records with the offset of their read

Cause: an instance passed on what it had read under the offset that it had reached when the answer came. With peers may send newer records meanwhile, so an older page was passed on under a later offset and its receivers skipped as many records: a target's leaving was missed.

A read keeps its own offset, and records that a peer has brought already are not taken again.

--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -115,7 +115,8 @@
         elif self._next is None:
             self._store.read_newest(self._topic, self.take_newest)
         else:
-            self._store.read_keyed(self._topic, self._next, self._wait_s, self.take_records)
+            take = partial(self.take_records, self._next)
+            self._store.read_keyed(self._topic, self._next, self._wait_s, take)
 
     def is_fed(self) -> bool:
         """Whether a peer reads for this instance and has been heard recently."""
@@ -184,8 +185,8 @@
         self._take_all(page.records)
         self._schedule()
 
-    def take_records(self, page: RecordPage | StoreCallError) -> None:
-        """Takes the records that follow those which were read."""
+    def take_records(self, start: Offset, page: RecordPage | StoreCallError) -> None:
+        """Takes the records from an offset on. Peers may have sent some of them meanwhile."""
         if isinstance(page, StoreCallError):
             if page.status == EXPIRED:
                 log_event(
@@ -199,13 +200,15 @@
                 self._next = None
             self._fail(page)
             return
-        for record in page.records:
-            self._take(record)
-        start = self._next or Offset(0)
         self._read_at = self._loop.now()
+        end = Offset(page.records[-1].offset + 1) if page.records else start
         if self._sharing is not None:
             self._sharing.send(start, page.records)
-        self._succeed(Offset(page.records[-1].offset + 1) if page.records else start)
+        known = self._next if self._next is not None else start
+        for record in page.records:
+            if record.offset >= known:
+                self._take(record)
+        self._succeed(max(known, end))
         self._schedule()
 
     def _take(self, record: KeyedRecord) -> None:
--- a/tests/regressions/test_stale_outage_delays_drain.py
+++ b/tests/regressions/test_stale_outage_delays_drain.py
@@ -30,7 +30,7 @@
             lambda is_reachable, detail: self.events.append(is_reachable),
         )
         self.follower.take_newest(RecordPage((), Offset(5)))
-        self.follower.take_records(StoreCallError("lost", 0, False))
+        self.follower.take_records(Offset(5), StoreCallError("lost", 0, False))
         self.events.clear()
 
     def test_empty_feed_shows_that_the_store_is_back(self) -> None:
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -90,7 +90,7 @@
     def test_next_instance_reads_when_the_first_one_cannot(self) -> None:
         """Guards against instances that each read, or none, while the reader is cut off."""
         first, second = self.order[:2]
-        first.follower.take_records(LOST)
+        first.follower.take_records(Offset(1), LOST)
         self.assertTrue(second.sharing.is_reader())
         self.assertFalse(first.sharing.is_reader())
         self.clock.advance(CUT_OFF_S)
@@ -100,7 +100,7 @@
     def test_records_reach_all_from_whoever_reads(self) -> None:
         """Guards against a cut-off reader that leaves its data centre with old targets."""
         page = RecordPage(write(("t2", b"2"), ("t1", None), start=1), Offset(3))
-        self.order[1].follower.take_records(page)
+        self.order[1].follower.take_records(Offset(1), page)
         for node in self.order:
             self.assertEqual(node.records.get("t2"), b"2")
             self.assertIsNone(node.records.get("t1"))
@@ -109,31 +109,33 @@
         """Guards against an instance that stays behind because it missed one message."""
         reader, behind = self.order[0], self.order[3]
         del self.nodes[behind.name]
-        reader.follower.take_records(RecordPage(write(("t1", None), start=1), Offset(2)))
+        reader.follower.take_records(Offset(1), RecordPage(write(("t1", None), start=1), Offset(2)))
         self.nodes[behind.name] = behind
         self.assertIn("t1", behind.records)
-        reader.follower.take_records(RecordPage(write(("t2", b"2"), start=2), Offset(3)))
+        reader.follower.take_records(Offset(2), RecordPage(write(("t2", b"2"), start=2), Offset(3)))
         self.assertEqual(behind.records, {"t2": b"2"})
         self.assertEqual(reader.sent_snapshots, 1)
 
     def test_instance_without_the_store_is_told_what_it_misses(self) -> None:
         reader, behind = self.order[0], self.order[3]
         del self.nodes[behind.name]
-        reader.follower.take_records(RecordPage(write(("t3", b"3"), start=1), Offset(2)))
+        reader.follower.take_records(Offset(1), RecordPage(write(("t3", b"3"), start=1), Offset(2)))
         self.nodes[behind.name] = behind
-        behind.follower.take_records(LOST)
+        behind.follower.take_records(Offset(1), LOST)
         self.assertEqual(behind.records, {"t1": b"1", "t3": b"3"})
 
     def test_old_state_is_not_taken_over(self) -> None:
         """Guards against configuration that goes back."""
         ahead = self.order[3]
-        ahead.follower.take_records(RecordPage(write(("t1", b"2"), start=1), Offset(2)))
+        ahead.follower.take_records(Offset(1), RecordPage(write(("t1", b"2"), start=1), Offset(2)))
         ahead.follower.feed_newest(Offset(1), write(("t1", b"1"), start=0))
         self.assertEqual(ahead.records, {"t1": b"2"})
 
     def test_instance_that_has_not_read_lately_answers_nothing(self) -> None:
         """Guards against a peer's old knowledge that is taken for news of the store."""
-        self.order[0].follower.take_records(RecordPage(write(("t2", b"2"), start=1), Offset(2)))
+        self.order[0].follower.take_records(
+            Offset(1), RecordPage(write(("t2", b"2"), start=1), Offset(2))
+        )
         self.clock.advance(5.0)
         late = Node("front-9", self.clock, self.nodes)
         late.follower.feed(Offset(2), ())
@@ -142,7 +144,7 @@
     def test_peer_that_is_behind_does_not_keep_others_from_reading(self) -> None:
         """Guards against a reader with an old copy of the topic that silences its peers."""
         ahead, behind = self.order[3], self.order[0]
-        ahead.follower.take_records(RecordPage(write(("t1", b"2"), start=1), Offset(2)))
+        ahead.follower.take_records(Offset(1), RecordPage(write(("t1", b"2"), start=1), Offset(2)))
         self.clock.advance(5.0)
         ahead.follower.feed(Offset(1), ())
         self.assertFalse(ahead.follower.is_fed())
