Read cache events as soon as the group is known; ask peers for all parts

A new process waited 2.5 s before it read any events, and in deployments where instances share the reading it waited up to 8 s for the next full update of each holder; a lost update cost as much.

Reading begins when the members of the group are known. An instance asks for the holders of which it knows nothing or has missed an update, and the one that reads them sends all parts, to that instance only. The periodic full updates go.

Ruled out: reading every holder at the start (holders answer only so many reads at once), and readiness that waits for the index.

--- a/src/mulberryrill/internal/entry/cachesharing.py
+++ b/src/mulberryrill/internal/entry/cachesharing.py
@@ -12,9 +12,8 @@
 from ..ids import InstanceId
 from ..schema.peers_pb2 import CacheUpdate
 
-# Everything that a holder keeps is sent again at this interval, for peers that are new or have
-# missed an update.
-FULL_INTERVAL_S = 8.0
+# Everything that a holder keeps is sent at this interval at most to a peer that asks for it.
+ANSWER_INTERVAL_S = 0.5
 MS_PER_S = 1000
 
 
@@ -36,7 +35,8 @@
         self._instance_count = 1
         self._local: tuple[InstanceId, ...] = (instance,)
         self._outgoing: dict[str, _Outgoing] = {}
-        self._full_at: dict[str, float] = {}
+        self._missing: set[str] = set()
+        self._answered_at: dict[tuple[InstanceId, str], float] = {}
 
     def set_instances(self, count: int, local: tuple[InstanceId, ...]) -> None:
         """Takes the number of all instances, and those of the own data centre."""
@@ -63,12 +63,34 @@
         outgoing, self._outgoing = self._outgoing, {}
         return [self._create_update(holder, item) for holder, item in outgoing.items()]
 
+    def set_missing(self, holders: set[str]) -> None:
+        """Names the holders that peers read and of which this instance knows nothing."""
+        self._missing |= holders
+
+    def take_missing(self) -> list[str]:
+        """Returns the holders to ask the peers for, since the last call."""
+        missing, self._missing = self._missing, set()
+        return sorted(missing)
+
+    def answer(self, instance: InstanceId, holders: list[str]) -> list[CacheUpdate]:
+        """Returns all that is kept by those of the holders that this instance reads."""
+        now = self._now()
+        updates = []
+        for holder in holders:
+            last = self._answered_at.get((instance, holder), float("-inf"))
+            if self._is_read_here(holder) and now - last >= ANSWER_INTERVAL_S:
+                self._answered_at[instance, holder] = now
+                updates.append(self._create_full(holder))
+        return updates
+
     def apply(self, update: CacheUpdate) -> None:
-        """Takes over what a peer has read, if nothing between is missing."""
+        """Takes over what a peer has read, or asks for all of it if something is missing."""
         epoch, next_event = self._index.get_position(update.holder)
+        is_first = epoch is None and update.since == 0
         if update.is_full:
             self._index.clear(update.holder)
-        elif (epoch, next_event) != (update.epoch, update.since):
+        elif not is_first and (epoch, next_event) != (update.epoch, update.since):
+            self._missing.add(update.holder)
             return
         events = [
             CacheEvent(CacheKey(part.salt, part.part), part.tokens > 0, part.tokens)
@@ -77,21 +99,26 @@
         heard_at = self._now() - update.age_ms / MS_PER_S
         self._index.apply(update.holder, update.epoch, update.next, events, heard_at)
 
+    def _is_read_here(self, holder: str) -> bool:
+        is_chosen = choose_member(holder, self._local) == self._instance
+        return is_chosen and self._index.is_known(holder)
+
     def _create_update(self, holder: str, outgoing: _Outgoing) -> CacheUpdate:
-        now = self._now()
+        return self._write(holder, outgoing.since, outgoing.events)
+
+    def _create_full(self, holder: str) -> CacheUpdate:
+        update = self._write(holder, 0, self._index.list_kept(holder))
+        update.is_full = True
+        return update
+
+    def _write(self, holder: str, since: int, events: list[CacheEvent]) -> CacheUpdate:
         epoch, next_event = self._index.get_position(holder)
-        is_full = now - self._full_at.get(holder, float("-inf")) >= FULL_INTERVAL_S
-        events = outgoing.events
-        if is_full:
-            self._full_at[holder] = now
-            events = self._index.list_kept(holder)
         update = CacheUpdate(
             holder=holder,
             epoch=epoch or 0,
-            is_full=is_full,
-            since=outgoing.since,
+            since=since,
             next=next_event,
-            age_ms=round(self._index.get_age(holder, now) * MS_PER_S),
+            age_ms=round(self._index.get_age(holder, self._now()) * MS_PER_S),
         )
         for event in events:
             tokens = event.tokens if event.is_kept else 0
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -17,8 +17,9 @@
 # Pause between two reads, so that the events of several calls come together.
 PAUSE_S = 0.2
 RETRY_S = 0.5
-REFRESH_S = 0.5
-# Before the instances of a deployment know each other, each would read every holder.
+REFRESH_S = 0.25
+# Before the instances of a deployment know each other, each would read every holder. Reading begins
+# when the group's members are known, or after this time.
 START_DELAY_S = 2.5
 _LOGGER = logging.getLogger(__name__)
 
@@ -67,7 +68,9 @@
         self._is_closed = True
 
     def _refresh(self) -> None:
-        if self._is_closed or self._loop.now() < self._starts_at:
+        if self._is_closed:
+            return
+        if not self._state.has_peers and self._loop.now() < self._starts_at:
             return
         wanted = self._list_holders()
         index = self._state.cache
@@ -79,6 +82,8 @@
             if address not in self._reading and self._is_reader(address):
                 self._reading.add(address)
                 self._read(address)
+        unknown = {a for a in wanted if not index.is_known(a) and not self._is_reader(a)}
+        self._state.sharing.set_missing(unknown)
 
     def _list_holders(self) -> dict[str, HolderKind]:
         table = self._state.table
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -138,7 +138,11 @@
         now = self._loop.now()
         report.caches.extend(self._knowledge.sharing.take_updates())
         report.updates.extend(self._knowledge.updates.take(now))
-        has_content = report.targets or report.caches or report.updates
+        if missing := self._knowledge.sharing.take_missing():
+            report.cache_request.holders.extend(missing)
+        has_content = (
+            report.targets or report.caches or report.updates or report.HasField("cache_request")
+        )
         if has_content or now - self._sent_at >= IDLE_REPORT_S:
             self._sent_at = now
             self._send(report)
@@ -180,6 +184,10 @@
             if is_local:
                 self._take_log(report)
             return
+        if report.answers_request:
+            for update in report.caches if is_local else ():
+                self._knowledge.sharing.apply(update)
+            return
         loads = {
             TargetId(load.target): TargetLoad(
                 {item.priority: item.pending_tokens for item in load.pending},
@@ -195,6 +203,18 @@
         if is_local:
             for update in report.caches:
                 self._knowledge.sharing.apply(update)
+            if report.HasField("cache_request"):
+                self._answer_caches(report)
+
+    def _answer_caches(self, request: PeerReport) -> None:
+        """Sends a peer all that this instance knows of the holders that it asks for."""
+        instance = InstanceId(request.instance)
+        updates = self._knowledge.sharing.answer(instance, list(request.cache_request.holders))
+        if updates:
+            answer = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+            answer.answers_request = True
+            answer.caches.extend(updates)
+            self._send(answer, _write_recipient(instance))
 
     def _take_log(self, report: PeerReport) -> None:
         """Takes records of the platform's log, or a peer's request for them."""
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -87,6 +87,8 @@
         self.instances: tuple[InstanceId, ...] = (instance,)
         self.local_instances: tuple[InstanceId, ...] = (instance,)
         self.on_peers_changed: Callable[[list[Peer]], None] | None = None
+        # Whether the group of the instances has been read.
+        self.has_peers = False
         self._has_registry = False
         self._is_store_reachable: bool | None = None
 
@@ -165,6 +167,7 @@
 
     def on_peers(self, peers: list[Peer]) -> None:
         """Shares limits among the live instances and exchanges loads with them."""
+        self.has_peers = True
         self.instances = tuple(sorted({*(peer.instance for peer in peers), self._instance}))
         self.pacer.set_instances(self.instances)
         local = {peer.instance for peer in peers if peer.data_centre == self._data_centre}
--- a/tests/unit/test_entry_sharing.py
+++ b/tests/unit/test_entry_sharing.py
@@ -9,7 +9,7 @@
     HolderKind,
 )
 from mulberryrill.internal.core.serving.targettable import TargetTable
-from mulberryrill.internal.entry.cachesharing import FULL_INTERVAL_S, CacheSharing
+from mulberryrill.internal.entry.cachesharing import ANSWER_INTERVAL_S, CacheSharing
 from mulberryrill.internal.entry.targetupdates import TargetUpdates
 from mulberryrill.internal.ids import InstanceId, ModelName, TargetId, WeightVersion
 from tests.unit.test_serving_targettable import create_registration
@@ -53,7 +53,15 @@
         self.exchange()
         self.assertTrue(self.peer.holds("aa") and self.peer.holds("bb"))
 
-    def test_gap_is_not_bridged_and_the_next_full_update_repairs_it(self) -> None:
+    def ask(self) -> int:
+        """Lets the peer ask for what it misses; returns the number of answers."""
+        holders = self.peer.sharing.take_missing()
+        updates = self.reader.sharing.answer(InstanceId("i2"), holders)
+        for update in updates:
+            self.peer.sharing.apply(update)
+        return len(updates)
+
+    def test_gap_is_not_bridged_and_the_peer_asks_for_all_parts(self) -> None:
         self.reader.read(0, 2, "aa")
         self.exchange()
         self.reader.read(2, 3, "bb")
@@ -61,18 +69,36 @@
         self.reader.read(3, 4, "cc")
         self.exchange()
         self.assertFalse(self.peer.holds("cc"))
-        self.clock[0] += FULL_INTERVAL_S
-        self.reader.read(4, 5, "dd")
-        self.exchange()
-        self.assertTrue(all(self.peer.holds(part) for part in ("aa", "bb", "cc", "dd")))
+        self.assertEqual(self.ask(), 1)
+        self.assertTrue(all(self.peer.holds(part) for part in ("aa", "bb", "cc")))
+        self.assertEqual(self.ask(), 0)
+
+    def test_peer_that_has_just_started_asks_for_all_parts(self) -> None:
+        """Guards against a process that knows no parts for seconds after its start."""
+        self.reader.read(0, 2, "aa")
+        self.reader.sharing.take_updates()
+        self.peer.sharing.set_missing({HOLDER, "10.0.0.9:80"})
+        self.assertEqual(self.ask(), 1)
+        self.assertTrue(self.peer.holds("aa"))
+
+    def test_answers_to_one_peer_are_spaced(self) -> None:
+        """Guards against a peer that asks again while the answer is on its way."""
+        self.reader.read(0, 2, "aa")
+        answer = self.reader.sharing.answer
+        self.assertEqual(len(answer(InstanceId("i2"), [HOLDER])), 1)
+        self.assertEqual(answer(InstanceId("i2"), [HOLDER]), [])
+        self.assertEqual(len(answer(InstanceId("i3"), [HOLDER])), 1)
+        self.clock[0] += ANSWER_INTERVAL_S
+        self.assertEqual(len(answer(InstanceId("i2"), [HOLDER])), 1)
 
     def test_restarted_holder_is_forgotten_by_peers(self) -> None:
         self.reader.read(0, 2, "aa")
         self.exchange()
-        self.clock[0] += FULL_INTERVAL_S
         self.reader.read(0, 1, "bb", epoch=2)
         self.exchange()
+        self.ask()
         self.assertFalse(self.peer.holds("aa"))
+        self.assertTrue(self.peer.holds("bb"))
 
     def test_one_instance_of_a_data_centre_reads_if_there_are_many(self) -> None:
         names = tuple(InstanceId(f"i{i}") for i in range(20))
