--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -14,7 +14,7 @@
 
 from absl import app, flags
 
-from mulberryrill.internal.core.claims import ClaimFold
+from mulberryrill.internal.core.claimfold import ClaimFold
 from mulberryrill.internal.core.configuration import ConfigurationFold
 from mulberryrill.internal.core.membership import Membership
 from mulberryrill.internal.core.messages import (
@@ -26,7 +26,8 @@
 )
 from mulberryrill.internal.core.records import seal_batch
 from mulberryrill.internal.core.routing import Router, create_policy
-from mulberryrill.internal.core.slots import SlotClient, SlotHolder
+from mulberryrill.internal.core.slotholder import SlotHolder
+from mulberryrill.internal.core.slots import SlotClient
 from mulberryrill.internal.ids import (
     CustomerName,
     DataCentre,
--- a/src/mulberryrill/internal/control/claims.py
+++ b/src/mulberryrill/internal/control/claims.py
@@ -8,13 +8,13 @@
 import xxhash
 
 from ..clock import Clock
+from ..core.claimfold import normalize_key
 from ..core.claims import (
     Action,
     AppendBatch,
     AppendStatus,
     ClaimTask,
     Reply,
-    normalize_key,
 )
 from ..core.claims import AppendResult as ClaimAppendResult
 from ..core.messages import Record
--- a/src/mulberryrill/internal/control/main.py
+++ b/src/mulberryrill/internal/control/main.py
@@ -11,7 +11,8 @@
 from ..core.membership import Membership
 from ..core.messages import TargetState
 from ..core.quarantine import Quarantine
-from ..core.slots import SlotClient, SlotHolder
+from ..core.slotholder import SlotHolder
+from ..core.slots import SlotClient
 from ..events import Event
 from ..history.writer import HistoryWriter
 from ..ids import InstanceId, TargetId, create_id
--- a/src/mulberryrill/internal/control/program.py
+++ b/src/mulberryrill/internal/control/program.py
@@ -5,11 +5,13 @@
 
 from ...errors import SettingsError
 from ..clock import Clock, SystemClock
-from ..core.claims import ClaimFold, ClaimTask
+from ..core.claimfold import ClaimFold
+from ..core.claims import ClaimTask
 from ..core.configuration import ConfigurationFold
 from ..core.membership import Membership
 from ..core.quarantine import Quarantine
-from ..core.slots import SlotClient, SlotHolder
+from ..core.slotholder import SlotHolder
+from ..core.slots import SlotClient
 from ..http.server import HttpServer
 from ..ids import DataCentre, InstanceId
 from ..platform.listclient import ListClient
--- a/src/mulberryrill/internal/control/slots.py
+++ b/src/mulberryrill/internal/control/slots.py
@@ -5,7 +5,8 @@
 from ..clock import Clock
 from ..core.messages import TargetState
 from ..core.rendezvous import choose_member
-from ..core.slots import SlotClient, SlotHolder
+from ..core.slotholder import SlotHolder
+from ..core.slots import SlotClient
 from ..ids import InstanceId, TargetId
 from ..schema.wire_pb2 import (
     Envelope,
--- a/src/mulberryrill/internal/core/claims.py
+++ b/src/mulberryrill/internal/core/claims.py
@@ -1,18 +1,14 @@
 """At-most-once execution: claims are decided by the order of the platform's log.
 
-``ClaimFold`` finds the first valid claim of each key. ``ClaimTask`` appends the claims of one
+``ClaimFold`` finds the first valid claim of each key; ``ClaimTask`` appends the claims of one
 instance and grants one only after it has read it back as the first.
 """
 
-import sys
-import uuid
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NamedTuple
 
-from ...errors import CorruptRecordError
 from ..ids import InstanceId, Offset
 from ..schema.log_pb2 import Claim, ClaimVoid, LogBatch, LogEntry, Outcome
 from ..schema.wire_pb2 import (
@@ -26,20 +22,16 @@
     ClaimRequest,
     ClaimStatus,
 )
+from .claimfold import (
+    FORGET_MARGIN_MS,
+    MAX_BODY_BYTES,
+    ClaimEventKind,
+    ClaimFold,
+    KeyId,
+    identify,
+    truncate,
+)
 from .messages import Record
-from .records import open_record
-
-# A caller's clock may be ahead of the platform's by this much.
-KEY_LEAD_MS = 60_000
-# Keys are remembered this much longer than claims for them can be valid, so that a repeat at the
-# end of the window still gets its outcome.
-FORGET_MARGIN_MS = 120_000
-FORGET_STEP_MS = 60_000
-# Outcome bodies kept for replays; beyond it the oldest are dropped and replay as truncated.
-MAX_OUTCOME_BYTES = 48 * 1024 * 1024
-# Longest body of an outcome; the gateway cuts at the same length.
-MAX_BODY_BYTES = 64 * 1024
-UUID_VERSION = 7
 
 DEFAULT_INTERVAL_S = 0.05
 DEFAULT_WAIT_S = 5.0
@@ -53,258 +45,6 @@
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 
 
-class KeyId(NamedTuple):
-    """Identifies one call that may run once. ``key`` has the usual text of a UUID."""
-
-    customer: str
-    service: str
-    key: str
-
-
-class ClaimEventKind(Enum):
-    """What a log entry meant for its claim."""
-
-    WON = "won"
-    LOST = "lost"
-    OUT_OF_WINDOW = "out of window"
-    # Earlier claims of the key may have been missed; other instances may see it as the first.
-    UNDECIDED = "undecided"
-    VOIDED = "voided"
-    OUTCOME = "outcome"
-
-
-@dataclass(frozen=True)
-class ClaimEvent:
-    """The effect of one log entry."""
-
-    kind: ClaimEventKind
-    claim_id: str
-    key_id: KeyId
-    offset: Offset
-
-
-@dataclass(frozen=True)
-class ClaimState:
-    """The claim that holds a key; ``outcome`` is None until its run has ended."""
-
-    claim_id: str
-    request_digest: bytes
-    offset: Offset
-    outcome: Outcome | None = None
-
-
-@dataclass(slots=True)
-class _KeyState:
-    """All that is remembered of one key. Many are kept, so they are small."""
-
-    # The claim that holds the key; empty if it is free.
-    claim_id: str = ""
-    request_digest: bytes = b""
-    offset: Offset = Offset(0)
-    # A serialized Outcome without the fields that identify it; None until the run has ended.
-    outcome: bytes | None = None
-    # Claims that lost or were withdrawn. A duplicate of their record never wins.
-    spent: frozenset[str] = frozenset()
-
-    def add_spent(self, claim_id: str) -> None:
-        if claim_id not in self.spent:
-            self.spent |= {claim_id}
-
-
-def read_key_time_ms(key: str) -> int | None:
-    """Returns the creation time in a UUIDv7, or None if the key is not one."""
-    try:
-        value = uuid.UUID(key)
-    except ValueError:
-        return None
-    return value.int >> 80 if value.version == UUID_VERSION else None
-
-
-def normalize_key(key: str) -> str:
-    """Returns the usual text of a UUID, so that its other spellings are the same key."""
-    try:
-        return str(uuid.UUID(key))
-    except ValueError:
-        return key
-
-
-# Customer, service and the 16 bytes of the key.
-_PackedKey = tuple[str, str, bytes]
-
-
-def _pack(key_id: KeyId) -> _PackedKey:
-    """Returns a form that shares the names among keys and needs a third of the memory."""
-    try:
-        key = uuid.UUID(key_id.key).bytes
-    except ValueError:
-        key = key_id.key.encode("utf-8")
-    return sys.intern(key_id.customer), sys.intern(key_id.service), key
-
-
-def _identify(entry: Claim | ClaimVoid | Outcome) -> KeyId:
-    return KeyId(entry.customer, entry.service, normalize_key(entry.key))
-
-
-class ClaimFold:
-    """Folds one stream of claims.
-
-    The reader starts at the first record that the log keeps. The log keeps records for longer than
-    the key window, so every claim that could precede a valid one has been read.
-    """
-
-    def __init__(self, key_window_ms: int) -> None:
-        self._window_ms = key_window_ms
-        self._keys: dict[_PackedKey, _KeyState] = {}
-        self._expiring: dict[int, list[_PackedKey]] = {}
-        # Keys with an outcome, oldest first.
-        self._outcomes: deque[_PackedKey] = deque()
-        self._outcome_bytes = 0
-        self._folded: Offset | None = None
-        # Claims before this time may be missing; claims of keys that old stay undecided.
-        self._missing_until_ms = -1
-        self.last_time_ms = 0
-        self.corrupt_records = 0
-
-    def __len__(self) -> int:
-        return len(self._keys)
-
-    def apply(self, record: Record) -> list[ClaimEvent]:
-        """Folds the next record; one that is already folded has no effect."""
-        if self._folded is not None and record.offset <= self._folded:
-            return []
-        if self._folded is not None and record.offset != self._folded + 1:
-            self._missing_until_ms = record.time_ms
-        self._folded = record.offset
-        self.last_time_ms = max(self.last_time_ms, record.time_ms)
-        self._forget_expired()
-        try:
-            batch = open_record(record.data)
-        except CorruptRecordError:
-            self.corrupt_records += 1
-            return []
-        events = (self._apply_entry(entry, record) for entry in batch.entries)
-        return [event for event in events if event is not None]
-
-    def look_up(self, customer: str, service: str, key: str) -> ClaimState | None:
-        """Returns the claim that holds a key."""
-        state = self._keys.get(_pack(KeyId(customer, service, normalize_key(key))))
-        if state is None or not state.claim_id:
-            return None
-        outcome = None
-        if state.outcome is not None:
-            outcome = Outcome.FromString(state.outcome)
-            outcome.claim_id, outcome.key = state.claim_id, normalize_key(key)
-            outcome.customer, outcome.service = customer, service
-        return ClaimState(state.claim_id, state.request_digest, state.offset, outcome)
-
-    def is_key_expired(self, key: str, margin_ms: int = 0) -> bool:
-        """Tells whether no claim of the key can be valid any more, since at least ``margin_ms``."""
-        created_ms = read_key_time_ms(key)
-        return created_ms is None or self.last_time_ms > created_ms + self._window_ms + margin_ms
-
-    def _apply_entry(self, entry: LogEntry, record: Record) -> ClaimEvent | None:
-        kind = entry.WhichOneof("kind")
-        if kind == "claim":
-            return self._apply_claim(entry.claim, record)
-        if kind == "claim_void":
-            return self._apply_void(entry.claim_void, record)
-        if kind == "outcome":
-            return self._apply_outcome(entry.outcome, record)
-        return None
-
-    def _apply_claim(self, claim: Claim, record: Record) -> ClaimEvent | None:
-        key_id = _identify(claim)
-        if not claim.claim_id or not self._is_valid(key_id.key, record.time_ms):
-            return ClaimEvent(ClaimEventKind.OUT_OF_WINDOW, claim.claim_id, key_id, record.offset)
-        if self._may_miss_claims(key_id.key):
-            return ClaimEvent(ClaimEventKind.UNDECIDED, claim.claim_id, key_id, record.offset)
-        state = self._get_state(key_id)
-        if state.claim_id == claim.claim_id:
-            return None
-        if not state.claim_id and claim.claim_id not in state.spent:
-            state.claim_id, state.request_digest = claim.claim_id, claim.request_digest
-            state.offset = record.offset
-            return ClaimEvent(ClaimEventKind.WON, claim.claim_id, key_id, record.offset)
-        state.add_spent(claim.claim_id)
-        return ClaimEvent(ClaimEventKind.LOST, claim.claim_id, key_id, record.offset)
-
-    def _is_valid(self, key: str, time_ms: int) -> bool:
-        created_ms = read_key_time_ms(key)
-        if created_ms is None:
-            return False
-        return created_ms - KEY_LEAD_MS <= time_ms <= created_ms + self._window_ms
-
-    def _may_miss_claims(self, key: str) -> bool:
-        return (read_key_time_ms(key) or 0) - KEY_LEAD_MS <= self._missing_until_ms
-
-    def _apply_void(self, void: ClaimVoid, record: Record) -> ClaimEvent | None:
-        key_id = _identify(void)
-        if not self._is_valid(key_id.key, record.time_ms):
-            return None
-        state = self._get_state(key_id)
-        if state.claim_id == void.claim_id:
-            if state.outcome is not None:
-                return None
-            state.claim_id, state.request_digest = "", b""
-        # The void may precede a claim whose append was delayed.
-        state.add_spent(void.claim_id)
-        return ClaimEvent(ClaimEventKind.VOIDED, void.claim_id, key_id, record.offset)
-
-    def _apply_outcome(self, outcome: Outcome, record: Record) -> ClaimEvent | None:
-        key_id = _identify(outcome)
-        packed = _pack(key_id)
-        state = self._keys.get(packed)
-        if state is None or not state.claim_id or state.claim_id != outcome.claim_id:
-            return None
-        if state.outcome is not None:
-            return None
-        answer = Outcome(
-            status=outcome.status,
-            content_type=outcome.content_type,
-            body=outcome.body,
-            truncated=outcome.truncated,
-        )
-        state.outcome = answer.SerializeToString()
-        self._outcomes.append(packed)
-        self._outcome_bytes += len(state.outcome)
-        self._drop_old_bodies()
-        return ClaimEvent(ClaimEventKind.OUTCOME, outcome.claim_id, key_id, record.offset)
-
-    def _drop_old_bodies(self) -> None:
-        while self._outcome_bytes > MAX_OUTCOME_BYTES and self._outcomes:
-            state = self._keys.get(self._outcomes.popleft())
-            if state is None or state.outcome is None:
-                continue
-            outcome = Outcome.FromString(state.outcome)
-            _truncate(outcome)
-            self._outcome_bytes -= len(state.outcome)
-            state.outcome = outcome.SerializeToString()
-
-    def _get_state(self, key_id: KeyId) -> _KeyState:
-        packed = _pack(key_id)
-        state = self._keys.get(packed)
-        if state is None:
-            state = self._keys[packed] = _KeyState()
-            created_ms = read_key_time_ms(key_id.key) or 0
-            forget_ms = created_ms + self._window_ms + FORGET_MARGIN_MS
-            self._expiring.setdefault(forget_ms // FORGET_STEP_MS, []).append(packed)
-        return state
-
-    def _forget_expired(self) -> None:
-        step = self.last_time_ms // FORGET_STEP_MS
-        for old in [key for key in self._expiring if key < step]:
-            for packed in self._expiring.pop(old):
-                state = self._keys.pop(packed)
-                self._outcome_bytes -= len(state.outcome or b"")
-        while self._outcomes and self._outcomes[0] not in self._keys:
-            self._outcomes.popleft()
-
-
-def _truncate(outcome: Outcome) -> None:
-    outcome.body = b""
-    outcome.truncated = True
-
-
 class AppendStatus(Enum):
     """What is known about an append."""
 
@@ -405,7 +145,7 @@
     def request(self, request: ClaimRequest, now: float) -> list[Action]:
         """Takes a gateway's request; exactly one Reply follows, now or later."""
         claim = request.claim
-        key_id = _identify(claim)
+        key_id = identify(claim)
         if claim.claim_id in self._waiting:
             return []
         if self._fold.look_up(*key_id) is not None:
@@ -434,7 +174,7 @@
         kept.CopyFrom(outcome)
         size = len(kept.body)
         if size > MAX_BODY_BYTES or self._durable_bytes + size > MAX_QUEUED_BYTES:
-            _truncate(kept)
+            truncate(kept)
         self._queue(LogEntry(outcome=kept))
         return self._flush(now)
 
@@ -513,7 +253,7 @@
     def _remove(self, waiting: _Waiting) -> None:
         claim = waiting.request.claim
         del self._waiting[claim.claim_id]
-        del self._by_key[_identify(claim)]
+        del self._by_key[identify(claim)]
 
     def _answer_held(self, request: ClaimRequest) -> Reply:
         """Answers a request whose key is held by another claim."""
--- a/src/mulberryrill/internal/settings/checks.py
+++ b/src/mulberryrill/internal/settings/checks.py
@@ -13,7 +13,7 @@
 from google.protobuf.message import Message
 
 from ...errors import SettingsError
-from ..core.claims import FORGET_MARGIN_MS, KEY_LEAD_MS
+from ..core.claimfold import FORGET_MARGIN_MS, KEY_LEAD_MS
 from ..schema.settings_pb2 import (
     ControlSettings,
     EngineSettings,
--- a/tests/common/slotsimulation.py
+++ b/tests/common/slotsimulation.py
@@ -12,12 +12,12 @@
 
 from mulberryrill.internal.core.messages import TargetState
 from mulberryrill.internal.core.rendezvous import choose_member
+from mulberryrill.internal.core.slotholder import SlotHolder
 from mulberryrill.internal.core.slots import (
     GRANT_S,
     SILENCE_S,
     GatewaySlots,
     SlotClient,
-    SlotHolder,
 )
 from mulberryrill.internal.ids import GatewayId, Incarnation, InstanceId, TargetId
 from mulberryrill.internal.schema.wire_pb2 import SlotGrant
--- a/tests/property/test_claims.py
+++ b/tests/property/test_claims.py
@@ -6,15 +6,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from mulberryrill.internal.core.claimfold import KEY_LEAD_MS, ClaimFold, read_key_time_ms
 from mulberryrill.internal.core.claims import (
-    KEY_LEAD_MS,
     Action,
     AppendBatch,
     AppendResult,
     AppendStatus,
-    ClaimFold,
     ClaimTask,
-    read_key_time_ms,
 )
 from mulberryrill.internal.core.messages import Record
 from mulberryrill.internal.core.records import seal_batch
--- a/tests/property/test_slots.py
+++ b/tests/property/test_slots.py
@@ -19,7 +19,8 @@
 )
 
 from mulberryrill.internal.core.allotments import Account
-from mulberryrill.internal.core.slots import SlotClient, SlotHolder
+from mulberryrill.internal.core.slotholder import SlotHolder
+from mulberryrill.internal.core.slots import SlotClient
 from mulberryrill.internal.ids import InstanceId, TargetId
 from mulberryrill.internal.schema.wire_pb2 import (
     SlotGrant,
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -3,14 +3,13 @@
 import unittest
 from unittest import mock
 
-from mulberryrill.internal.core import claims as core_claims
+from mulberryrill.internal.core import claimfold
+from mulberryrill.internal.core.claimfold import KEY_LEAD_MS, ClaimFold
 from mulberryrill.internal.core.claims import (
-    KEY_LEAD_MS,
     Action,
     AppendBatch,
     AppendResult,
     AppendStatus,
-    ClaimFold,
     ClaimTask,
 )
 from mulberryrill.internal.ids import InstanceId
@@ -76,7 +75,7 @@
 
     def test_memory_is_bounded_in_time_and_in_bytes_of_outcomes(self) -> None:
         claims = [create_claim(f"a{n}", create_key(number=n)) for n in range(3)]
-        with mock.patch.object(core_claims, "MAX_OUTCOME_BYTES", 2500):
+        with mock.patch.object(claimfold, "MAX_OUTCOME_BYTES", 2500):
             for claim in claims:
                 outcome = create_outcome(claim, b"x" * 1000)
                 self.apply(LogEntry(claim=claim), LogEntry(outcome=outcome))
--- a/tests/unit/test_control_tasks.py
+++ b/tests/unit/test_control_tasks.py
@@ -20,7 +20,8 @@
 )
 from mulberryrill.internal.control.task import Task
 from mulberryrill.internal.control.writer import Writer
-from mulberryrill.internal.core.claims import ClaimFold, ClaimTask
+from mulberryrill.internal.core.claimfold import ClaimFold
+from mulberryrill.internal.core.claims import ClaimTask
 from mulberryrill.internal.core.messages import Record
 from mulberryrill.internal.history.writer import HistoryWriter
 from mulberryrill.internal.ids import InstanceId, Offset
--- a/tests/unit/test_slots.py
+++ b/tests/unit/test_slots.py
@@ -3,6 +3,7 @@
 import unittest
 
 from mulberryrill.internal.core.rendezvous import rank_members
+from mulberryrill.internal.core.slotholder import SlotHolder
 from mulberryrill.internal.core.slots import (
     FLOOR_WAIT_S,
     GRANT_S,
@@ -10,7 +11,6 @@
     SILENCE_S,
     GatewaySlots,
     SlotClient,
-    SlotHolder,
 )
 from mulberryrill.internal.ids import GatewayId, InstanceId, TargetId
 from mulberryrill.internal.schema.wire_pb2 import (
