Let repeats wait for the outcome of the running call

Cause: of ten calls at once with one Idempotency-Key, nine got 409 "outcome unknown" while the first one ran, and 200 with its answer a second later. A repeat now asks for the outcome each 0.2 s and gets 409 only when its own time ends.

Ruled out: an answer pushed by the control process, which would need a list of waiting gateways at each instance; the claim's state is local, so asking costs one message on the host and nothing in the log.

Before: a repeat of a running call gets 409 at once; after: test_repeat_waits_for_the_outcome_of_the_running_call gets the answer at its third question.

--- a/src/mulberryrill/internal/gateway/dispatcher.py
+++ b/src/mulberryrill/internal/gateway/dispatcher.py
@@ -15,7 +15,7 @@
 from ..events import Event
 from ..ids import AttemptId, Executed, RequestId, ServiceName, TargetId, create_id
 from ..logs import log_event
-from ..schema.wire_pb2 import GRANTED, AttemptTrace, ClaimReply, GrantUpdate
+from ..schema.wire_pb2 import GRANTED, IN_PROGRESS, AttemptTrace, ClaimReply, GrantUpdate
 from . import failures
 from .answerer import Answerer
 from .answers import Failure
@@ -43,6 +43,10 @@
 # A call that may not be repeated runs on this long after its caller was told that it is unknown.
 MAX_RUN_S = 3600.0
 MAX_FORWARD_TRIES = 3
+# While an earlier call with the same key runs, its outcome is asked for at this interval.
+OUTCOME_POLL_S = 0.2
+# Asking ends this long before the deadline, since the answer takes time too.
+OUTCOME_MARGIN_S = 0.3
 BYTES_PER_TOKEN = 4
 POLICY_WITH_STORES = "full"
 _RESUMABLE = frozenset(
@@ -161,6 +165,8 @@
             self._enqueue(call)
             return
         call.claim = None
+        if reply.status == IN_PROGRESS and self._waits_for_outcome(call):
+            return
         refusal = build_refusal(reply)
         if isinstance(refusal, Failure):
             self._fail(call, refusal)
@@ -168,6 +174,23 @@
             self._answerer.give_answer(call, refusal)
             self._end(call)
 
+    def _waits_for_outcome(self, call: Call) -> bool:
+        """Asks again after a while for the outcome of an earlier call with the same key."""
+        if self._loop.now() + OUTCOME_POLL_S >= call.deadline - OUTCOME_MARGIN_S:
+            return False
+
+        def ask() -> None:
+            if call.state is CallState.CLAIMING:
+                self._request_claim(call)
+
+        self._loop.call_later(OUTCOME_POLL_S, ask)
+        return True
+
+    def _request_claim(self, call: Call) -> None:
+        call.state = CallState.CLAIMING
+        if not self._claims.request(call, self._loop.now()):
+            self._fail(call, create_unavailable())
+
     def _accept(self, call: Call) -> None:
         now = self._loop.now()
         if self._targets.is_refused(call, now):
@@ -177,9 +200,7 @@
         elif call.request.repeatable:
             self._enqueue(call)
         else:
-            call.state = CallState.CLAIMING
-            if not self._claims.request(call, now):
-                self._fail(call, create_unavailable())
+            self._request_claim(call)
 
     def _leave(self, call: Call) -> None:
         """Forwards a call that has not been sent anywhere, or refuses it as not run."""
--- a/tests/process/test_gateway_claims.py
+++ b/tests/process/test_gateway_claims.py
@@ -84,6 +84,25 @@
                 self.assertEqual(read_executed(self.pay(create_key())), answer)
         self.assertEqual(self.count_executions(), 0)
 
+    def test_repeat_waits_for_the_outcome_of_the_running_call(self) -> None:
+        """Guards against 409 for repeats that come while the first call runs."""
+        self.start_gateway()
+        asked = []
+
+        def answer(request: ClaimRequest) -> ClaimReply:
+            asked.append(request)
+            status = IN_PROGRESS if len(asked) < 3 else REPLAY
+            reply = ClaimReply(
+                request_id=request.request_id, claim_id=request.claim.claim_id, status=status
+            )
+            reply.outcome.CopyFrom(Outcome(status=201, body=b"paid"))
+            return reply
+
+        self.control.answer_claim = answer
+        received = self.pay(create_key())
+        self.assertEqual((received.status, received.body), (201, b"paid"))
+        self.assertEqual((len(asked), self.count_executions()), (3, 0))
+
     def test_recorded_outcome_is_replayed(self) -> None:
         self.start_gateway()
         self.reply_with(REPLAY, status=201, content_type="text/plain", body=b"paid")
