Measure listeners beside half-sent requests and without at the same time

It measured the p95 with the half-sent requests and the p95 without them at different moments, so what else ran on the machine was measured too.

Two listeners now get calls in turn, one of them beside the 2,000 half-sent requests; bound and p95 stay, with 1,500 calls instead of the best of six rounds of 100.

Ruled out: a wider bound, and skipping the check under load.

One comment on the takeover of reads now fits bounds other than 3 s.

--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -38,8 +38,8 @@
 FEED_MARGIN_S = 0.6
 # How often an instance that is fed looks whether it still is.
 FEED_CHECK_S = 0.15
-# Instances take over from a silent reader one after the other, up to this many. All steps together
-# must leave time within the three seconds after which a leaving target may get no work.
+# Instances take over from a silent reader one after the other, up to this many. Pace, margin and
+# all steps together must stay below the time after which a leaving target may get no work.
 TAKEOVER_STEP_S = 0.1
 TAKEOVER_STEPS = 3
 # An instance that asked for records this recently cannot read for others.
--- a/tests/process/test_slow_callers.py
+++ b/tests/process/test_slow_callers.py
@@ -7,14 +7,14 @@
 from http.client import HTTPConnection
 
 from tests.common.control import TOKENS, ControlTestCase
-from tests.common.gateway import LOCAL, TOKEN, GatewayTestCase
+from tests.common.gateway import LOCAL, TOKEN, GatewayTestCase, wait_until
 
 HALF_SENT_CONNECTIONS = 2_000
 # The callers' p95 with the half-sent requests, relative to the p95 without them.
 MAX_SLOWDOWN = 1.2
-CALLS = 100
-# The least disturbed of several rounds counts, since other processes share the machine.
-ROUNDS = 6
+# Calls to each of two listeners, one after the other, so that what else runs on the machine delays
+# both alike; enough for a p95 that varies by a few percent.
+CALLS = 1_500
 # Old listeners answered nobody for 12 s and more.
 ANSWER_TIMEOUT_S = 10.0
 
@@ -29,30 +29,47 @@
         yield
 
 
-def measure_p95(port: int, path: str, token: str) -> float:
-    """Returns the p95 of calls over one connection, in seconds."""
-    connection = HTTPConnection(LOCAL, port, timeout=ANSWER_TIMEOUT_S)
-    times = []
-    with contextlib.closing(connection):
-        for _ in range(CALLS):
-            began = time.perf_counter()
-            connection.request("GET", path, headers={"Authorization": f"Bearer {token}"})
-            response = connection.getresponse()
-            response.read()
-            if response.status != 200:
-                raise AssertionError(f"status {response.status}")
-            times.append(time.perf_counter() - began)
-    return sorted(times)[int(0.95 * CALLS)]
+class TimedCaller:
+    """Makes calls over one connection and keeps their times."""
+
+    def __init__(self, port: int, path: str, token: str) -> None:
+        self._connection = HTTPConnection(LOCAL, port, timeout=ANSWER_TIMEOUT_S)
+        self._path = path
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._times: list[float] = []
 
+    def call(self) -> None:
+        """Makes one call; raises AssertionError if it is refused."""
+        began = time.perf_counter()
+        self._connection.request("GET", self._path, headers=self._headers)
+        response = self._connection.getresponse()
+        response.read()
+        if response.status != 200:
+            raise AssertionError(f"status {response.status}")
+        self._times.append(time.perf_counter() - began)
 
-def measure_slowdown(port: int, path: str, token: str) -> float:
-    """Returns the p95 beside half-sent requests, relative to the p95 without them."""
-    alone, beside = [], []
-    for _ in range(ROUNDS):
-        alone.append(measure_p95(port, path, token))
-        with hold_half_sent_requests(port, HALF_SENT_CONNECTIONS):
-            beside.append(measure_p95(port, path, token))
-    return min(beside) / min(alone)
+    def close(self) -> None:
+        """Closes the connection."""
+        self._connection.close()
+
+    @property
+    def p95(self) -> float:
+        """The time within which 95 in 100 calls were answered, in seconds."""
+        return sorted(self._times)[int(0.95 * len(self._times))]
+
+
+def measure_slowdown(alone_port: int, beside_port: int, path: str, token: str) -> float:
+    """Returns the p95 at a listener beside half-sent requests, relative to one without them."""
+    with contextlib.ExitStack() as stack:
+        callers = [TimedCaller(port, path, token) for port in (alone_port, beside_port)]
+        for caller in callers:
+            stack.callback(caller.close)
+        stack.enter_context(hold_half_sent_requests(beside_port, HALF_SENT_CONNECTIONS))
+        for _ in range(CALLS):
+            for caller in callers:
+                caller.call()
+    alone, beside = callers
+    return beside.p95 / alone.p95
 
 
 def exchange(port: int, data: bytes) -> bytes:
@@ -65,8 +82,13 @@
 class GatewaySlowCallerTest(GatewayTestCase):
     def test_half_sent_requests_delay_no_caller(self) -> None:
         """Guards against connections that each hold a thread until they time out."""
-        port = self.start_gateway().port
-        self.assertLess(measure_slowdown(port, "/v1/models", TOKEN), MAX_SLOWDOWN)
+        beside = self.start_gateway().port
+        other = self.create_control()
+        alone = self.start_silent_gateway(other)
+        other.publish()
+        wait_until(lambda: other.list("snapshot_ack"), "snapshot acknowledged")
+        slowdown = measure_slowdown(alone.port, beside, "/v1/models", TOKEN)
+        self.assertLess(slowdown, MAX_SLOWDOWN)
 
     def test_pipelined_requests_are_all_answered_in_order(self) -> None:
         """Guards against a listener that answers the first request and closes."""
@@ -113,8 +135,9 @@
 class OperatorsSlowCallerTest(ControlTestCase):
     def test_half_sent_requests_delay_no_operator(self) -> None:
         """Guards against connections that each hold a thread until they time out."""
-        program = self.start_control(self.create_settings())
-        self.wait_ready(program)
-        port = program.ports[0]
-        token = TOKENS["asha"]
-        self.assertLess(measure_slowdown(port, "/v1/status", token), MAX_SLOWDOWN)
+        programs = [self.start_control(self.create_settings(name)) for name in ("k-1", "k-2")]
+        for program in programs:
+            self.wait_ready(program)
+        alone, beside = (program.ports[0] for program in programs)
+        slowdown = measure_slowdown(alone, beside, "/v1/status", TOKENS["asha"])
+        self.assertLess(slowdown, MAX_SLOWDOWN)
