--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -32,6 +32,7 @@
 FIRST_PORT, LAST_PORT = 15_000, 31_000
 # Partitions of a topic in the store.
 PARTITIONS = 12
+_given_ports: set[int] = set()
 
 
 def find_port() -> int:
@@ -41,12 +42,15 @@
     """
     while True:
         port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue  # Its server may not have started yet.
         with socket.socket() as sock:
             try:
                 sock.bind((LOCAL, port))
             except OSError:
                 continue
-            return port
+        _given_ports.add(port)
+        return port
 
 
 def wait_for(condition: Callable[[], bool], timeout_s: float = WAIT_S) -> None:
