Plan prompt sources once for a call, and remove repeated code

Cause, found on reading the diff again. For each model call the holders of its parts and the store for each part were looked up for each of up to 16 engines, although only the salt decides them; each of 48 sums over loads collected the recent reports anew; the reader of each cache holder was hashed over all instances twice each 0.25 s, with a sort for one maximum.

find_sources is called once for each salt and plan_transfers takes its result. LoadTable collects reports once for each moment. CacheSharing keeps the readers until the instances change, and choose_member takes the maximum. Peer reports are created in one place, and a message's local and load parts are taken in one order; the listener closes and waits by one condition each; both writers of text headers share encode_headers; the two cooldowns in a row share their formula; the fleet's targets use the stand-in's stream.

Ruled out: AddressPools for the dispatcher's pools, which belong to a target rather than to an address; moving FeedSharing out of platform/, which needs a record type of its own there.

--- a/src/mulberryrill/internal/core/rendezvous.py
+++ b/src/mulberryrill/internal/core/rendezvous.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing: every process that sees the same members ranks them in the same order."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import TypeVar
 
 import xxhash
@@ -11,16 +11,18 @@
 
 def rank_members(key: str | bytes, members: Iterable[MemberT]) -> list[MemberT]:
     """Returns the members in the key's order of preference; equal hashes are ordered by id."""
-    prefix = (key.encode() if isinstance(key, str) else key) + b"\0"
-    scored = [(xxhash.xxh3_64_intdigest(prefix + m.encode()), m) for m in members]
-    scored.sort(reverse=True)
-    return [member for _, member in scored]
+    return [member for _, member in sorted(_score(key, members), reverse=True)]
 
 
 def choose_member(key: str | bytes, members: Iterable[MemberT]) -> MemberT | None:
     """Returns the first member in the key's order; None without members."""
-    ranked = rank_members(key, members)
-    return ranked[0] if ranked else None
+    _, first = max(_score(key, members), default=(0, None))
+    return first
+
+
+def _score(key: str | bytes, members: Iterable[MemberT]) -> Iterator[tuple[int, MemberT]]:
+    prefix = (key.encode() if isinstance(key, str) else key) + b"\0"
+    return ((xxhash.xxh3_64_intdigest(prefix + m.encode()), m) for m in members)
 
 
 def rank_weighted(key: str, weights: dict[MemberT, float]) -> list[MemberT]:
--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -224,40 +224,67 @@
     fetched_tokens: int
 
 
-def plan_transfers(
+@dataclass(frozen=True)
+class PartSources:
+    """Where one shared part of a prompt is kept, whatever its target."""
+
+    key: CacheKey
+    tokens: int
+    engines: list[str]
+    stores: list[str]
+    # The store to save it to; None: it is kept in one, or none has room.
+    save: str | None
+
+
+@dataclass(frozen=True)
+class PromptSources:
+    """The sources of a prompt's shared parts; its last part is the call's own."""
+
+    shared: list[PartSources]
+    part_count: int
+
+
+def find_sources(
     index: CacheIndex,
     stores: list[Service],
-    target_address: str,
     salt: str,
     parts: tuple[tuple[str, int], ...],
     now: float,
-) -> TransferPlan:
-    """Plans the transfers of a prompt's shared parts; the last part is the call's own.
+) -> PromptSources:
+    """Returns where a prompt's parts are kept, and where those that no store keeps are saved."""
+    shared = []
+    for part, tokens in parts[:-1]:
+        key = CacheKey(salt, part)
+        engines = index.list_holders(key, tokens, HolderKind.ENGINE, now)
+        kept_by_stores = index.list_holders(key, tokens, HolderKind.STORE, now)
+        save = None if kept_by_stores else _choose_store(index, stores, key, tokens, now)
+        shared.append(PartSources(key, tokens, engines, kept_by_stores, save))
+    return PromptSources(shared, len(parts))
+
+
+def plan_transfers(index: CacheIndex, prompt: PromptSources, target_address: str) -> TransferPlan:
+    """Plans the transfers of a prompt's shared parts to and from one target.
 
     Load pattern answered: a prompt returns after its engine has evicted it, or goes to another
     engine because its own one is busy, cold or gone. Engines are preferred as sources, because
     their links carry several times more than a store's.
     """
-    fetch: list[str | None] = [None] * len(parts)
-    save: list[str | None] = [None] * len(parts)
+    fetch: list[str | None] = [None] * prompt.part_count
+    save: list[str | None] = [None] * prompt.part_count
     is_chain_kept = True
     covered = fetched = 0
-    for number, (part, tokens) in enumerate(parts[:-1]):
-        key = CacheKey(salt, part)
-        kept_by_stores = index.list_holders(key, tokens, HolderKind.STORE, now)
+    for number, part in enumerate(prompt.shared):
+        save[number] = part.save
         if is_chain_kept:
             # A source is named even if the target seems to keep the part: nothing is moved if it
             # does, and the newest events may not have arrived.
-            engines = index.list_holders(key, tokens, HolderKind.ENGINE, now)
-            sources = [a for a in engines if a != target_address] or kept_by_stores
+            sources = [a for a in part.engines if a != target_address] or part.stores
             # Different targets use different sources, so that no link carries all transfers.
-            fetch[number] = choose_member(f"{part}/{target_address}", sources)
-            is_kept = index.holds(target_address, key, tokens)
+            fetch[number] = choose_member(f"{part.key.part}/{target_address}", sources)
+            is_kept = index.holds(target_address, part.key, part.tokens)
             is_chain_kept = bool(sources) or is_kept
-            covered += tokens if is_chain_kept else 0
-            fetched += tokens if sources and not is_kept else 0
-        if not kept_by_stores:
-            save[number] = _choose_store(index, stores, key, tokens, now)
+            covered += part.tokens if is_chain_kept else 0
+            fetched += part.tokens if sources and not is_kept else 0
     return TransferPlan(tuple(fetch), tuple(save), covered, fetched)
 
 
--- a/src/mulberryrill/internal/core/serving/loads.py
+++ b/src/mulberryrill/internal/core/serving/loads.py
@@ -62,9 +62,11 @@
         self._own: dict[TargetId, TargetLoad] = defaultdict(TargetLoad)
         self._peers: dict[InstanceId, _PeerReport] = {}
         self._instance_count = 1
-        # Means over the targets at one moment, since a call compares several targets.
+        # Recent reports and means over the targets at one moment, since a call compares several
+        # targets.
+        self._viewed_at = float("-inf")
+        self._reports: list[dict[TargetId, TargetLoad]] = []
         self._means: dict[str, float] = {}
-        self._means_at = float("-inf")
         # Less urgent work is read more slowly, because urgent work that comes later goes first.
         self._rates: dict[tuple[TargetId, int], float] = {}
         # Time to a first output with hardly anything to read: a step, a transfer, the way there.
@@ -104,6 +106,7 @@
     ) -> None:
         """Takes over a peer's report."""
         self._peers[instance] = _PeerReport(now, loads)
+        self._viewed_at = float("-inf")
 
     def set_instance_count(self, count: int) -> None:
         """Tells over how many instances the loads are to be counted."""
@@ -167,28 +170,28 @@
         self, target: TargetId, now: float, name: str, measure: Callable[[TargetLoad], float]
     ) -> float:
         """Adds up a measure over all instances, with an estimate for those that are silent."""
-        reports = self._list_reports(now)
-        loads = [load for load in (report.get(target) for report in reports) if load is not None]
+        self._view(now)
+        loads = [load for loads in self._reports if (load := loads.get(target)) is not None]
         known = sum(measure(load) for load in loads)
-        unknown = max(0.0, self._instance_count / len(reports) - 1.0)
+        unknown = max(0.0, self._instance_count / len(self._reports) - 1.0)
         if unknown == 0.0:
             return known
-        mean = self._find_mean(now, name, measure)
+        mean = self._find_mean(name, measure)
         return known + unknown * (COMMON_SHARE * known + (1.0 - COMMON_SHARE) * mean)
 
-    def _list_reports(self, now: float) -> list[dict[TargetId, TargetLoad]]:
-        """Returns the loads of this instance and of the peers that were heard recently."""
+    def _view(self, now: float) -> None:
+        """Takes the loads of this instance and of the peers that were heard recently."""
+        if now == self._viewed_at:
+            return
         peers = [r.loads for r in self._peers.values() if now - r.received_at < REPORT_LIMIT_S]
-        return [self._own, *peers]
+        self._viewed_at, self._reports, self._means = now, [self._own, *peers], {}
 
-    def _find_mean(self, now: float, name: str, measure: Callable[[TargetLoad], float]) -> float:
+    def _find_mean(self, name: str, measure: Callable[[TargetLoad], float]) -> float:
         """Returns the mean of a measure over the targets that have work."""
-        if now != self._means_at:
-            self._means, self._means_at = {}, now
         mean = self._means.get(name)
         if mean is None:
             totals: dict[TargetId, float] = defaultdict(float)
-            for loads in self._list_reports(now):
+            for loads in self._reports:
                 for target, load in loads.items():
                     totals[target] += measure(load)
             mean = self._means[name] = sum(totals.values()) / max(1, len(totals))
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -108,9 +108,8 @@
     def record_failure(self, now: float) -> None:
         """Counts a broken or missing answer and starts a cooldown."""
         self.failing_share += FAILURE_GAIN * (1.0 - self.failing_share)
-        cooldown = min(MAX_COOLDOWN_S, FIRST_COOLDOWN_S * 2**self.failures_in_row)
         self.failures_in_row += 1
-        self.cooldown_until = max(self.cooldown_until, now + cooldown)
+        self.record_refusal(now, _find_cooldown(self.failures_in_row))
 
     def record_refusal(self, now: float, cooldown_s: float) -> None:
         """Notes that the target refused a call without running it."""
@@ -124,14 +123,18 @@
         number of such answers in a row that a peer has seen.
         """
         self.misdirections_in_row = max(count, self.misdirections_in_row + (count == 0))
-        cooldown = FIRST_COOLDOWN_S * 2 ** (self.misdirections_in_row - 1)
-        self.record_refusal(now, min(MAX_COOLDOWN_S, cooldown))
+        self.record_refusal(now, _find_cooldown(self.misdirections_in_row))
 
     def record_error(self) -> None:
         """Counts an error answer of the target itself; it only lowers its rank."""
         self.failing_share += FAILURE_GAIN * (1.0 - self.failing_share)
 
 
+def _find_cooldown(times_in_row: int) -> float:
+    """Returns the seconds without calls after something has happened so many times in a row."""
+    return min(MAX_COOLDOWN_S, FIRST_COOLDOWN_S * 2 ** (times_in_row - 1))
+
+
 class TargetTable:
     """All targets of the registry, by id."""
 
--- a/src/mulberryrill/internal/entry/cachesharing.py
+++ b/src/mulberryrill/internal/entry/cachesharing.py
@@ -34,6 +34,8 @@
         self._now = now
         self._instance_count = 1
         self._local: tuple[InstanceId, ...] = (instance,)
+        # The reader of each holder, which changes only with the instances.
+        self._readers: dict[str, InstanceId | None] = {}
         self._outgoing: dict[str, _Outgoing] = {}
         self._missing: set[str] = set()
         self._answered_at: dict[tuple[InstanceId, str], float] = {}
@@ -42,6 +44,7 @@
         """Takes the number of all instances, and those of the own data centre."""
         self._instance_count = count
         self._local = local
+        self._readers.clear()
 
     def is_shared(self, max_polls: int) -> bool:
         """Whether one instance reads for its data centre."""
@@ -51,7 +54,7 @@
         """Whether this instance reads the holder itself."""
         if not self.is_shared(max_polls):
             return True
-        return choose_member(holder, self._local) == self._instance
+        return self._is_chosen(holder)
 
     def record(self, holder: str, since: int, events: list[CacheEvent]) -> None:
         """Notes events that this instance has read and will pass on."""
@@ -63,7 +66,7 @@
         outgoing, self._outgoing = self._outgoing, {}
         return [self._create_update(holder, item) for holder, item in outgoing.items()]
 
-    def set_missing(self, holders: set[str]) -> None:
+    def add_missing(self, holders: set[str]) -> None:
         """Names the holders that peers read and of which this instance knows nothing."""
         self._missing |= holders
 
@@ -78,7 +81,8 @@
         updates = []
         for holder in holders:
             last = self._answered_at.get((instance, holder), float("-inf"))
-            if self._is_read_here(holder) and now - last >= ANSWER_INTERVAL_S:
+            is_read_here = self._is_chosen(holder) and self._index.is_known(holder)
+            if is_read_here and now - last >= ANSWER_INTERVAL_S:
                 self._answered_at[instance, holder] = now
                 updates.append(self._create_full(holder))
         return updates
@@ -99,9 +103,11 @@
         heard_at = self._now() - update.age_ms / MS_PER_S
         self._index.apply(update.holder, update.epoch, update.next, events, heard_at)
 
-    def _is_read_here(self, holder: str) -> bool:
-        is_chosen = choose_member(holder, self._local) == self._instance
-        return is_chosen and self._index.is_known(holder)
+    def _is_chosen(self, holder: str) -> bool:
+        """Whether this instance reads the holder for its data centre."""
+        if holder not in self._readers:
+            self._readers[holder] = choose_member(holder, self._local)
+        return self._readers[holder] == self._instance
 
     def _create_update(self, holder: str, outgoing: _Outgoing) -> CacheUpdate:
         return self._write(holder, outgoing.since, outgoing.events)
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -77,13 +77,16 @@
         for address in index.addresses:
             if address not in wanted:
                 index.remove_holder(address)
+        unknown = set()
         for address, kind in wanted.items():
             index.add_holder(address, kind)
-            if address not in self._reading and self._is_reader(address):
+            if not self._is_reader(address):
+                if not index.is_known(address):
+                    unknown.add(address)
+            elif address not in self._reading:
                 self._reading.add(address)
                 self._read(address)
-        unknown = {a for a in wanted if not index.is_known(a) and not self._is_reader(a)}
-        self._state.sharing.set_missing(unknown)
+        self._state.sharing.add_missing(unknown)
 
     def _list_holders(self) -> dict[str, HolderKind]:
         table = self._state.table
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -5,7 +5,13 @@
 
 from ..core.retries import RetryBudget
 from ..core.serving.admission import AdmissionRequest, find_return_delay, is_admitted
-from ..core.serving.cacheindex import find_read_tokens, plan_transfers, write_salt
+from ..core.serving.cacheindex import (
+    PromptSources,
+    find_read_tokens,
+    find_sources,
+    plan_transfers,
+    write_salt,
+)
 from ..core.serving.idlelimits import IdleLimits
 from ..core.serving.placement import Placement, PlacementRequest, choose_engine
 from ..core.serving.routetable import CallerLimits, Prompt, Service
@@ -200,7 +206,9 @@
         if not candidates:
             return Rejection(Refusal.NO_TARGET, "no engine may take the call")
         loads, priority = self._state.loads, run.call.priority
-        plans = [self._plan_cache(run, prompt, target, now) for target in candidates]
+        # Sources depend on the salt only, which the compared engines mostly share.
+        sources: dict[str, PromptSources] = {}
+        plans = [self._plan_cache(run, prompt, target, sources, now) for target in candidates]
         waits = [
             loads.estimate_wait(target.id, priority, plan.read_tokens, now)
             for target, plan in zip(candidates, plans, strict=True)
@@ -351,23 +359,26 @@
         share = CONNECTION_SHARE * service.max_connections / len(self._state.instances)
         return pool.can_acquire(max(1, int(share)))
 
-    def _plan_cache(self, run: Run, prompt: Prompt, target: Target, now: float) -> CachePlan:
+    def _plan_cache(
+        self,
+        run: Run,
+        prompt: Prompt,
+        target: Target,
+        sources: dict[str, PromptSources],
+        now: float,
+    ) -> CachePlan:
+        """Plans the transfers to one engine; ``sources`` keeps what was found for each salt."""
         version = target.get_version(prompt.model)
         if version is None:
             # Nothing is shared until the version is known, since a part made under another version
             # must not be read.
             return CachePlan(salt=run.call.request_id, read_tokens=prompt.prompt_tokens)
         salt = write_salt(version, find_isolated_customer(run.call))
-        table = self._state.table
+        cache, table = self._state.cache, self._state.table
         assert table is not None
-        transfers = plan_transfers(
-            self._state.cache,
-            table.list_stores(),
-            target.registration.address,
-            salt,
-            prompt.parts,
-            now,
-        )
+        if salt not in sources:
+            sources[salt] = find_sources(cache, table.list_stores(), salt, prompt.parts, now)
+        transfers = plan_transfers(cache, sources[salt], target.registration.address)
         clock = self._state.engine_clock.read(now)
         limit = FETCH_SHARE * run.call.route.latency_objective_s
         return CachePlan(
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -128,7 +128,7 @@
             return
         interval = max(REPORT_INTERVAL_S, len(self._connected) / MAX_RECEIVED_PER_S)
         self._loop.call_later(interval, self._report)
-        report = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+        report = self._create_report()
         for target, own in self._knowledge.loads.list_own().items():
             load = report.targets.add(
                 target=target, held_tokens=own.held_tokens, running=own.running
@@ -149,16 +149,19 @@
 
     def send_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
         """Passes on at once what was read of the platform's log, to one peer or to all."""
-        report = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+        report = self._create_report()
         report.feeds.append(feed)
         self._send(report, TO_ALL if instance is None else _write_recipient(instance))
 
     def send_request(self, request: LogRequest) -> None:
         """Asks the peers for records of the platform's log that this instance misses."""
-        report = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+        report = self._create_report()
         report.requests.append(request)
         self._send(report)
 
+    def _create_report(self) -> PeerReport:
+        return PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+
     def _send(self, report: PeerReport, recipient: bytes = TO_ALL) -> None:
         if not self._is_closed:
             self._publisher.send_multipart([recipient, report.SerializeToString()], zmq.NOBLOCK)
@@ -179,15 +182,18 @@
         except DecodeError as error:
             log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, f"peer report: {error}")
             return
-        is_local = report.data_centre == self._own.data_centre
-        if report.feeds or report.requests:
-            if is_local:
-                self._take_log(report)
-            return
-        if report.answers_request:
-            for update in report.caches if is_local else ():
-                self._knowledge.sharing.apply(update)
+        if not (report.feeds or report.requests or report.answers_request):
+            self._take_loads(report)
+        if report.data_centre != self._own.data_centre:
             return
+        for update in report.caches:
+            self._knowledge.sharing.apply(update)
+        if report.HasField("cache_request"):
+            self._answer_caches(report)
+        self._take_log(report)
+
+    def _take_loads(self, report: PeerReport) -> None:
+        """Takes a peer's loads and what it has learned from targets."""
         loads = {
             TargetId(load.target): TargetLoad(
                 {item.priority: item.pending_tokens for item in load.pending},
@@ -200,18 +206,13 @@
         self._knowledge.loads.apply_report(InstanceId(report.instance), loads, now)
         for updates in report.updates:
             self._knowledge.updates.apply(updates, now)
-        if is_local:
-            for update in report.caches:
-                self._knowledge.sharing.apply(update)
-            if report.HasField("cache_request"):
-                self._answer_caches(report)
 
     def _answer_caches(self, request: PeerReport) -> None:
         """Sends a peer all that this instance knows of the holders that it asks for."""
         instance = InstanceId(request.instance)
         updates = self._knowledge.sharing.answer(instance, list(request.cache_request.holders))
         if updates:
-            answer = PeerReport(instance=self._own.instance, data_centre=self._own.data_centre)
+            answer = self._create_report()
             answer.answers_request = True
             answer.caches.extend(updates)
             self._send(answer, _write_recipient(instance))
--- a/src/mulberryrill/internal/gateway/caller.py
+++ b/src/mulberryrill/internal/gateway/caller.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 
 from ..http.caller import Caller
-from ..http.messages import Header
+from ..http.messages import encode_headers
 from .loop import RelayLoop
 
 # A caller that takes no byte for this time is disconnected, so that it frees its target.
@@ -51,12 +51,12 @@
     def send_answer(self, status: int, headers: Mapping[str, str], body: bytes) -> None:
         """Writes a complete answer."""
         self._started = True
-        self._caller.answer(status, _encode_headers(headers), body)
+        self._caller.answer(status, encode_headers(headers.items()), body)
 
     def start_stream(self, status: int, headers: Mapping[str, str]) -> None:
         """Writes status and headers of an answer whose length is not known yet."""
         self._started = True
-        self._caller.begin_stream(status, _encode_headers(headers))
+        self._caller.begin_stream(status, encode_headers(headers.items()))
 
     def write(self, data: bytes) -> None:
         """Appends bytes of a stream."""
@@ -75,13 +75,6 @@
         self._caller.close()
 
 
-def _encode_headers(headers: Mapping[str, str]) -> list[Header]:
-    return [
-        (name.encode("latin-1"), value.encode("latin-1", "replace"))
-        for name, value in headers.items()
-    ]
-
-
 def encode_json(body: object) -> bytes:
     """Returns compact JSON text."""
     return json.dumps(body, separators=(",", ":")).encode("utf-8")
--- a/src/mulberryrill/internal/http/messages.py
+++ b/src/mulberryrill/internal/http/messages.py
@@ -268,6 +268,11 @@
     return CRLF.join(lines) + CRLF + CRLF
 
 
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[Header]:
+    """Returns headers given as text; characters that a value cannot have are replaced."""
+    return [(name.encode("latin-1"), value.encode("latin-1", "replace")) for name, value in headers]
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Returns one chunk of a body."""
     return b"%x\r\n%s\r\n" % (len(data), data)
--- a/src/mulberryrill/internal/http/server.py
+++ b/src/mulberryrill/internal/http/server.py
@@ -29,7 +29,7 @@
 from ..schema.settings_pb2 import Listen
 from .caller import MAX_BUFFERED_BYTES, Caller
 from .listener import Listener
-from .messages import Header, HeadError, HttpRequest
+from .messages import Header, HeadError, HttpRequest, encode_headers
 from .tls import create_server_context
 
 Handler = Callable[[Request], Response]
@@ -138,13 +138,13 @@
         if self._pool is None:
             return
         self.stop_accepting()
-        self._wait_until_read()
-        self._run(self._close_reading)
+        self._wait_while(lambda caller: caller.is_reading)
+        self._run(lambda: self._close_where(lambda caller: caller.is_reading))
         self._pool.shutdown(wait=True)
         self._pool = None
         if self._owns_loop:
-            self._wait_until_written()
-            self._run(self._close_callers)
+            self._wait_while(lambda caller: caller.buffered > 0)
+            self._run(lambda: self._close_where(lambda caller: True))
             self._loop.close()
 
     def take(self, request: Request) -> Caller:
@@ -223,32 +223,18 @@
     def _stop(self) -> None:
         self._listener.close()
         self._is_accepting = False
-        self._loop.call_later(STOP_IDLE_S, self._close_idle)
+        self._loop.call_later(STOP_IDLE_S, lambda: self._close_where(lambda caller: caller.is_idle))
 
-    def _close_idle(self) -> None:
+    def _close_where(self, accepts: Callable[[Caller], bool]) -> None:
+        """Closes some of the connections; runs on the loop's thread."""
         for caller in list(self._callers):
-            if caller.is_idle:
+            if accepts(caller):
                 caller.close()
 
-    def _close_reading(self) -> None:
-        for caller in list(self._callers):
-            if caller.is_reading:
-                caller.close()
-
-    def _close_callers(self) -> None:
-        for caller in list(self._callers):
-            caller.close()
-
-    def _wait_until_read(self) -> None:
-        """Waits until each open connection's request was read."""
-        end = time.monotonic() + STOP_READ_S
-        while self._count(lambda caller: caller.is_reading) and time.monotonic() < end:
-            time.sleep(CLOSE_POLL_S)
-
-    def _wait_until_written(self) -> None:
-        """Waits until each answer was sent or its caller takes no more of it."""
+    def _wait_while(self, accepts: Callable[[Caller], bool]) -> None:
+        """Waits until a condition holds for no connection; the slowest ones are not waited for."""
         end = time.monotonic() + STOP_READ_S
-        while self._count(lambda caller: caller.buffered > 0) and time.monotonic() < end:
+        while self._count(accepts) and time.monotonic() < end:
             time.sleep(CLOSE_POLL_S)
 
     def _count(self, accepts: Callable[[Caller], bool]) -> int:
@@ -324,9 +310,9 @@
 def _encode(response: Response) -> tuple[int, list[Header], bytes]:
     """Returns status, headers and body; the connection adds the headers that concern it."""
     body = response.get_data()
-    headers = [
-        (name.encode("latin-1"), value.encode("latin-1", "replace"))
+    headers = encode_headers(
+        (name, value)
         for name, value in response.headers
         if name.lower() not in ("content-length", "connection")
-    ]
+    )
     return response.status_code, headers, body
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -62,7 +62,9 @@
         time.sleep(0.01)
 
 
-class _Handler(BaseHTTPRequestHandler):
+class RequestHandler(BaseHTTPRequestHandler):
+    """One connection of a stand-in."""
+
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
 
@@ -103,7 +105,7 @@
     def start(self) -> None:
         owner = self
 
-        class Handler(_Handler):
+        class Handler(RequestHandler):
             def do_GET(self) -> None:  # noqa: N802
                 owner.handle(self)
 
@@ -118,7 +120,7 @@
             self._server.server_close()
             self._server = None
 
-    def handle(self, request: _Handler) -> None:
+    def handle(self, request: RequestHandler) -> None:
         raise AssertionError("a stand-in must answer requests")
 
 
@@ -152,7 +154,7 @@
             self._first[topic] = len(self._topics[topic])
             self._changed.notify_all()
 
-    def handle(self, request: _Handler) -> None:
+    def handle(self, request: RequestHandler) -> None:
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         body = request.read_body()
@@ -171,7 +173,7 @@
         else:
             request.reply(404)
 
-    def _newest(self, request: _Handler, topic: str) -> None:
+    def _newest(self, request: RequestHandler, topic: str) -> None:
         with self._changed:
             records = self._topics[topic]
             newest = {key: (value, i) for i, (key, value) in enumerate(records)}
@@ -183,7 +185,7 @@
             answer = {"items": items, "more": False, "end": len(records)}
         request.reply(200, json.dumps(answer).encode())
 
-    def _read(self, request: _Handler, query: dict[str, str]) -> None:
+    def _read(self, request: RequestHandler, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
         end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         if self.loses_waiting_answers and "wait_ms" in query:
@@ -203,7 +205,7 @@
                 data += struct.pack(">I", len(raw)) + raw
         request.reply(200, data)
 
-    def _append(self, request: _Handler, query: dict[str, str], body: bytes) -> None:
+    def _append(self, request: RequestHandler, query: dict[str, str], body: bytes) -> None:
         raw = body[4:]
         key, value = raw[1 : 1 + raw[0]].decode(), raw[1 + raw[0] :]
         with self._changed:
@@ -228,7 +230,7 @@
             for number, (topic, part) in enumerate(partitions)
         ]
 
-    def _join(self, request: _Handler, body: dict) -> None:
+    def _join(self, request: RequestHandler, body: dict) -> None:
         self._members[body["member"]] = body["topics"]
         answer = {"generation": len(self._members), "ttl_ms": 3000, "parts": []}
         request.reply(200, json.dumps(answer).encode())
@@ -244,7 +246,7 @@
     body: bytes
 
 
-Behaviour = Callable[["TargetStandin", _Handler, Arrival], None]
+Behaviour = Callable[["TargetStandin", RequestHandler, Arrival], None]
 
 
 @dataclass
@@ -255,12 +257,12 @@
     at: float = field(default_factory=time.monotonic)
 
 
-def answer_plain(target: "TargetStandin", request: _Handler, arrival: Arrival) -> None:
+def answer_plain(target: "TargetStandin", request: RequestHandler, arrival: Arrival) -> None:
     """Answers a plain call with the target's name."""
     request.reply(200, target.name.encode(), **target.sign(arrival))
 
 
-def answer_stream(target: "TargetStandin", request: _Handler, arrival: Arrival) -> None:
+def answer_stream(target: "TargetStandin", request: RequestHandler, arrival: Arrival) -> None:
     """Streams three events after the one that the caller has."""
     target.begin_stream(request, arrival)
     start = int(arrival.headers.get("last-event-id", 0))
@@ -289,22 +291,24 @@
             "Weight_Versions": str(self.version),
         }
 
-    def begin_stream(self, request: _Handler, arrival: Arrival) -> None:
-        """Sends the head of a stream."""
+    def begin_stream(
+        self, request: RequestHandler, arrival: Arrival, signature: dict[str, str] | None = None
+    ) -> None:
+        """Sends the head of a stream, with another signature if one is given."""
         request.send_response(200)
-        for name, value in self.sign(arrival).items():
+        for name, value in (signature or self.sign(arrival)).items():
             request.send_header(name.replace("_", "-"), value)
         request.send_header("content-type", "text/event-stream")
         request.send_header("transfer-encoding", "chunked")
         request.end_headers()
 
-    def send_event(self, request: _Handler, number: int) -> None:
-        """Sends one event in a chunk of its own."""
-        event = f"id: {number}\ndata: {self.name}\n\n".encode()
+    def send_event(self, request: RequestHandler, number: int, data: str = "") -> None:
+        """Sends one event in a chunk of its own; without data it has the target's name."""
+        event = f"id: {number}\ndata: {data or self.name}\n\n".encode()
         request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         request.wfile.flush()
 
-    def handle(self, request: _Handler) -> None:
+    def handle(self, request: RequestHandler) -> None:
         body = request.read_body()
         if request.path == "/-/report":
             self._report(request)
@@ -320,7 +324,7 @@
             self.arrivals.append(arrival)
             self.behaviour(self, request, arrival)
 
-    def _report(self, request: _Handler) -> None:
+    def _report(self, request: RequestHandler) -> None:
         report = {
             "models": [{"name": MODEL, "version": self.version, "adapters": []}],
             "busy": False,
@@ -328,7 +332,7 @@
         }
         request.reply(200, json.dumps(report).encode())
 
-    def _take_order(self, request: _Handler, body: dict) -> None:
+    def _take_order(self, request: RequestHandler, body: dict) -> None:
         self.orders.append(Order(body))
         if self.loads_on_order:
             self.version = body["version"]
--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -26,8 +26,8 @@
     MODEL,
     Arrival,
     PlatformStore,
+    RequestHandler,
     TargetStandin,
-    _Handler,
     create_configuration,
     find_port,
 )
@@ -83,7 +83,7 @@
         port = self.link.port if self.link is not None else self.port
         return f"{LOCAL}:{port}"
 
-    def serve(self, request: _Handler, arrival: Arrival) -> None:
+    def serve(self, request: RequestHandler, arrival: Arrival) -> None:
         """Runs a call, or rejects it, according to the fault."""
         headers = arrival.headers
         request_id = headers.get("request-id", "")
@@ -116,31 +116,24 @@
         self._stream(request, arrival, signature, slowness)
 
     def _stream(
-        self, request: _Handler, arrival: Arrival, signature: dict[str, str], slowness: int
+        self, request: RequestHandler, arrival: Arrival, signature: dict[str, str], slowness: int
     ) -> None:
-        request.send_response(200)
-        for name, value in signature.items():
-            request.send_header(name.replace("_", "-"), value)
-        request.send_header("content-type", "text/event-stream")
-        request.send_header("transfer-encoding", "chunked")
-        request.end_headers()
+        self.begin_stream(request, arrival, signature)
         first = int(arrival.headers.get("last-event-id", 0)) + 1
         for number in range(first, STREAM_EVENTS + 1):
             time.sleep(EVENT_INTERVAL_S * slowness)
             if self.fault is TargetFault.BREAK and number > STREAM_EVENTS // 2:
                 self._break(request)
                 return
-            event = f"id: {number}\ndata: {signature['Request_Id']}:{number}\n\n".encode()
-            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            request.wfile.flush()
+            self.send_event(request, number, f"{signature['Request_Id']}:{number}")
         request.wfile.write(b"0\r\n\r\n")
 
-    def _break(self, request: _Handler) -> None:
+    def _break(self, request: RequestHandler) -> None:
         request.close_connection = True
         with contextlib.suppress(OSError):
             request.connection.shutdown(socket.SHUT_RDWR)
 
-    def _take_order(self, request: _Handler, body: dict) -> None:
+    def _take_order(self, request: RequestHandler, body: dict) -> None:
         self._checker.add_order(self.name, body["holder"], body["fence"])
         super()._take_order(request, body)
 
--- a/tests/unit/test_entry_sharing.py
+++ b/tests/unit/test_entry_sharing.py
@@ -77,7 +77,7 @@
         """Guards against a process that knows no parts for seconds after its start."""
         self.reader.read(0, 2, "aa")
         self.reader.sharing.take_updates()
-        self.peer.sharing.set_missing({HOLDER, "10.0.0.9:80"})
+        self.peer.sharing.add_missing({HOLDER, "10.0.0.9:80"})
         self.assertEqual(self.ask(), 1)
         self.assertTrue(self.peer.holds("aa"))
 
--- a/tests/unit/test_serving_placement.py
+++ b/tests/unit/test_serving_placement.py
@@ -10,6 +10,7 @@
     HolderKind,
     RemoteClock,
     find_read_tokens,
+    find_sources,
     list_obsolete,
     plan_transfers,
 )
@@ -129,7 +130,8 @@
         self.stores = [Service(ServiceName("s"), store=profile)]
 
     def plan(self, now: float = 0.1, salt: str = "1"):
-        return plan_transfers(self.index, self.stores, self.ENGINE, salt, PARTS, now)
+        sources = find_sources(self.index, self.stores, salt, PARTS, now)
+        return plan_transfers(self.index, sources, self.ENGINE)
 
     def test_unknown_parts_are_read_and_saved_but_not_the_calls_own(self) -> None:
         plan = self.plan()
