Read bounds of a deployment that are not whole numbers

Cause: the bounds of the entry process were integers, and the template turned the grace period into milliseconds by appending three zeros.

All bounds are decimal numbers now, the grace period is given in seconds, and settings that are not finite are refused with their field.

Ruled out: rounding in the template, which the platform fills in.

Whole numbers are read as before.

--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -108,7 +108,7 @@
     def close(self) -> None:
         """Fails readiness, serves on while the balancer notices, then finishes all calls."""
         stopped_at = self._clock.monotonic()
-        kill_at = stopped_at + self._settings.bounds.grace_ms / 1000 - KILL_MARGIN_S
+        kill_at = stopped_at + self._settings.bounds.grace_s - KILL_MARGIN_S
         self._loop.post(self._begin_stop)
         self._wait_until(lambda: False, min(stopped_at + BALANCER_LAG_S, kill_at))
         self._loop.post(self._callers.close)
--- a/src/mulberryrill/internal/settings/checks.py
+++ b/src/mulberryrill/internal/settings/checks.py
@@ -5,6 +5,7 @@
 """
 
 import ipaddress
+import math
 import re
 from collections.abc import Callable, Iterator
 from urllib.parse import urlsplit
@@ -61,7 +62,7 @@
         "peer_address",
         "bounds",
     ),
-    EntryBounds: ("drain_ms", "grace_ms", "order_lease_ms", "version_ms"),
+    EntryBounds: ("drain_ms", "grace_s", "order_lease_ms", "version_ms"),
     EngineSettings: _TARGET,
     StoreSettings: _TARGET,
     PlainServiceSettings: _TARGET,
@@ -120,6 +121,8 @@
 def _check_value(field: FieldDescriptor, value: object, path: str) -> Problems:
     if isinstance(value, str):
         yield from _check_text(field.name, value, path)
+    elif isinstance(value, float) and not math.isfinite(value):
+        yield path, "must be a finite number"
     elif isinstance(value, int | float) and value < 0 and field.name != "seed":
         yield path, "must not be negative; leave it out for the default"
 
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -416,7 +416,7 @@
             metrics_address=f"{LOCAL}:{find_port()}",
             bounds=EntryBounds(
                 drain_ms=400,
-                grace_ms=8000,
+                grace_s=8,
                 order_lease_ms=3000,
                 version_ms=10_000,
                 retry_ratio=0.2,
--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -161,7 +161,7 @@
             "metrics_address": f"{LOCAL}:{find_port()}",
             "bounds": {
                 "drain_ms": 3000,
-                "grace_ms": int(GRACE_S * 1000),
+                "grace_s": GRACE_S,
                 "order_lease_ms": 3000,
                 "version_ms": 10_000,
                 "retry_ratio": 0.2,
