Bound what servers may send, and keep one bad message from stopping a task

A record with deep nesting or a huge number ended the reading of its topic, an error in one peer report left the following ones unread, an error in a page of cache events ended the reading of its holder. A planned stop closed connections that had just been accepted, and cut responses that were not sent completely.

Change: http/bounds.py names the bounds; http/events.py searches each byte once, for both interfaces; progress is a complete head or event or body bytes; a head or event that stays incomplete for 3 s ends the attempt, which is repeated or resumed where it may be. Readers go on after any record or page. A stop waits until responses are sent, and gives new connections 0.5 s for their first request.

Also: test_control_link waits for its connections instead of sleeping; it looped without end when the first handshake took longer than 0.5 s (seen live: the loop waited for a message that the replaced connection had never delivered).

--- a/src/mulberryrill/errors.py
+++ b/src/mulberryrill/errors.py
@@ -31,6 +31,13 @@
         self.sent = sent
 
 
+class ResponseLimitError(HttpError):
+    """A server sent more bytes than a bound allows; the connection has to be closed."""
+
+    def __init__(self, what: str, max_bytes: int) -> None:
+        super().__init__(f"{what} exceeds {max_bytes} bytes", sent=True)
+
+
 class PlatformError(MulberryrillError):
     """A request to the platform's log, list or store failed."""
 
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -1,10 +1,13 @@
 """One attempt at a call: sends it to a target, classifies the response and forwards it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
+from ...errors import ResponseLimitError
 from ..core.serving.routetable import CallKind
+from ..http.bounds import MAX_ELEMENT_S
 from ..http.messages import HttpResponse
 from .connection import ExchangeFailure, OutboundConnection
 from .dialect import AttemptPlan, CallRequest, Dialect, ResponseInfo, ResponseKind
@@ -38,8 +41,8 @@
 class AttemptOwner(Protocol):
     """Callbacks of an attempt; ``on_outcome`` is called once, as the last one."""
 
-    def on_response_bytes(self, attempt: "Attempt") -> None:
-        """Bytes of the response arrived."""
+    def on_progress(self, attempt: "Attempt") -> None:
+        """A head, a complete event or body bytes of the response arrived."""
         ...
 
     def on_events(self, attempt: "Attempt", events: bytes) -> None:
@@ -60,10 +63,11 @@
         plan: AttemptPlan,
         dialect: Dialect,
         owner: AttemptOwner,
-        now: float,
+        now: Callable[[], float],
     ) -> None:
+        """``now`` returns the event loop's time."""
         self.plan = plan
-        self.started_at = now
+        self.started_at = now()
         self.buffered_response: BufferedResponse | None = None
         self.response_info: ResponseInfo | None = None
         self.response: HttpResponse | None = None
@@ -79,6 +83,9 @@
         self._connection: OutboundConnection | None = None
         self._body = bytearray()
         self._event_parser: EventStreamParser | None = None
+        # Since when an event has been incomplete while the response was read.
+        self._partial_event_since: float | None = None
+        self._now = now
         self._has_ended = False
 
     @property
@@ -112,6 +119,7 @@
 
     def pause(self) -> None:
         """Stops reading the response, for a caller that reads slowly."""
+        self._partial_event_since = None
         if self._connection is not None and not self._has_ended:
             self._connection.pause()
 
@@ -120,10 +128,24 @@
         if self._connection is not None and not self._has_ended:
             self._connection.resume()
 
+    def is_stalled(self) -> bool:
+        """Whether a head or an event has begun and has not become complete for too long.
+
+        Bytes that arrive now and then do not count: no caller is served by a part of an event.
+        """
+        head_since = self._connection.partial_head_since if self._connection is not None else None
+        started = [since for since in (head_since, self._partial_event_since) if since is not None]
+        return any(self._now() - since > MAX_ELEMENT_S for since in started)
+
+    def abort_stalled(self) -> None:
+        """Ends the attempt because its response makes no progress."""
+        self.may_have_run = True
+        self._end(Outcome.BROKEN, f"a head or an event was incomplete for {MAX_ELEMENT_S} s")
+
     def on_head(self, response: HttpResponse) -> None:
         """Classifies the response by its status and headers."""
         self.response = response
-        self._owner.on_response_bytes(self)
+        self._owner.on_progress(self)
         self.response_info = self._dialect.classify_response(response, self._call, self.plan)
         kind = self.response_info.kind
         if kind is ResponseKind.SUCCESS and self._call.route.kind is CallKind.STREAM:
@@ -136,18 +158,31 @@
         """Forwards complete events, or buffers a response that is not streamed."""
         if self._has_ended:
             return
-        self._owner.on_response_bytes(self)
         if self._event_parser is None:
+            self._owner.on_progress(self)
             self._body += data
             if len(self._body) > MAX_RESPONSE_BYTES:
                 self.may_have_run = True
                 self._end(Outcome.UNVERIFIED, "answer too large")
             return
-        events, count = self._event_parser.feed(data)
+        self._feed_events(self._event_parser, data)
+
+    def _feed_events(self, parser: EventStreamParser, data: bytes) -> None:
+        try:
+            events, count = parser.feed(data)
+        except ResponseLimitError as error:
+            self.may_have_run = True
+            self._end(Outcome.BROKEN, str(error))
+            return
+        if not parser.has_partial_event:
+            self._partial_event_since = None
+        elif count or self._partial_event_since is None:
+            self._partial_event_since = self._now()
         if count:
             self.has_events = True
+            self._owner.on_progress(self)
             self._owner.on_events(self, events)
-        if self._event_parser.is_out_of_order and not self._has_ended:
+        if parser.is_out_of_order and not self._has_ended:
             self.may_have_run = True
             self._end(Outcome.BROKEN, "events out of order")
 
--- a/src/mulberryrill/internal/entry/cachesharing.py
+++ b/src/mulberryrill/internal/entry/cachesharing.py
@@ -64,7 +64,12 @@
     def pop_updates(self) -> list[CacheUpdate]:
         """Returns updates with the events recorded since the last call."""
         pending, self._pending_events = self._pending_events, {}
-        return [self._build_update(holder, item) for holder, item in pending.items()]
+        return [
+            self._encode_update(holder, item.since, item.events)
+            for holder, item in pending.items()
+            # Peers learn of a holder that was cleared or removed since by its next events.
+            if self._index.has_answered(holder)
+        ]
 
     def add_missing_holders(self, holders: set[str]) -> None:
         """Adds holders that peers read and for which this instance needs a full update."""
@@ -109,9 +114,6 @@
             self._readers[holder] = choose_member(holder, self._local_instances)
         return self._readers[holder] == self._instance
 
-    def _build_update(self, holder: str, pending: _PendingEvents) -> CacheUpdate:
-        return self._encode_update(holder, pending.since, pending.events)
-
     def _build_full_update(self, holder: str) -> CacheUpdate:
         update = self._encode_update(holder, 0, self._index.list_cached(holder))
         update.is_full = True
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -132,6 +132,15 @@
         )
 
     def _on_page(self, address: str, page: CacheEventPage | None) -> None:
+        """Applies a page and schedules the next read, also if the page cannot be applied."""
+        delay_s = RETRY_DELAY_S
+        try:
+            delay_s = self._apply_page(address, page)
+        finally:
+            self._loop.call_later(delay_s, partial(self._read, address))
+
+    def _apply_page(self, address: str, page: CacheEventPage | None) -> float:
+        """Applies a page; returns the seconds until the next read."""
         index = self._state.cache_index
         if page is None:
             # The holder may have restarted with an empty cache.
@@ -140,8 +149,7 @@
                     address, "cache events unavailable; index entries of the holder cleared", None
                 )
             index.clear(address)
-            self._loop.call_later(RETRY_DELAY_S, partial(self._read, address))
-            return
+            return RETRY_DELAY_S
         if page.has_gap:
             # The missing events may include evictions.
             self._log_loss(
@@ -155,4 +163,4 @@
         index.apply(address, page.epoch, page.next_event, page.events, self._loop.now())
         if self._state.cache_sharing.is_shared(self._max_polls.get(address, 0)):
             self._state.cache_sharing.record_events(address, since, page.events)
-        self._loop.call_later(POLL_PAUSE_S, partial(self._read, address))
+        return POLL_PAUSE_S
--- a/src/mulberryrill/internal/entry/connection.py
+++ b/src/mulberryrill/internal/entry/connection.py
@@ -87,6 +87,8 @@
         self._was_sent = False
         self._is_paused = False
         self._connect_timer: Timer | None = None
+        # Since when a response head has been incomplete; None: none has begun.
+        self.partial_head_since: float | None = None
         self.idle_since = loop.now()
         self.idle_timeout_s: float | None = None
         self.exchange_count = 0
@@ -125,6 +127,7 @@
         self.exchange_count += 1
         self._parser.reset()
         self._parser.accepts = accepts
+        self.partial_head_since = None
         self._send_buffer = bytearray(request)
         if self._state is _State.IDLE:
             self._state = _State.BUSY
@@ -228,6 +231,10 @@
             self._dispatch_parsed()
             self._fail(FailureKind.MALFORMED, str(error))
             return
+        if not self._parser.has_partial_head:
+            self.partial_head_since = None
+        elif self.partial_head_since is None:
+            self.partial_head_since = self._loop.now()
         self._dispatch_parsed()
 
     def _dispatch_parsed(self) -> None:
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -98,6 +98,12 @@
         """Number of calls that have not ended."""
         return len(self._handlers)
 
+    @property
+    def active_connections(self) -> int:
+        """Number of connections with a request, or with a response that is not sent completely."""
+        # Copied, because another thread waits for this number to become zero.
+        return sum(not connection.is_idle for connection in list(self._connections))
+
     def render_metrics(self) -> bytes:
         """Returns counters, histograms and the current state as Prometheus text."""
         table = self._state.route_table
@@ -125,8 +131,8 @@
 
     def close_idle_connections(self) -> None:
         """Closes the connections that have no request in progress."""
-        for connection in [c for c in self._connections if c.is_idle]:
-            connection.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
 
     def close(self) -> None:
         """Closes all connections, to callers and to targets."""
@@ -467,6 +473,8 @@
         )
 
     def _clean_up(self) -> None:
+        for handler in list(self._handlers):
+            handler.check_progress()
         self._state.remove_expired_targets()
         self._state.loads.prune({target.id for target in self._state.targets.targets})
         for target_id, pool in list(self._pools.items()):
--- a/src/mulberryrill/internal/entry/exchange.py
+++ b/src/mulberryrill/internal/entry/exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ..eventloop import EventLoop
+from ..http.bounds import MAX_CONTROL_BODY_BYTES
 from ..http.messages import HttpResponse
 from .connection import ExchangeFailure, FailureKind, OutboundConnection
 from .pool import ConnectionPool
@@ -25,8 +26,14 @@
     """Buffers one response and reports the result once."""
 
     def __init__(
-        self, loop: EventLoop, connection: OutboundConnection, done: DoneCallback, timeout_s: float
+        self,
+        loop: EventLoop,
+        connection: OutboundConnection,
+        done: DoneCallback,
+        timeout_s: float,
+        max_body_bytes: int,
     ) -> None:
+        self._max_body_bytes = max_body_bytes
         self._connection = connection
         self._done: DoneCallback | None = done
         self._head: HttpResponse | None = None
@@ -38,6 +45,10 @@
 
     def on_body(self, data: bytes) -> None:
         self._body += data
+        if len(self._body) > self._max_body_bytes:
+            self._connection.close()
+            message = f"body exceeds {self._max_body_bytes} bytes"
+            self._report(ExchangeFailure(FailureKind.MALFORMED, True, message))
 
     def on_end(self) -> None:
         assert self._head is not None
@@ -58,8 +69,14 @@
 
 
 def send_request(
-    loop: EventLoop, pool: ConnectionPool, request: bytes, timeout_s: float, done: DoneCallback
+    loop: EventLoop,
+    pool: ConnectionPool,
+    request: bytes,
+    timeout_s: float,
+    done: DoneCallback,
+    max_body_bytes: int = MAX_CONTROL_BODY_BYTES,
 ) -> None:
     """Sends a request over a pooled connection; ``done`` is called once with the result."""
     connection = pool.acquire(needs_fresh=False)
-    connection.send(request, _ExchangeCollector(loop, connection, done, timeout_s))
+    collector = _ExchangeCollector(loop, connection, done, timeout_s, max_body_bytes)
+    connection.send(request, collector)
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -7,6 +7,7 @@
 
 import logging
 import select
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -32,6 +33,9 @@
 # With more peers than this, instances connect only to peers in their own data centre.
 MAX_MESH_PEERS = 16
 HIGH_WATER_MARK = 100
+# A connection that sends a larger message is closed. Full cache contents of all holders are the
+# largest messages, about 1 MB.
+MAX_MESSAGE_BYTES = 16_777_216
 # Interval at which peers are told the ages of recently named model versions.
 VERSION_AGES_INTERVAL_S = 0.5
 MS_PER_S = 1000
@@ -111,6 +115,7 @@
             sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         self._publisher.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
         self._subscriber.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+        self._subscriber.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self._subscriber.setsockopt(zmq.SUBSCRIBE, TOPIC_ALL)
         self._subscriber.setsockopt(zmq.SUBSCRIBE, _encode_topic(self._local_peer.instance))
         self._publisher.bind(f"tcp://{self._local_peer.address}")
@@ -205,7 +210,16 @@
                 frames = self._subscriber.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            self._handle_report(frames[-1])
+            try:
+                self._handle_report(frames[-1])
+            except Exception as error:  # The messages that follow must be read now or never.
+                log_event(
+                    _LOGGER,
+                    logging.ERROR,
+                    Event.TASK_FAILED,
+                    f"a peer report could not be applied: {error!r}",
+                    traceback=traceback.format_exc(),
+                )
 
     def _handle_report(self, data: bytes) -> None:
         report = PeerReport()
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -30,6 +30,9 @@
 # Calls that are still running this long before SIGKILL are ended, so that their callers learn of it
 # before the process is killed.
 KILL_MARGIN_S = 0.7
+# Connections without a request stay open this long after the last one was accepted, because their
+# first request may be on its way.
+IDLE_GRACE_S = 0.5
 POLL_INTERVAL_S = 0.05
 _LOGGER = logging.getLogger(__name__)
 
@@ -119,8 +122,10 @@
         self._loop.post(self._begin_stop)
         self._wait_until(lambda: False, min(stopped_at + BALANCER_LAG_S, kill_at))
         self._loop.post(self._caller_listener.close)
+        idle_grace_ends_at = min(self._clock.monotonic() + IDLE_GRACE_S, kill_at)
+        self._wait_until(lambda: False, idle_grace_ends_at)
         self._loop.post(self._dispatcher.close_idle_connections)
-        self._wait_until(lambda: self._dispatcher.running_calls == 0, kill_at)
+        self._wait_until(lambda: self._dispatcher.active_connections == 0, kill_at)
         self._end()
 
     def reload(self, settings: EntrySettings) -> None:
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -130,12 +130,12 @@
     def _start_attempt(self, plan: AttemptPlan) -> None:
         self._attempt_count += 1
         self.tried_targets.append(plan.target.id)
-        attempt = Attempt(self.call, plan, self._dialect, self, self._loop.now())
+        attempt = Attempt(self.call, plan, self._dialect, self, self._loop.now)
         self._attempt = attempt
         self._start_silence_timer(attempt)
         self._owner.send_attempt(self, attempt)
 
-    def on_response_bytes(self, attempt: Attempt) -> None:
+    def on_progress(self, attempt: Attempt) -> None:
         """Records that the target is alive."""
         attempt.plan.target.last_response_at = self._loop.now()
 
@@ -241,6 +241,11 @@
         else:
             self._give_up(RefusalReason.TIMEOUT)
 
+    def check_progress(self) -> None:
+        """Ends an attempt whose response has begun but makes no progress; to be called often."""
+        if self._attempt is not None and self._attempt.is_stalled():
+            self._attempt.abort_stalled()
+
     def _on_disconnect(self) -> None:
         self._cancel_attempt("caller left")
         self._finish("caller left")
--- a/src/mulberryrill/internal/gateway/attempts.py
+++ b/src/mulberryrill/internal/gateway/attempts.py
@@ -164,8 +164,8 @@
         """Buffers a response or relays the events of a stream."""
         if self._is_over:
             return
-        self._record_progress()
         if self._reader is None:
+            self._record_progress()
             self._body += data
             if len(self._body) > MAX_RESPONSE_BYTES:
                 self.stop(ResultKind.INVALID, f"the answer exceeds {MAX_RESPONSE_BYTES} bytes")
@@ -173,6 +173,7 @@
         output = bytearray()
         try:
             for event in self._splitter.feed(data):
+                self._record_progress()
                 output += self._reader.read(event)
         except BrokenStreamError as error:
             self._deliver(output)
--- a/src/mulberryrill/internal/gateway/exchange.py
+++ b/src/mulberryrill/internal/gateway/exchange.py
@@ -9,7 +9,8 @@
 class Exchange(ABC):
     """One HTTP exchange, paused while the caller is slow. Runs on the relay loop's thread.
 
-    A subclass sets ``_transfer`` before ``start`` and calls ``_record_progress`` when bytes arrive.
+    A subclass sets ``_transfer`` before ``start`` and calls ``_record_progress`` when a head, a
+    complete event or a part of a body arrives. Bytes of an incomplete event are no progress.
     """
 
     _transfer: Transfer
--- a/src/mulberryrill/internal/gateway/forwarding.py
+++ b/src/mulberryrill/internal/gateway/forwarding.py
@@ -177,8 +177,8 @@
     def on_data(self, data: bytes) -> None:
         """Relays part of the body."""
         if not self._is_over:
-            self._record_progress()
             if self._reader is None:
+                self._record_progress()
                 self._listener.on_forward_data(self, data)
             else:
                 self._relay_events(self._reader, data)
@@ -198,6 +198,7 @@
         problem = ""
         try:
             for event in self._splitter.feed(data):
+                self._record_progress()
                 output += reader.read(event)
         except BrokenStreamError as error:
             problem = str(error)
--- a/src/mulberryrill/internal/gateway/streams.py
+++ b/src/mulberryrill/internal/gateway/streams.py
@@ -3,32 +3,37 @@
 import json
 from dataclasses import dataclass, field
 
+from ...errors import ResponseLimitError
+from ..http.events import EventBuffer
+
 DONE = b"data: [DONE]"
 
 
+class BrokenStreamError(Exception):
+    """A stream is invalid or ended early; ``resumable`` if the delivered output is correct."""
+
+    def __init__(self, message: str, resumable: bool) -> None:
+        super().__init__(message)
+        self.resumable = resumable
+
+
 class EventSplitter:
     """Splits a stream of bytes into events, without the empty line that ends each."""
 
     def __init__(self) -> None:
-        self._partial_event = b""
+        self._buffer = EventBuffer()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the events that ``data`` completes."""
-        buffer = self._partial_event + data
-        if b"\r" in buffer:
-            buffer = buffer.replace(b"\r\n", b"\n")
-        *events, self._partial_event = buffer.split(b"\n\n")
+        """Returns the events that ``data`` completes; raises BrokenStreamError."""
+        try:
+            events = [event[:length] for event, length in self._buffer.feed(data)]
+        except ResponseLimitError as error:
+            raise BrokenStreamError(str(error), True) from error
+        if b"\r" in data:
+            events = [event.replace(b"\r\n", b"\n") for event in events]
         return events
 
 
-class BrokenStreamError(Exception):
-    """A stream is invalid or ended early; ``resumable`` if the delivered output is correct."""
-
-    def __init__(self, message: str, resumable: bool) -> None:
-        super().__init__(message)
-        self.resumable = resumable
-
-
 @dataclass
 class StreamProgress:
     """What the caller of one stream has received, over all attempts."""
--- a/src/mulberryrill/internal/gateway/transfer.py
+++ b/src/mulberryrill/internal/gateway/transfer.py
@@ -7,11 +7,15 @@
 
 import pycurl
 
+from ..http.bounds import MAX_HEAD_BYTES
+
 # The connection is closed when sent bytes stay unacknowledged for this time.
 TCP_USER_TIMEOUT_MS = 5000
 # libcurl may read from one connection a hundred times before it returns; beyond this size, the
 # transfer is paused until the data has been delivered.
 MAX_COLLECTED_BYTES = 64 * 1024
+# Returned to libcurl, a number other than that of the bytes passed ends the transfer.
+ABORT_TRANSFER = -1
 
 
 @dataclass(frozen=True)
@@ -66,6 +70,8 @@
         self.on_dirty: Callable[[Transfer], None] = lambda transfer: None
         self.curl = pycurl.Curl()
         self._header_lines: list[bytes] = []
+        # Over all heads: a server may send informational responses without end.
+        self._head_bytes = 0
         self._headers_complete = False
         self._headers_delivered = False
         self._chunks: list[bytes] = []
@@ -147,7 +153,10 @@
         if request.ca_file:
             curl.setopt(pycurl.CAINFO, request.ca_file)
 
-    def _collect_header(self, line: bytes) -> None:
+    def _collect_header(self, line: bytes) -> int | None:
+        self._head_bytes += len(line)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            return ABORT_TRANSFER
         if line.startswith(b"HTTP/"):
             self._header_lines = []
         self._header_lines.append(line)
@@ -157,6 +166,7 @@
         if is_final and not self._headers_complete:
             self._headers_complete = True
             self.on_dirty(self)
+        return None
 
     def _collect_data(self, data: bytes) -> int | None:
         if self._collected_bytes >= MAX_COLLECTED_BYTES:
--- a/src/mulberryrill/internal/http/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -133,6 +133,13 @@
         self._update_watch()
         self._arm_timer(self._owner.limits.idle_timeout_s)
 
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request has arrived, also if it has not been read yet."""
+        if self.is_idle:
+            self._read()
+        if self.is_idle:
+            self.close()
+
     def close(self) -> None:
         """Closes the connection immediately."""
         if self._state is not ConnectionState.CLOSED:
--- a/src/mulberryrill/internal/http/listener.py
+++ b/src/mulberryrill/internal/http/listener.py
@@ -86,25 +86,42 @@
         self._socket = sock
         self._respond = respond
         self._parser = RequestParser(MAX_PROBE_BYTES, MAX_PROBE_BYTES)
+        self._send_buffer = bytearray()
         set_connection_options(sock)
-        loop.watch(sock.fileno(), select.EPOLLIN, self._read)
+        loop.watch(sock.fileno(), select.EPOLLIN, self._on_events)
 
-    def _read(self, mask: int) -> None:
+    def _on_events(self, mask: int) -> None:
         try:
-            data = self._socket.recv(RECEIVE_BYTES)
-            if not data:
+            # While a response is unsent no request is read, so the buffer holds one response.
+            if not self._send_buffer and not self._read():
                 self._close()
                 return
-            self._parser.feed(data)
-            while self._parser.requests:
-                status, body = self._respond(self._parser.requests.pop(0))
-                headers = [(b"content-length", b"%d" % len(body))]
-                self._socket.send(encode_head(status, headers) + body)
+            self._write()
         except BlockingIOError:
             return
         except (OSError, RequestError):
             self._close()
 
+    def _read(self) -> bool:
+        """Reads requests and queues their responses; returns False at the end of the connection."""
+        data = self._socket.recv(RECEIVE_BYTES)
+        self._parser.feed(data)
+        while self._parser.requests:
+            status, body = self._respond(self._parser.requests.pop(0))
+            headers = [(b"content-length", b"%d" % len(body))]
+            self._send_buffer += encode_head(status, headers) + body
+        return bool(data)
+
+    def _write(self) -> None:
+        """Sends what the socket accepts and waits for it to accept the rest."""
+        if self._send_buffer:
+            try:
+                del self._send_buffer[: self._socket.send(self._send_buffer)]
+            except BlockingIOError:
+                pass
+        mask = select.EPOLLOUT if self._send_buffer else select.EPOLLIN
+        self._loop.watch(self._socket.fileno(), mask, self._on_events)
+
     def _close(self) -> None:
         self._loop.unwatch(self._socket.fileno())
         self._socket.close()
--- a/src/mulberryrill/internal/http/messages.py
+++ b/src/mulberryrill/internal/http/messages.py
@@ -11,7 +11,8 @@
 
 import httptools
 
-from ...errors import HttpError
+from ...errors import HttpError, ResponseLimitError
+from .bounds import MAX_DISCARDED_BYTES, MAX_HEAD_BYTES
 
 Header = tuple[bytes, bytes]
 
@@ -99,6 +100,8 @@
         self._max_body_bytes = max_body_bytes
         self._parser = httptools.HttpRequestParser(self)
         self._request = HttpRequest()
+        # Bytes since the last end of a head, part of a body or end of a request. This includes
+        # chunk extensions and trailers.
         self._head_bytes = 0
         self._is_in_head = True
         self._error_reason: RequestErrorReason | None = None
@@ -109,19 +112,14 @@
 
     def feed(self, data: bytes) -> None:
         """Parses bytes and appends complete requests to ``requests``; raises RequestError."""
-        if self._is_in_head:
-            self._head_bytes += len(data)
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise RequestError(RequestErrorReason.MALFORMED) from error
         except (httptools.HttpParserError, RequestError) as error:
             raise RequestError(self._error_reason or RequestErrorReason.MALFORMED) from error
-        if (
-            self._is_in_head
-            and self.has_partial_request
-            and self._head_bytes > self._max_head_bytes
-        ):
+        if self.has_partial_request and self._head_bytes > self._max_head_bytes:
             raise RequestError(RequestErrorReason.HEAD_TOO_LARGE)
 
     def on_message_begin(self) -> None:
@@ -135,8 +133,10 @@
         self._request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by ``httptools`` with each header."""
-        self._request.headers.append((name.lower(), value))
+        """Called by ``httptools`` with each header, and with each trailer after a chunked body."""
+        # Trailers are dropped: routing and identity depend on headers only.
+        if self._is_in_head:
+            self._request.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Called by ``httptools`` at the end of the head."""
@@ -156,6 +156,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by ``httptools`` with a part of the body."""
+        self._head_bytes = 0
         self._request.body += body
         if len(self._request.body) > self._max_body_bytes:
             self._fail(RequestErrorReason.BODY_TOO_LARGE)
@@ -163,6 +164,7 @@
     def on_message_complete(self) -> None:
         """Called by ``httptools`` at the end of a request."""
         self.requests.append(self._request)
+        self._head_bytes = 0
         self.has_partial_request = False
         self.expects_continue = False
 
@@ -188,13 +190,24 @@
         self.is_complete = False
         self.is_in_body = False
         self.has_extra_response = False
+        # Whether a response has begun whose head is not complete.
+        self.has_partial_head = False
+        self._is_in_head = True
+        # Bytes since the last end of a final head, part of a body or end of a response.
+        self._overhead_bytes = 0
+        self._discarded_bytes = 0
 
     def feed(self, data: bytes) -> None:
-        """Parses bytes; raises HttpError if they are malformed."""
+        """Parses bytes; raises HttpError if they are malformed or exceed a bound."""
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise HttpError(f"malformed response: {error}", sent=True) from error
+        if self._overhead_bytes > MAX_HEAD_BYTES:
+            raise ResponseLimitError("head or trailer", MAX_HEAD_BYTES)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            raise ResponseLimitError("response to an earlier request", MAX_DISCARDED_BYTES)
 
     def pop_head(self) -> HttpResponse | None:
         """Removes and returns the next parsed head, or None."""
@@ -211,16 +224,19 @@
         self.is_complete = False
         self.heads.clear()
         self.body_parts.clear()
+        self._overhead_bytes = self._discarded_bytes = 0
 
     def on_message_begin(self) -> None:
         """Called by ``httptools`` at the first byte of a response."""
         if self.is_complete:
             self.has_extra_response = True
         self._response = HttpResponse()
+        self._is_in_head = self.has_partial_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by ``httptools`` with each header."""
-        self._response.headers.append((name.lower(), value))
+        """Called by ``httptools`` with each header, and with each trailer after a chunked body."""
+        if self._is_in_head:
+            self._response.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Called by ``httptools`` at the end of the head."""
@@ -228,6 +244,8 @@
         response.status = self._parser.get_status_code()
         if response.status < 200:
             return
+        self._is_in_head = self.has_partial_head = False
+        self._overhead_bytes = 0
         response.keeps_alive = self._parser.should_keep_alive()
         transfer_encoding = response.get(b"transfer-encoding")
         response.is_close_delimited = (
@@ -243,14 +261,21 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by ``httptools`` with a part of the body."""
-        if not self.has_extra_response and not self._is_dropping:
+        self._overhead_bytes = 0
+        if self.has_extra_response or self._is_dropping:
+            self._discarded_bytes += len(body)
+        else:
             self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Called by ``httptools`` at the end of a response."""
+        if self._response.status < 200:
+            self.has_partial_head = False
+            return
+        self._overhead_bytes = 0
         if self._is_dropping:
             self._is_dropping = False
-        elif self._response.status >= 200 and not self.has_extra_response:
+        elif not self.has_extra_response:
             self.is_complete = True
             self.is_in_body = False
 
--- a/src/mulberryrill/internal/httpclient.py
+++ b/src/mulberryrill/internal/httpclient.py
@@ -10,9 +10,12 @@
 import pycurl
 
 from ..errors import HttpError
+from .http.bounds import MAX_HEAD_BYTES
 
 DEFAULT_TIMEOUT_S = 10.0
 CONNECT_TIMEOUT_S = 2.0
+# The largest responses are pages of the platform's log and audit trails.
+MAX_BODY_BYTES = 67_108_864
 
 
 @dataclass(frozen=True)
@@ -51,20 +54,20 @@
         timeout_s: float = DEFAULT_TIMEOUT_S,
     ) -> HttpResponse:
         """Sends a request and returns the response, whatever its status; raises HttpError."""
-        body_buffer = io.BytesIO()
-        response_headers: dict[str, str] = {}
+        collector = _ResponseCollector()
         curl = self._curl
         curl.reset()
         self._configure_request(method, url, body, headers or {}, timeout_s)
-        curl.setopt(pycurl.WRITEFUNCTION, body_buffer.write)
-        curl.setopt(pycurl.HEADERFUNCTION, lambda line: _read_header(line, response_headers))
+        curl.setopt(pycurl.WRITEFUNCTION, collector.write_body)
+        curl.setopt(pycurl.HEADERFUNCTION, collector.read_header)
         try:
             curl.perform()
         except pycurl.error as error:
             sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
-            raise HttpError(f"{method} {url}: {error.args[1]}", sent) from error
+            detail = collector.exceeded_bound or error.args[1]
+            raise HttpError(f"{method} {url}: {detail}", sent) from error
         return HttpResponse(
-            curl.getinfo(pycurl.RESPONSE_CODE), body_buffer.getvalue(), response_headers
+            curl.getinfo(pycurl.RESPONSE_CODE), collector.body.getvalue(), collector.headers
         )
 
     def _configure_request(
@@ -85,7 +88,27 @@
             curl.setopt(pycurl.CAINFO, self._ca_file)
 
 
-def _read_header(line: bytes, headers: dict[str, str]) -> None:
-    name, separator, value = line.decode("latin-1").partition(":")
-    if separator:
-        headers[name.strip().lower()] = value.strip()
+class _ResponseCollector:
+    """Buffers a response and ends the transfer when it exceeds a bound."""
+
+    def __init__(self) -> None:
+        self.body = io.BytesIO()
+        self.headers: dict[str, str] = {}
+        self.exceeded_bound = ""
+        self._head_bytes = 0
+
+    def write_body(self, data: bytes) -> int:
+        if self.body.tell() + len(data) > MAX_BODY_BYTES:
+            self.exceeded_bound = f"body exceeds {MAX_BODY_BYTES} bytes"
+            return -1
+        return self.body.write(data)
+
+    def read_header(self, line: bytes) -> int | None:
+        self._head_bytes += len(line)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.exceeded_bound = f"head exceeds {MAX_HEAD_BYTES} bytes"
+            return -1
+        name, separator, value = line.decode("latin-1").partition(":")
+        if separator:
+            self.headers[name.strip().lower()] = value.strip()
+        return None
--- a/src/mulberryrill/platform/cacheevents.py
+++ b/src/mulberryrill/platform/cacheevents.py
@@ -11,6 +11,7 @@
 from ..internal.entry.pool import AddressPools
 from ..internal.eventloop import EventLoop
 from ..internal.http.messages import encode_request
+from .records import DECODE_ERRORS
 
 # Time for the response, on top of the time that a read waits for events.
 READ_TIMEOUT_MARGIN_S = 0.5
@@ -66,7 +67,7 @@
         value = json.loads(body)
         # An event is [number, "+" or "-", salt, part, tokens still cached, model].
         events = [
-            CacheEvent(CacheKey(salt, part), sign == ADDED_SIGN and tokens > 0, tokens)
+            CacheEvent(CacheKey(str(salt), str(part)), sign == ADDED_SIGN and tokens > 0, tokens)
             for _, sign, salt, part, tokens, _ in value["events"]
         ]
         clock_ms = value.get("clock_ms")
@@ -77,5 +78,5 @@
             clock_s=clock_ms / 1000 if clock_ms is not None else None,
             events=events,
         )
-    except (ValueError, KeyError, TypeError):
+    except DECODE_ERRORS:
         return None
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -8,6 +8,7 @@
 """
 
 import logging
+import traceback
 from collections.abc import Callable
 from functools import partial
 from typing import Protocol
@@ -189,8 +190,10 @@
             return
         self._last_read_at = self._loop.now()
         self._on_success(page.end)
-        self._apply_newest(page.records)
-        self._schedule_read()
+        try:
+            self._apply_newest(page.records)
+        finally:
+            self._schedule_read()
 
     def on_records_read(self, start: Offset, page: RecordPage | StoreCallError) -> None:
         """Applies the records from ``start`` on and forwards them to the peers.
@@ -226,7 +229,10 @@
             self._newest.pop(record.key, None)
         else:
             self._newest[record.key] = record
-        self._on_record(record)
+        try:
+            self._on_record(record)
+        except Exception as error:  # One record must not keep the later ones from being read.
+            _log_failed(record, error)
 
     def _apply_newest(self, records: tuple[KeyedRecord, ...]) -> None:
         self._newest = {record.key: record for record in records if record.value is not None}
@@ -440,7 +446,10 @@
         self._observer.on_evacuations_read(evacuated)
         is_initial, self._has_operator_records = not self._has_operator_records, True
         for record in records:
-            self._on_operator_record(record, is_initial)
+            try:
+                self._on_operator_record(record, is_initial)
+            except Exception as error:  # One record must not hide the others.
+                _log_failed(record, error)
 
     def _on_operator_record(self, record: KeyedRecord, is_initial: bool = False) -> None:
         try:
@@ -535,6 +544,18 @@
         return None
 
 
+def _log_failed(record: KeyedRecord, error: Exception) -> None:
+    log_event(
+        _LOGGER,
+        logging.ERROR,
+        Event.TASK_FAILED,
+        f"record could not be applied: {error!r}",
+        key=record.key,
+        offset=record.offset,
+        traceback=traceback.format_exc(),
+    )
+
+
 def _log_corrupt(record: KeyedRecord, error: CorruptRecordError) -> None:
     log_event(
         _LOGGER,
--- a/src/mulberryrill/platform/records.py
+++ b/src/mulberryrill/platform/records.py
@@ -5,6 +5,7 @@
 
 import json
 import math
+import struct
 from dataclasses import dataclass
 from typing import Any
 
@@ -34,6 +35,18 @@
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 MODEL_VERSION_PREFIX = "version/"
+# Times in milliseconds and counts are far smaller; larger integers do not fit into a float.
+MAX_NUMBER = 1e15
+# What the decoding of a response or record with arbitrary content can raise.
+DECODE_ERRORS = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+    struct.error,
+)
 
 
 @dataclass(frozen=True)
@@ -67,7 +80,8 @@
         if (
             isinstance(value, bool)
             or not isinstance(value, int | float)
-            or not math.isfinite(value)
+            or abs(value) > MAX_NUMBER
+            or math.isnan(value)
         ):
             raise CorruptRecordError(f"{self._name}.{name} is not a number")
         return value
@@ -103,7 +117,7 @@
 def _parse_object(value: bytes, name: str) -> _JsonObject:
     try:
         return _JsonObject(json.loads(value), name)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise CorruptRecordError(f"{name} is not JSON: {error}") from error
 
 
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -18,8 +18,10 @@
 from ..internal.entry.exchange import ExchangeResponse, send_request
 from ..internal.entry.pool import ConnectionPool
 from ..internal.eventloop import EventLoop
+from ..internal.http.bounds import MAX_STORE_BODY_BYTES
 from ..internal.http.messages import Header, encode_request
 from ..internal.ids import Offset
+from .records import DECODE_ERRORS
 
 # Keyed topics, of which the store keeps the newest record of each key: operators' settings and
 # registered targets.
@@ -235,12 +237,12 @@
         def _try_decode(body: bytes) -> T | StoreCallError:
             try:
                 return decode(body)
-            except (ValueError, KeyError, IndexError, TypeError, struct.error) as error:
+            except DECODE_ERRORS as error:
                 return StoreCallError(
                     f"store: unreadable response: {error!r}", HTTPStatus.OK, is_write
                 )
 
-        send_request(self._loop, self._pool, request, timeout_s, on_result)
+        send_request(self._loop, self._pool, request, timeout_s, on_result, MAX_STORE_BODY_BYTES)
 
 
 def _build_read_query(topic: str, start: Offset, wait_s: float) -> dict[str, object]:
--- a/src/mulberryrill/platform/targetorders.py
+++ b/src/mulberryrill/platform/targetorders.py
@@ -13,6 +13,7 @@
 from ..internal.eventloop import EventLoop
 from ..internal.http.messages import encode_request
 from ..internal.ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
+from .records import DECODE_ERRORS
 from .store import RecordPage, StoreClient
 
 LEASE_TOPIC = "keyed.order-lease"
@@ -140,5 +141,5 @@
             is_busy=bool(value["busy"]),
             order_count=int(value["seq"]),
         )
-    except (ValueError, KeyError, TypeError):
+    except DECODE_ERRORS:
         return None
--- a/tests/unit/test_control_link.py
+++ b/tests/unit/test_control_link.py
@@ -15,6 +15,9 @@
 from mulberryrill.internal.transport import encode_envelope, open_client
 from tests.common.control import create_key_pair
 
+# For the handshakes of both connections; they take milliseconds on an idle machine.
+WAIT_S = 20.0
+
 
 class LinkTest(unittest.TestCase):
     def test_unread_messages_of_a_replaced_connection_keep_their_sender(self) -> None:
@@ -45,9 +48,13 @@
                 ack = SnapshotAck(gateway="gateway-0", version=sequence)
                 envelope = Envelope(sender="k-1/gateway-0", sequence=sequence, snapshot_ack=ack)
                 client.send(encode_envelope(envelope))
-            time.sleep(0.5)
-        while inbox.qsize() < 11:
+            # The connection must be authenticated before the next one takes over its identity:
+            # otherwise its messages never reach the server.
+            self.assertTrue(link._gateway_socket.poll(WAIT_S * 1000), "no message arrived")
+        deadline = time.monotonic() + WAIT_S
+        while inbox.qsize() < 11 and time.monotonic() < deadline:
             link.step()
+        self.assertGreaterEqual(inbox.qsize(), 11)
         messages = [inbox.get_nowait() for _ in range(inbox.qsize())]
         senders = {m.gateway for m in messages if isinstance(m, GatewayMessage)}
         self.assertEqual(senders, {"k-1/gateway-0"})
