Add up peers' loads once for each call, and estimate prefill without choosing sources

Change: reports are parallel lists, stored when they arrive and added up once for each point in time; prefill is estimated from whether a source exists, and sources are chosen for the chosen engine only; CacheKey is a tuple.

--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from ...ids import CustomerName, WeightVersion
 from ..rendezvous import choose_member
@@ -35,16 +36,18 @@
     STORE = "store"
 
 
-@dataclass(frozen=True)
-class CacheKey:
-    """Identifies a prompt part; the salt separates model versions and isolated customers."""
+class CacheKey(NamedTuple):
+    """Identifies a prompt part; the salt separates model versions and isolated customers.
+
+    A tuple, because keys are hashed for each part of each cache event, and a dataclass computes its
+    hash in Python.
+    """
 
     salt: str
     part: str
 
 
-@dataclass(frozen=True)
-class CacheEvent:
+class CacheEvent(NamedTuple):
     """A part was cached or evicted."""
 
     key: CacheKey
@@ -223,9 +226,6 @@
 
     fetch: tuple[str | None, ...]
     save: tuple[str | None, ...]
-    # Tokens of the leading parts that need no prefill: the target caches or fetches them.
-    covered_tokens: int
-    fetched_tokens: int
 
 
 @dataclass(frozen=True)
@@ -266,6 +266,26 @@
     return PromptSources(shared, len(parts))
 
 
+def estimate_prefill_tokens(
+    index: CacheIndex, prompt: PromptSources, prompt_tokens: int, target_address: str
+) -> int:
+    """Returns the number of tokens that a target must prefill, at least one.
+
+    Each fetched token adds ``FETCH_COST``, so that a target that already caches the prompt is
+    preferred. A call compares many targets by this, so it does not choose the sources.
+    """
+    covered = fetched = 0
+    for part in prompt.shared:
+        is_cached = index.holds(target_address, part.key, part.tokens)
+        # The target itself is no source for what it lacks.
+        has_source = part.stores or any(a != target_address for a in part.engines)
+        if not is_cached and not has_source:
+            break
+        covered += part.tokens
+        fetched += 0 if is_cached else part.tokens
+    return max(1, prompt_tokens - covered + round(fetched * FETCH_COST))
+
+
 def plan_transfers(index: CacheIndex, prompt: PromptSources, target_address: str) -> TransferPlan:
     """Plans the transfers of a prompt's shared parts to and from one target.
 
@@ -276,7 +296,6 @@
     fetch: list[str | None] = [None] * prompt.part_count
     save: list[str | None] = [None] * prompt.part_count
     is_prefix_available = True
-    covered = fetched = 0
     for position, part in enumerate(prompt.shared):
         save[position] = part.save
         if is_prefix_available:
@@ -287,19 +306,7 @@
             fetch[position] = choose_member(f"{part.key.part}/{target_address}", sources)
             is_cached = index.holds(target_address, part.key, part.tokens)
             is_prefix_available = bool(sources) or is_cached
-            covered += part.tokens if is_prefix_available else 0
-            fetched += part.tokens if sources and not is_cached else 0
-    return TransferPlan(tuple(fetch), tuple(save), covered, fetched)
-
-
-def estimate_prefill_tokens(prompt_tokens: int, transfers: TransferPlan) -> int:
-    """Returns the number of tokens that the target must prefill, at least one.
-
-    Each fetched token adds ``FETCH_COST``, so that a target that already caches the prompt is
-    preferred.
-    """
-    uncovered = prompt_tokens - transfers.covered_tokens
-    return max(1, uncovered + round(transfers.fetched_tokens * FETCH_COST))
+    return TransferPlan(tuple(fetch), tuple(save))
 
 
 def _choose_store(
--- a/src/mulberryrill/internal/core/serving/loads.py
+++ b/src/mulberryrill/internal/core/serving/loads.py
@@ -10,8 +10,7 @@
 mean over all targets.
 """
 
-from collections import defaultdict
-from collections.abc import Callable
+from collections import OrderedDict, defaultdict
 from dataclasses import dataclass, field
 
 from ...ids import InstanceId, TargetId
@@ -51,23 +50,56 @@
 
 
 @dataclass(frozen=True)
-class _PeerReport:
+class LoadReport:
+    """Loads that another instance reports, as parallel lists of the targets that it uses."""
+
+    targets: list[TargetId] = field(default_factory=list)
+    held_tokens: list[int] = field(default_factory=list)
+    running: list[int] = field(default_factory=list)
+    # Prompt tokens without a first output: position in ``targets``, priority, tokens.
+    pending: list[tuple[int, int, int]] = field(default_factory=list)
+
+
+def build_report(loads: dict[TargetId, TargetLoad]) -> LoadReport:
+    """Returns the report of an instance with these loads."""
+    return LoadReport(
+        targets=list(loads),
+        held_tokens=[load.held_tokens for load in loads.values()],
+        running=[load.running for load in loads.values()],
+        pending=[
+            (position, priority, tokens)
+            for position, load in enumerate(loads.values())
+            for priority, tokens in load.pending.items()
+        ],
+    )
+
+
+@dataclass(frozen=True)
+class _ReceivedReport:
     received_at: float
-    loads: dict[TargetId, TargetLoad]
+    report: LoadReport
 
 
 class LoadTable:
-    """Tracks the load and the prefill rate of each target."""
+    """Tracks the load and the prefill rate of each target.
+
+    Reports of all peers arrive several times between two calls, and a call compares many targets.
+    So reports are only stored when they arrive, and added up once for each call.
+    """
 
     def __init__(self) -> None:
         self._own: dict[TargetId, TargetLoad] = defaultdict(TargetLoad)
-        self._peers: dict[InstanceId, _PeerReport] = {}
+        self._own_sum = TargetLoad()
+        # In the order of arrival of the reports.
+        self._reports: OrderedDict[InstanceId, _ReceivedReport] = OrderedDict()
+        self._peer_loads: dict[TargetId, TargetLoad] = {}
+        self._peer_sum = TargetLoad()
+        self._has_new_reports = False
         self._instance_count = 1
-        # Recent reports, and means over the targets, cached for one point in time because a call
-        # compares several targets.
         self._refreshed_at = float("-inf")
-        self._reports: list[dict[TargetId, TargetLoad]] = []
-        self._means: dict[str, float] = {}
+        # Instances without a report for each one with a report, and targets with reported work.
+        self._silent_ratio = 0.0
+        self._used_target_count = 1
         # By priority, because later urgent work overtakes less urgent work and slows it down.
         self._prefill_rates: dict[tuple[TargetId, int], float] = {}
         # Time to the first output with hardly any prefill: one step, a transfer and the network.
@@ -75,39 +107,39 @@
 
     def add_pending(self, target: TargetId, priority: int, tokens: int) -> None:
         """Adds the prompt tokens of a call that this instance has sent to a target."""
-        self._own[target].pending[priority] += tokens
+        for load in (self._own[target], self._own_sum):
+            load.pending[priority] += tokens
 
     def remove_pending(self, target: TargetId, priority: int, tokens: int) -> None:
         """Removes the prompt tokens of a call that has had its first output or has ended."""
-        load = self._own[target]
-        load.pending[priority] -= tokens
-        if load.pending[priority] <= 0:
-            del load.pending[priority]
+        for load in (self._own[target], self._own_sum):
+            load.pending[priority] -= tokens
+            if load.pending[priority] <= 0:
+                del load.pending[priority]
 
     def add_run(self, target: TargetId, tokens: int) -> None:
         """Adds a running call and the tokens that it occupies in its target's memory."""
-        load = self._own[target]
-        load.running += 1
-        load.held_tokens += tokens
+        for load in (self._own[target], self._own_sum):
+            load.running += 1
+            load.held_tokens += tokens
 
     def remove_run(self, target: TargetId, tokens: int) -> None:
         """Removes a call that has ended."""
-        load = self._own[target]
-        load.running -= 1
-        load.held_tokens -= tokens
-        if load.running <= 0:
+        for load in (self._own[target], self._own_sum):
+            load.running -= 1
+            load.held_tokens -= tokens
+        if self._own[target].running <= 0:
             del self._own[target]
 
     def get_own_loads(self) -> dict[TargetId, TargetLoad]:
         """Returns this instance's loads by target."""
         return self._own
 
-    def apply_report(
-        self, instance: InstanceId, loads: dict[TargetId, TargetLoad], now: float
-    ) -> None:
+    def apply_report(self, instance: InstanceId, report: LoadReport, now: float) -> None:
         """Replaces the loads reported by a peer."""
-        self._peers[instance] = _PeerReport(now, loads)
-        self._refreshed_at = float("-inf")
+        self._reports.pop(instance, None)
+        self._reports[instance] = _ReceivedReport(now, report)
+        self._has_new_reports = True
 
     def set_instance_count(self, count: int) -> None:
         """Sets the number of instances over which loads are estimated."""
@@ -118,26 +150,33 @@
 
         Less urgent prompts wait, except that one already in prefill is not interrupted.
         """
-
-        def count_urgent(load: TargetLoad) -> float:
-            return sum(tokens for level, tokens in load.pending.items() if level <= priority)
-
-        def count_less_urgent(load: TargetLoad) -> float:
-            return sum(tokens for level, tokens in load.pending.items() if level > priority)
-
-        less_urgent = self._estimate_total(
-            target, now, f"less urgent than {priority}", count_less_urgent
-        )
-        urgent = self._estimate_total(target, now, f"as urgent as {priority}", count_urgent)
+        self._refresh(now)
+        urgent = less_urgent = 0.0
+        for load in self._find_loads(target):
+            for level, tokens in load.pending.items():
+                if level <= priority:
+                    urgent += tokens
+                else:
+                    less_urgent += tokens
+        if self._silent_ratio > 0:
+            levels = [*self._own_sum.pending.items(), *self._peer_sum.pending.items()]
+            all_urgent = sum(tokens for level, tokens in levels if level <= priority)
+            all_less_urgent = sum(tokens for level, tokens in levels if level > priority)
+            urgent = self._extrapolate(urgent, all_urgent)
+            less_urgent = self._extrapolate(less_urgent, all_less_urgent)
         return urgent + min(less_urgent, MAX_LESS_URGENT_TOKENS)
 
     def estimate_held_tokens(self, target: TargetId, now: float) -> float:
         """Returns the tokens of all calls running on the target."""
-        return self._estimate_total(target, now, "held", lambda load: load.held_tokens)
+        self._refresh(now)
+        reported = sum(load.held_tokens for load in self._find_loads(target))
+        return self._extrapolate(reported, self._own_sum.held_tokens + self._peer_sum.held_tokens)
 
     def estimate_running_calls(self, target: TargetId, now: float) -> float:
         """Returns the number of calls running on the target."""
-        return self._estimate_total(target, now, "running", lambda load: load.running)
+        self._refresh(now)
+        reported = sum(load.running for load in self._find_loads(target))
+        return self._extrapolate(reported, self._own_sum.running + self._peer_sum.running)
 
     def estimate_wait(self, target: TargetId, priority: int, tokens: int, now: float) -> float:
         """Returns the expected seconds to the first output of a call with ``tokens`` to prefill."""
@@ -175,35 +214,53 @@
             key: rate for key, rate in self._prefill_rates.items() if key[0] in live
         }
 
-    def _estimate_total(
-        self, target: TargetId, now: float, name: str, measure: Callable[[TargetLoad], float]
-    ) -> float:
-        """Sums a measure over all instances, with an estimate for those that do not report."""
-        self._refresh(now)
-        loads = [load for loads in self._reports if (load := loads.get(target)) is not None]
-        reported = sum(measure(load) for load in loads)
-        silent_ratio = max(0.0, self._instance_count / len(self._reports) - 1.0)
-        if silent_ratio == 0.0:
+    def _find_loads(self, target: TargetId) -> list[TargetLoad]:
+        loads = (self._own.get(target), self._peer_loads.get(target))
+        return [load for load in loads if load is not None]
+
+    def _extrapolate(self, reported: float, total: float) -> float:
+        """Adds an estimate for the instances that do not report.
+
+        ``reported`` is the reported load of one target and ``total`` that of all.
+        """
+        if self._silent_ratio == 0.0:
             return reported
-        mean = self._compute_mean(name, measure)
-        return reported + silent_ratio * (
+        mean = total / self._used_target_count
+        return reported + self._silent_ratio * (
             KNOWN_LOAD_WEIGHT * reported + (1.0 - KNOWN_LOAD_WEIGHT) * mean
         )
 
     def _refresh(self, now: float) -> None:
-        """Collects the loads of this instance and of all peers with a recent report."""
-        if now == self._refreshed_at:
+        """Updates the sums over all peers with a recent report, once for each point in time."""
+        if now == self._refreshed_at and not self._has_new_reports:
             return
-        peers = [r.loads for r in self._peers.values() if now - r.received_at < MAX_REPORT_AGE_S]
-        self._refreshed_at, self._reports, self._means = now, [self._own, *peers], {}
-
-    def _compute_mean(self, name: str, measure: Callable[[TargetLoad], float]) -> float:
-        """Returns the mean of a measure over all targets with reported work."""
-        mean = self._means.get(name)
-        if mean is None:
-            totals: dict[TargetId, float] = defaultdict(float)
-            for loads in self._reports:
-                for target, load in loads.items():
-                    totals[target] += measure(load)
-            mean = self._means[name] = sum(totals.values()) / max(1, len(totals))
-        return mean
+        self._refreshed_at = now
+        while self._reports:
+            instance, received = next(iter(self._reports.items()))
+            if now - received.received_at < MAX_REPORT_AGE_S:
+                break
+            del self._reports[instance]
+            self._has_new_reports = True
+        if self._has_new_reports:
+            self._add_up_reports()
+        self._silent_ratio = max(0.0, self._instance_count / (1 + len(self._reports)) - 1.0)
+        self._used_target_count = max(1, len(self._own.keys() | self._peer_loads.keys()))
+
+    def _add_up_reports(self) -> None:
+        self._has_new_reports = False
+        sums: dict[TargetId, TargetLoad] = defaultdict(TargetLoad)
+        total = TargetLoad()
+        for received in self._reports.values():
+            report = received.report
+            for target, held, running in zip(
+                report.targets, report.held_tokens, report.running, strict=True
+            ):
+                load = sums[target]
+                load.held_tokens += held
+                load.running += running
+            for position, priority, tokens in report.pending:
+                sums[report.targets[position]].pending[priority] += tokens
+                total.pending[priority] += tokens
+        total.held_tokens = sum(load.held_tokens for load in sums.values())
+        total.running = sum(load.running for load in sums.values())
+        self._peer_loads, self._peer_sum = dict(sums), total
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -245,10 +245,13 @@
         loads, priority = self._state.loads, handler.call.priority
         # Sources depend only on the salt, which most candidate engines share.
         sources: dict[str, PromptSources] = {}
-        plans = [self._plan_cache(handler, prompt, target, sources, now) for target in candidates]
+        prefill_tokens = [
+            self._estimate_prefill_tokens(handler, prompt, target, sources, now)
+            for target in candidates
+        ]
         waits = [
-            loads.estimate_wait(target.id, priority, plan.prefill_tokens, now)
-            for target, plan in zip(candidates, plans, strict=True)
+            loads.estimate_wait(target.id, priority, tokens, now)
+            for target, tokens in zip(candidates, prefill_tokens, strict=True)
         ]
         best = choose_engine(waits)
         admission = AdmissionRequest(
@@ -261,8 +264,11 @@
             )
             delay = compute_retry_delay(admission, self._random.random())
             return PlacementRefusal(RefusalReason.OVERLOADED, detail, delay)
+        plan = self._plan_cache(
+            handler, prompt, candidates[best], sources, prefill_tokens[best], now
+        )
         return AttemptPlan(
-            candidates[best], handler.time_left_s, plans[best], handler.last_event_id, waits[best]
+            candidates[best], handler.time_left_s, plan, handler.last_event_id, waits[best]
         )
 
     def send_attempt(self, handler: CallHandler, attempt: Attempt) -> None:
@@ -403,26 +409,44 @@
         share = MAX_CONNECTION_SHARE * service.max_connections / len(self._state.instances)
         return pool.can_acquire(max(1, int(share)))
 
-    def _plan_cache(
+    def _estimate_prefill_tokens(
         self,
         handler: CallHandler,
         prompt: Prompt,
         target: Target,
         sources: dict[str, PromptSources],
         now: float,
-    ) -> CachePlan:
-        """Plans the transfers of cached parts for one engine; ``sources`` is a cache by salt."""
+    ) -> int:
+        """Estimates what an engine must prefill; adds the sources of its salt to ``sources``."""
         version = target.get_version(prompt.model)
         if version is None:
-            # Until the version is known nothing is shared: parts of another version must not be
-            # used.
-            return CachePlan(salt=handler.call.request_id, prefill_tokens=prompt.prompt_tokens)
+            return prompt.prompt_tokens
         salt = format_salt(version, get_isolated_customer(handler.call))
         cache, table = self._state.cache_index, self._state.route_table
         assert table is not None
         if salt not in sources:
             sources[salt] = find_sources(cache, table.list_stores(), salt, prompt.parts, now)
-        transfers = plan_transfers(cache, sources[salt], target.registration.address)
+        address = target.registration.address
+        return estimate_prefill_tokens(cache, sources[salt], prompt.prompt_tokens, address)
+
+    def _plan_cache(
+        self,
+        handler: CallHandler,
+        prompt: Prompt,
+        target: Target,
+        sources: dict[str, PromptSources],
+        prefill_tokens: int,
+        now: float,
+    ) -> CachePlan:
+        """Plans the transfers of cached parts for the chosen engine."""
+        version = target.get_version(prompt.model)
+        if version is None:
+            # Until the version is known nothing is shared: parts of another version must not be
+            # used.
+            return CachePlan(salt=handler.call.request_id, prefill_tokens=prefill_tokens)
+        salt = format_salt(version, get_isolated_customer(handler.call))
+        address = target.registration.address
+        transfers = plan_transfers(self._state.cache_index, sources[salt], address)
         clock = self._state.engine_clock.read(now)
         fetch_time_s = MAX_FETCH_SHARE * handler.call.route.latency_objective_s
         return CachePlan(
@@ -430,7 +454,7 @@
             version=version,
             fetch=transfers.fetch,
             save=transfers.save,
-            prefill_tokens=estimate_prefill_tokens(prompt.prompt_tokens, transfers),
+            prefill_tokens=prefill_tokens,
             fetch_deadline_s=clock + fetch_time_s if clock is not None else None,
         )
 
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -10,17 +10,18 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, cast
 
 import zmq
 from google.protobuf.message import DecodeError
 
-from ..core.serving.loads import IDLE_REPORT_INTERVAL_S, LoadTable, TargetLoad
+from ..core.serving.loads import IDLE_REPORT_INTERVAL_S, LoadReport, LoadTable, build_report
 from ..core.serving.namedversions import NamedVersion
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import DataCentre, InstanceId, ModelName, TargetId, WeightVersion
 from ..logs import log_event
+from ..schema.peers_pb2 import LoadReport as LoadReportMessage
 from ..schema.peers_pb2 import LogFeed, LogRequest, PeerReport
 from ..schema.peers_pb2 import NamedVersion as NamedVersionMessage
 from .cachesharing import CacheSharing
@@ -150,12 +151,7 @@
         interval = max(REPORT_INTERVAL_S, len(self._connected) / MAX_REPORTS_PER_S)
         self._loop.call_later(interval, self._publish_report)
         report = self._build_report()
-        for target, own_load in self._state.loads.get_own_loads().items():
-            load = report.targets.add(
-                target=target, held_tokens=own_load.held_tokens, running=own_load.running
-            )
-            for priority, tokens in own_load.pending.items():
-                load.pending.add(priority=priority, pending_tokens=tokens)
+        _encode_loads(build_report(self._state.loads.get_own_loads()), report.loads)
         now = self._loop.now()
         report.caches.extend(self._state.cache_sharing.pop_updates())
         report.updates.extend(self._state.target_updates.pop_updates(now))
@@ -163,7 +159,7 @@
             report.cache_request.holders.extend(missing)
         self._add_version_ages(report, now)
         has_content = (
-            report.targets
+            report.loads.targets
             or report.caches
             or report.updates
             or report.named_versions
@@ -242,16 +238,10 @@
 
     def _apply_loads(self, report: PeerReport) -> None:
         """Applies a peer's loads and its observations of targets."""
-        loads = {
-            TargetId(load.target): TargetLoad(
-                {item.priority: item.pending_tokens for item in load.pending},
-                load.held_tokens,
-                load.running,
-            )
-            for load in report.targets
-        }
         now = self._loop.now()
-        self._state.loads.apply_report(InstanceId(report.instance), loads, now)
+        loads = _decode_loads(report.loads)
+        if loads is not None:
+            self._state.loads.apply_report(InstanceId(report.instance), loads, now)
         for update in report.updates:
             self._state.target_updates.apply(update, now)
         for named in report.named_versions:
@@ -279,6 +269,33 @@
                 self.on_log_request(InstanceId(report.instance), request)
 
 
+def _encode_loads(loads: LoadReport, message: LoadReportMessage) -> None:
+    message.targets.extend(loads.targets)
+    message.held_tokens.extend(loads.held_tokens)
+    message.running.extend(loads.running)
+    message.pending_positions.extend(position for position, _, _ in loads.pending)
+    message.pending_priorities.extend(priority for _, priority, _ in loads.pending)
+    message.pending_tokens.extend(tokens for _, _, tokens in loads.pending)
+
+
+def _decode_loads(message: LoadReportMessage) -> LoadReport | None:
+    """Returns the loads; None if the lists do not fit together."""
+    targets = cast(list[TargetId], list(message.targets))
+    count = len(targets)
+    held, running = list(message.held_tokens), list(message.running)
+    positions = list(message.pending_positions)
+    priorities, tokens = list(message.pending_priorities), list(message.pending_tokens)
+    if (
+        not len(held) == len(running) == count
+        or not len(priorities) == len(tokens) == len(positions)
+        or (positions and not 0 <= min(positions) <= max(positions) < count)
+    ):
+        log_event(_LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, "invalid loads of a peer")
+        return None
+    pending = list(zip(positions, priorities, tokens, strict=True))
+    return LoadReport(targets, held, running, pending)
+
+
 def _decode_named_version(message: NamedVersionMessage) -> NamedVersion:
     return NamedVersion(
         ModelName(message.model), WeightVersion(message.version), message.age_ms / MS_PER_S
--- a/tests/process/test_entry_trouble.py
+++ b/tests/process/test_entry_trouble.py
@@ -98,6 +98,11 @@
         self.deployment: EntryDeployment = manager.__enter__()
         self.addCleanup(manager.__exit__, None, None, None)
 
+    def wait_for_configuration(self, version: int) -> None:
+        """Waits until the configuration with the version is in use."""
+        state = self.deployment.program.state
+        wait_for(lambda: state.route_table is not None and state.route_table.version == version)
+
     def stream(self, deadline_s: float = 15.0) -> tuple[int, bytes]:
         headers = {**PROMPT_HEADERS, "Deadline_Ms": str(round(deadline_s * 1000))}
         response = self.deployment.call("/plan/", "POST", b"{}", **headers)
@@ -136,7 +141,7 @@
         for name in ("e1", "e2"):
             self.deployment.add_target(name, "lm", behaviour)
         self.deployment.wait_ready()
-        wait_for(lambda: self.deployment.program.state.route_table.version == 2)
+        self.wait_for_configuration(2)
         started = time.monotonic()
         status, body = self.stream()
         elapsed = time.monotonic() - started
@@ -159,7 +164,7 @@
         )
         target = self.deployment.add_target("e1", "lm", answer_slowly)
         self.deployment.wait_ready()
-        wait_for(lambda: self.deployment.program.state.route_table.version == 2)
+        self.wait_for_configuration(2)
         status, body = self.stream()
         self.assertEqual((status, body.count(b"data: e1")), (200, 3))
         self.assertEqual(len(target.received_calls), 1)
@@ -205,8 +210,8 @@
             store.put_raw("keyed.op", f"version/poison-{index}", raw)
         self.deployment.add_target("t2", "desk", answer_plain)
         store.put("keyed.op", "config", create_configuration(version=2))
+        self.wait_for_configuration(2)
         state = self.deployment.program.state
-        wait_for(lambda: state.route_table is not None and state.route_table.version == 2)
         wait_for(lambda: {"t1", "t2"} <= {target.id for target in state.targets.targets})
 
 
@@ -228,7 +233,7 @@
         stopping.start()
         self.addCleanup(stopping.join)
         results: list[bytes] = []
-        callers = []
+        callers: list[threading.Thread] = []
 
         def call(pause_s: float) -> None:
             try:
--- a/tests/unit/test_control_link.py
+++ b/tests/unit/test_control_link.py
@@ -50,7 +50,7 @@
                 client.send(encode_envelope(envelope))
             # The connection must be authenticated before the next one takes over its identity:
             # otherwise its messages never reach the server.
-            self.assertTrue(link._gateway_socket.poll(WAIT_S * 1000), "no message arrived")
+            self.assertTrue(link._gateway_socket.poll(round(WAIT_S * 1000)), "no message arrived")
         deadline = time.monotonic() + WAIT_S
         while inbox.qsize() < 11 and time.monotonic() < deadline:
             link.step()
--- a/tests/unit/test_serving_admission.py
+++ b/tests/unit/test_serving_admission.py
@@ -16,6 +16,7 @@
     MAX_REPORT_AGE_S,
     LoadTable,
     TargetLoad,
+    build_report,
 )
 from mulberryrill.internal.ids import InstanceId, TargetId
 
@@ -29,7 +30,7 @@
     def test_own_and_reported_work_is_added(self) -> None:
         self.table.add_pending(TARGET, 0, 1000)
         load = TargetLoad({0: 500, 1: 4000}, held_tokens=9, running=2)
-        self.table.apply_report(InstanceId("i2"), {TARGET: load}, 0.0)
+        self.table.apply_report(InstanceId("i2"), build_report({TARGET: load}), 0.0)
         self.assertEqual(self.table.estimate_pending_tokens(TARGET, 1, 0.1), 5500)
         self.assertEqual(self.table.estimate_held_tokens(TARGET, 0.1), 9)
         self.assertEqual(self.table.estimate_running_calls(TARGET, 0.1), 2)
@@ -64,7 +65,7 @@
                 load = reports[instance].setdefault(target, TargetLoad())
                 load.pending[0] += tokens
         for number, loads in reports.items():
-            table.apply_report(InstanceId(f"i{number}"), loads, 0.0)
+            table.apply_report(InstanceId(f"i{number}"), build_report(loads), 0.0)
         errors = []
         for _ in range(200):
             candidates = rng.sample(list(queues), 16)
@@ -77,14 +78,39 @@
         """Guards against underestimated queues when other data centres do not report."""
         self.table.set_instance_count(6)
         self.table.add_pending(TARGET, 0, 1000)
-        self.table.apply_report(InstanceId("i2"), {TARGET: TargetLoad({0: 500})}, 0.0)
+        self.table.apply_report(InstanceId("i2"), build_report({TARGET: TargetLoad({0: 500})}), 0.0)
         self.assertEqual(self.table.estimate_pending_tokens(TARGET, 0, 0.1), 4500)
 
     def test_report_of_a_silent_instance_runs_out(self) -> None:
         """Guards against a killed instance whose last report blocks a target forever."""
-        self.table.apply_report(InstanceId("i2"), {TARGET: TargetLoad({0: 500}, 500)}, 0.0)
+        self.table.apply_report(
+            InstanceId("i2"), build_report({TARGET: TargetLoad({0: 500}, 500)}), 0.0
+        )
         self.assertEqual(self.table.estimate_pending_tokens(TARGET, 0, MAX_REPORT_AGE_S + 0.1), 0)
 
+    def test_newest_report_of_each_peer_counts(self) -> None:
+        """Guards against sums that drift from the reports that they were computed from."""
+        randomness = random.Random(7)
+        reports: dict[str, dict[TargetId, TargetLoad]] = {}
+        now = 0.0
+        for _ in range(300):
+            now += 0.001
+            peer = f"i{randomness.randrange(8)}"
+            reports[peer] = {
+                TargetId(f"t{number}"): TargetLoad(
+                    {randomness.randrange(3): randomness.randrange(1, 9_000)}, number, 1
+                )
+                for number in range(6)
+                if randomness.random() < 0.5
+            }
+            self.table.apply_report(InstanceId(peer), build_report(reports[peer]), now)
+        for number in range(6):
+            target = TargetId(f"t{number}")
+            loads = [loads[target] for loads in reports.values() if target in loads]
+            self.assertEqual(self.table.estimate_running_calls(target, now), len(loads))
+            tokens = sum(sum(load.pending.values()) for load in loads)
+            self.assertEqual(self.table.estimate_pending_tokens(target, 2, now), tokens)
+
     def test_ended_work_leaves_nothing_behind(self) -> None:
         self.table.add_run(TARGET, 10)
         self.table.add_pending(TARGET, 0, 10)
--- a/tests/unit/test_serving_placement.py
+++ b/tests/unit/test_serving_placement.py
@@ -135,11 +135,15 @@
         sources = find_sources(self.index, self.stores, salt, PARTS, now)
         return plan_transfers(self.index, sources, self.ENGINE)
 
+    def estimate_prefill(self, prompt_tokens: int, now: float = 0.1) -> int:
+        sources = find_sources(self.index, self.stores, "1", PARTS, now)
+        return estimate_prefill_tokens(self.index, sources, prompt_tokens, self.ENGINE)
+
     def test_unknown_parts_are_prefilled_and_saved_but_not_the_calls_own(self) -> None:
         plan = self.plan()
         self.assertEqual(plan.fetch, (None, None, None))
         self.assertEqual(plan.save, (self.STORE, self.STORE, None))
-        self.assertEqual(estimate_prefill_tokens(10_512, plan), 10_512)
+        self.assertEqual(self.estimate_prefill(10_512), 10_512)
 
     def test_parts_come_from_another_engine_before_a_store(self) -> None:
         add_cached_part(self.index, self.OTHER, "aa", 512, 0.0)
@@ -148,7 +152,7 @@
         plan = self.plan()
         self.assertEqual(plan.fetch, (self.OTHER, self.STORE, None))
         self.assertEqual(plan.save, (None, None, None))
-        self.assertLess(estimate_prefill_tokens(10_512, plan), 3_000)
+        self.assertLess(self.estimate_prefill(10_512), 3_000)
 
     def test_a_part_after_a_missing_one_is_not_fetched(self) -> None:
         """Guards against transfers that cannot be used."""
