Let as few targets load new weights at a time as the bound allows

Cause: a third of the engines loaded new weights at once although the rollout had 12 s.

Change: the number of targets that load at a time follows from their number and half of the bound; a rollout that is late uses up to a third, as before.

--- a/src/mulberryrill/internal/core/serving/namedversions.py
+++ b/src/mulberryrill/internal/core/serving/namedversions.py
@@ -57,6 +57,11 @@
         """Returns the newest version of a model, or None if none was named."""
         return max(self._named_at.get(model, {}), default=None)
 
+    def get_waiting_time(self, model: ModelName, version: WeightVersion, now: float) -> float:
+        """Returns the seconds for which a target with ``version`` has lacked a newer one."""
+        named_at = self._named_at.get(model, {})
+        return max((now - time for newer, time in named_at.items() if newer > version), default=0.0)
+
     def find_required(self, model: ModelName, min_age_s: float, now: float) -> WeightVersion | None:
         """Returns the newest version that was named at least ``min_age_s`` ago, or None."""
         named_at = self._named_at.get(model, {})
--- a/src/mulberryrill/internal/core/serving/orders.py
+++ b/src/mulberryrill/internal/core/serving/orders.py
@@ -5,6 +5,7 @@
 log during the rollout of a model version, or if an order is executed late.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -28,9 +29,15 @@
 CONFLICT_RETRY_S = 0.5
 # A target that rejected an order for good gets the next one after this time.
 REJECTED_RETRY_S = 1.0
-# Share of a service's targets that load weights at the same time: the others serve the calls
+# Largest share of the targets that load weights at the same time: the others serve the calls
 # meanwhile, and loading takes longer if too many targets load together.
 MAX_LOADING_SHARE = 1 / 3
+# A rollout takes this share of the time in which a version must be in use everywhere, if all goes
+# well. The rest is left for lost orders and for a takeover of the order lease.
+ROLLOUT_SHARE = 0.5
+# From one order to the next one that takes its place: a target loads weights in about a second, and
+# its report shows the new version a little later.
+ORDER_CYCLE_S = 1.3
 
 
 class LeaseState(Enum):
@@ -147,14 +154,20 @@
 
 
 class VersionRollout:
-    """Chooses the targets that load a new model version, a limited share at a time.
+    """Chooses the targets that load a new model version, as few at a time as the bound allows.
+
+    A target that loads weights rejects calls, and its cache is empty afterwards. If a third of the
+    targets do so at once at peak load, the others cannot take the calls, and the prompts whose
+    parts are lost together are prefilled again at the same time.
 
     Targets may leave orders unanswered for seconds. Those that left the fewest unanswered come
     first, so that one of them does not hold up the others.
     """
 
-    def __init__(self, named: NamedVersions) -> None:
+    def __init__(self, named: NamedVersions, bound_s: float) -> None:
+        """``bound_s``: time in which a named version must be in use on all targets."""
         self._named = named
+        self._bound_s = bound_s
         # When each target that is loading, or was sent an order, gets the next one.
         self._pending: dict[TargetId, float] = {}
         self._unanswered_counts: dict[TargetId, int] = {}
@@ -177,13 +190,16 @@
         versions = [version for target in targets for version in target.versions.values()]
         return min(versions) if versions else None
 
-    def list_due(self, targets: list[Target], now: float) -> list[VersionOrder]:
-        """Returns the orders to send now; targets without models are left out."""
+    def list_due(self, targets: list[Target], now: float, boot_now: float) -> list[VersionOrder]:
+        """Returns the orders to send now; targets without models are left out.
+
+        ``boot_now`` includes the time for which the host was suspended.
+        """
         targets = [target for target in targets if target.versions]
         for key in [k for k, expires_at in self._pending.items() if now >= expires_at]:
             del self._pending[key]
         due: list[VersionOrder] = []
-        max_loading = max(1, round(len(targets) * MAX_LOADING_SHARE))
+        max_loading = self._compute_max_loading(targets, boot_now)
         for target in sorted(targets, key=self._rank):
             model = self._find_outdated_model(target)
             if model is None:
@@ -207,6 +223,19 @@
         """Returns the targets with an order whose version they have not reported yet."""
         return list(self._pending)
 
+    def _compute_max_loading(self, targets: list[Target], boot_now: float) -> int:
+        """Returns how many targets may load at a time: more once the rollout is late."""
+        most = max(1, round(len(targets) * MAX_LOADING_SHARE))
+        planned_s = ROLLOUT_SHARE * self._bound_s
+        is_late = any(
+            self._named.get_waiting_time(model, target.versions[model], boot_now) >= planned_s
+            for target in targets
+            if (model := self._find_outdated_model(target)) is not None
+        )
+        if is_late or planned_s <= ORDER_CYCLE_S:
+            return most
+        return min(most, math.ceil(len(targets) * ORDER_CYCLE_S / planned_s))
+
     def _rank(self, target: Target) -> tuple[int, TargetId]:
         return self._unanswered_counts.get(target.id, 0), target.id
 
--- a/src/mulberryrill/internal/entry/ordering.py
+++ b/src/mulberryrill/internal/entry/ordering.py
@@ -176,7 +176,7 @@
             else:
                 self._is_lease_call_pending = True
                 self._append_lease()
-        for order in self._state.rollout.list_due(self._state.targets.targets, now):
+        for order in self._state.rollout.list_due(self._state.targets.targets, now, boot_now):
             self._state.rollout.on_sent(order, now)
             self._start_order(order)
         self._poll_loading_targets(now)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -93,7 +93,7 @@
         self.route_table: RouteTable | None = None
         self.targets = TargetTable()
         self.named_versions = NamedVersions()
-        self.rollout = VersionRollout(self.named_versions)
+        self.rollout = VersionRollout(self.named_versions, bounds.version_ms / MS_PER_S)
         self.cold_pacer = ColdPacer(instance, bounds.cold_factor, bounds.cold_reserve)
         self.cache_index = CacheIndex()
         self.loads = LoadTable()
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -368,6 +368,8 @@
         self._group_generation = 0
         self._is_closed = False
         self._has_operator_records = False
+        # The last record of each target and its registration; None: it is not usable.
+        self._parsed_registrations: dict[str, tuple[bytes, Registration | None]] = {}
         self._unreachable_topics: set[str] = set()
         self._operator_follower = TopicFollower(
             loop,
@@ -465,6 +467,7 @@
             _log_corrupt(record, error)
 
     def _on_newest_registrations(self, records: tuple[KeyedRecord, ...]) -> None:
+        self._parsed_registrations.clear()
         registrations = [
             registration
             for record in records
@@ -474,9 +477,14 @@
 
     def _on_registration_record(self, record: KeyedRecord) -> None:
         if record.value is None:
+            self._parsed_registrations.pop(record.key, None)
             self._observer.on_registration_removed(TargetId(record.key))
             return
-        registration = _try_parse_registration(record)
+        # Targets write the same record at each heartbeat.
+        value, registration = self._parsed_registrations.get(record.key, (None, None))
+        if value != record.value:
+            registration = _try_parse_registration(record)
+            self._parsed_registrations[record.key] = (record.value, registration)
         if registration is not None:
             self._observer.on_registration(registration)
 
--- a/tests/unit/test_serving_orders.py
+++ b/tests/unit/test_serving_orders.py
@@ -13,6 +13,7 @@
     LeaseState,
     OrderLease,
     OrderResult,
+    VersionOrder,
     VersionRollout,
 )
 from mulberryrill.internal.core.serving.targettable import Target
@@ -20,6 +21,8 @@
 from tests.unit.test_serving_targettable import create_registration
 
 SPACING_S = 3.0
+# Time after which calls may not begin on weights that a named version replaces.
+BOUND_S = 10.0
 # Time after which all targets must have a named version.
 ALL_UPDATED_S = 14.0
 MODEL = ModelName("m")
@@ -78,35 +81,73 @@
 class VersionRolloutTest(unittest.TestCase):
     def setUp(self) -> None:
         self.named = NamedVersions()
-        self.rollout = VersionRollout(self.named)
+        self.rollout = VersionRollout(self.named, BOUND_S)
         self.targets = [Target(create_registration(f"t{i}")) for i in range(6)]
         for target in self.targets:
             target.versions[MODEL] = WeightVersion(1)
 
+    def list_due(self, now: float) -> list[VersionOrder]:
+        return self.rollout.list_due(self.targets, now, now)
+
     def name(self, version: int) -> None:
         self.named.record(MODEL, WeightVersion(version), 0.0)
 
     def test_a_third_of_the_targets_loads_at_once(self) -> None:
         """Guards against a service whose engines all load weights at the same time."""
         self.name(2)
-        due = self.rollout.list_due(self.targets, 0.0)
+        due = self.list_due(0.0)
         self.assertEqual(len(due), 2)
         for order in due:
             self.rollout.on_sent(order, 0.0)
-        self.assertEqual(self.rollout.list_due(self.targets, 0.1), [])
+        self.assertEqual(self.list_due(0.1), [])
         self.targets[0].versions[MODEL] = WeightVersion(2)
-        self.assertEqual(len(self.rollout.list_due(self.targets, 0.2)), 1)
+        self.assertEqual(len(self.list_due(0.2)), 1)
 
     def test_overtaken_version_is_skipped_and_versions_do_not_fall(self) -> None:
         self.name(3)
         self.assertFalse(self.named.record(MODEL, WeightVersion(2), 1.0))
-        self.assertEqual(self.rollout.list_due(self.targets, 1.0)[0].version, 3)
+        self.assertEqual(self.list_due(1.0)[0].version, 3)
+
+    def roll_out(self, count: int, started_at: float = 0.0) -> tuple[float, int]:
+        """Returns when all targets have loaded a version, and how many loaded it at once."""
+        self.targets = [Target(create_registration(f"t{i}")) for i in range(count)]
+        for target in self.targets:
+            target.versions[MODEL] = WeightVersion(1)
+        self.name(2)
+        loaded_at: dict[TargetId, float] = {}
+        now, most = started_at, 0
+        while self.rollout.has_work(self.targets):
+            for target in self.targets:
+                if now >= loaded_at.get(target.id, 1e9):
+                    target.versions[MODEL] = WeightVersion(2)
+            for order in self.list_due(now):
+                self.rollout.on_sent(order, now)
+                loaded_at[order.target] = now + 1.2
+            most = max(most, len(self.rollout.list_loading()))
+            now += 0.1
+        return now, most
+
+    def test_large_rollout_leaves_most_targets_serving(self) -> None:
+        """Replays new weights for 30 engines at peak load.
+
+        Ten of them loaded at a time, so callers were refused and a third of all cached prompts was
+        lost at once, although the rollout had 12 s.
+        """
+        ended_at, most = self.roll_out(30)
+        self.assertLessEqual(most, 8)
+        self.assertLess(ended_at, 0.7 * BOUND_S)
+
+    def test_late_rollout_hurries(self) -> None:
+        """Guards against a takeover of the order lease that leaves too little time."""
+        ended_at, most = self.roll_out(30, started_at=5.0)
+        self.assertEqual(most, 10)
+        self.assertLess(ended_at, BOUND_S)
 
     def test_order_without_a_loaded_version_is_repeated(self) -> None:
         self.name(2)
-        for order in self.rollout.list_due(self.targets, 0.0):
+        for order in self.list_due(0.0):
             self.rollout.on_sent(order, 0.0)
-        self.assertEqual(len(self.rollout.list_due(self.targets, LOADING_TIMEOUT_S)), 2)
+        self.assertEqual(len(self.list_due(LOADING_TIMEOUT_S)), 2)
 
     def test_rollout_ends_in_time_while_most_orders_are_lost(self) -> None:
         """Replays a day on which 60% of the orders got no answer and were executed much later.
@@ -123,7 +164,7 @@
             for target in self.targets:
                 if now >= loaded_at.get(target.id, 99.0):
                     target.versions[MODEL] = WeightVersion(2)
-            for order in self.rollout.list_due(self.targets, now):
+            for order in self.list_due(now):
                 self.rollout.on_sent(order, now)
                 if randomness.random() < 0.6:
                     # The response is awaited for 0.4 s.
@@ -138,10 +179,10 @@
     def test_targets_without_answers_let_others_go_first(self) -> None:
         """Guards against two silent targets that hold up the rollout of all others."""
         self.name(2)
-        for order in self.rollout.list_due(self.targets, 0.0):
+        for order in self.list_due(0.0):
             self.rollout.on_sent(order, 0.0)
             self.rollout.on_result(order.target, OrderResult.UNANSWERED, 0.0)
-        due = self.rollout.list_due(self.targets, UNANSWERED_RETRY_S)
+        due = self.list_due(UNANSWERED_RETRY_S)
         self.assertEqual([order.target for order in due], ["t2", "t3"])
 
     def test_version_is_rolled_out_when_all_targets_have_it(self) -> None:
