--- a/src/mulberryrill/internal/program.py
+++ b/src/mulberryrill/internal/program.py
@@ -1,5 +1,6 @@
 """The main function of every program: flags, settings, logs, signals, start and close."""
 
+import contextlib
 import logging
 import os
 import signal
@@ -162,4 +163,18 @@
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STOPPING, f"{name} is stopping")
     program.close()
     log_event(_LOGGER, logging.INFO, Event.PROCESS_STOPPED, f"{name} stopped")
+    _exit_at_once()
     return 0
+
+
+def _exit_at_once() -> None:
+    """Ends the process without the interpreter's finalization.
+
+    Everything is closed by now. Finalization waits for threads and destructors of libraries; once a
+    process had not ended 9 s after it had stopped, and was killed.
+    """
+    logging.shutdown()
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(OSError, ValueError):
+            stream.flush()
+    os._exit(0)
