--- a/tests/process/test_entry_trouble.py
+++ b/tests/process/test_entry_trouble.py
@@ -6,24 +6,21 @@
 import socket
 import threading
 import time
-import unittest
 
 from mulberryrill.internal.http.bounds import MAX_ELEMENT_S
 from tests.common.entry import (
     HOST,
     KEY,
     Behaviour,
-    EntryDeployment,
     ReceivedCall,
     RequestHandler,
     TargetStandin,
     answer_plain,
     answer_stream,
     create_configuration,
-    run_entry,
     wait_for,
 )
-from tests.process.test_entry import PROMPT_HEADERS
+from tests.process.test_entry import PROMPT_HEADERS, EntryCase
 
 PIECE = b"a" * 65_536
 # Bytes that a stand-in writes at most; without bounds the program would buffer all of them.
@@ -92,11 +89,8 @@
         behaviour(target, request, call)
 
 
-class TroubleCase(unittest.TestCase):
-    def setUp(self) -> None:
-        manager = run_entry()
-        self.deployment: EntryDeployment = manager.__enter__()
-        self.addCleanup(manager.__exit__, None, None, None)
+class TroubleCase(EntryCase):
+    """Runs a deployment for each test."""
 
     def wait_for_configuration(self, version: int) -> None:
         """Waits until the configuration with the version is in use."""
