Read peers' messages in batches and check feeds and orders less often while nothing is due

Change: messages of peers are read every 50 ms; a feed is checked every 0.5 s and when it stops being recent; orders are looked for every 0.4 s while none is due.

--- a/src/mulberryrill/internal/entry/ordering.py
+++ b/src/mulberryrill/internal/entry/ordering.py
@@ -22,6 +22,8 @@
 from .state import EntryState
 
 TICK_INTERVAL_S = 0.1
+# Interval at which an instance checks whether any target needs an order, while none does.
+IDLE_TICK_INTERVAL_S = 0.4
 # All instances see due orders at the same time; each delays taking the lease by this time for every
 # instance ranked before it. In a large deployment few instances read the lease log before the
 # rollout is over.
@@ -109,14 +111,20 @@
 
     def start(self) -> None:
         """Starts checking for due orders."""
-        self._loop.call_every(TICK_INTERVAL_S, self._tick)
-
-    def _tick(self) -> None:
-        targets = self._state.targets.targets
-        if not self._state.rollout.has_work(targets):
+        self._run_tick()
+
+    def _run_tick(self) -> None:
+        has_work = self._state.rollout.has_work(self._state.targets.targets)
+        interval_s = TICK_INTERVAL_S if has_work else IDLE_TICK_INTERVAL_S
+        self._loop.call_later(interval_s, self._run_tick)
+        if has_work:
+            self._tick()
+        else:
             self._has_work_since = None
             self._set_lease_held(False)
-            return
+
+    def _tick(self) -> None:
+        """Sends due orders, or tries to acquire the lease for them."""
         now = self._loop.now()
         if self._has_work_since is None:
             self._has_work_since = now
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-import select
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,6 +30,9 @@
 # receives at most MAX_REPORTS_PER_S reports per second.
 REPORT_INTERVAL_S = 0.1
 MAX_REPORTS_PER_S = 100.0
+# Received messages are read at this interval, all at once: a turn of the event loop for each
+# message costs more than the message itself.
+RECEIVE_INTERVAL_S = 0.05
 # With more peers than this, instances connect only to peers in their own data centre.
 MAX_MESH_PEERS = 16
 HIGH_WATER_MARK = 100
@@ -96,7 +98,6 @@
         self._publisher = self._context.socket(zmq.PUB)
         self._subscriber = self._context.socket(zmq.SUB)
         self._connected: set[str] = set()
-        self._subscriber_fd = -1
         self._is_closed = False
         self.on_log_feed: Callable[[LogFeed], None] | None = None
         self.on_log_request: Callable[[InstanceId, LogRequest], None] | None = None
@@ -120,14 +121,12 @@
         self._subscriber.setsockopt(zmq.SUBSCRIBE, TOPIC_ALL)
         self._subscriber.setsockopt(zmq.SUBSCRIBE, _encode_topic(self._local_peer.instance))
         self._publisher.bind(f"tcp://{self._local_peer.address}")
-        self._subscriber_fd = self._subscriber.fileno()
-        self._loop.watch(self._subscriber_fd, select.EPOLLIN, self._receive)
+        self._loop.call_every(RECEIVE_INTERVAL_S, self._receive)
         self._loop.call_later(REPORT_INTERVAL_S, self._publish_report)
 
     def close(self) -> None:
         """Closes the sockets."""
         self._is_closed = True
-        self._loop.unwatch(self._subscriber_fd)
         self._publisher.close()
         self._subscriber.close()
         self._context.term()
@@ -143,7 +142,6 @@
         for address in self._connected - addresses:
             self._subscriber.disconnect(f"tcp://{address}")
         self._connected = addresses
-        self._receive(0)
 
     def _publish_report(self) -> None:
         if self._is_closed:
@@ -199,16 +197,16 @@
         if not self._is_closed:
             self._publisher.send_multipart([topic, report.SerializeToString()], zmq.NOBLOCK)
 
-    def _receive(self, mask: int) -> None:
-        # ZeroMQ descriptors are edge-triggered: all queued messages must be read.
-        while True:
+    def _receive(self) -> None:
+        """Handles all messages that have arrived."""
+        while not self._is_closed:
             try:
                 frames = self._subscriber.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
             try:
                 self._handle_report(frames[-1])
-            except Exception as error:  # The messages that follow must be read now or never.
+            except Exception as error:  # One report must not delay those that follow.
                 log_event(
                     _LOGGER,
                     logging.ERROR,
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -38,8 +38,9 @@
 OPERATOR_READ_WAIT_S = 1.5
 # An instance reads for itself if it got no feed for the reader's interval and wait plus this time.
 FEED_TIMEOUT_MARGIN_S = 0.6
-# How often an instance that gets feeds checks that the last one is recent.
-FEED_CHECK_INTERVAL_S = 0.15
+# How often an instance that gets feeds checks that the last one is recent and that it is still not
+# the reader. It also checks at the moment at which the last feed is no longer recent.
+FEED_CHECK_INTERVAL_S = 0.5
 # Instances take over from a silent reader by rank, each this much later than the one before; ranks
 # above the maximum add no more delay. Read interval, margin and longest delay together must stay
 # below the time after which a draining target may get no work.
@@ -116,8 +117,10 @@
     def _read(self) -> None:
         if self._is_closed:
             return
-        if self.has_recent_feed():
-            self._loop.call_later(FEED_CHECK_INTERVAL_S, self._read)
+        feed_time_left_s = self._get_feed_time_left()
+        if feed_time_left_s > 0:
+            delay_s = min(FEED_CHECK_INTERVAL_S, feed_time_left_s)
+            self._loop.call_later(delay_s, self._read)
         elif self._next_offset is None:
             self._store.read_newest(self._topic, self.on_newest_read)
         else:
@@ -126,11 +129,21 @@
 
     def has_recent_feed(self) -> bool:
         """Whether a peer reads for this instance and its last feed is recent."""
-        if self._next_offset is None or self._sharing is None or self._sharing.is_reader():
-            return False
-        delay = TAKEOVER_RANK_DELAY_S * min(MAX_TAKEOVER_RANK, self._sharing.get_reader_rank())
+        return self._get_feed_time_left() > 0
+
+    def _get_feed_time_left(self) -> float:
+        """Returns the seconds for which the last feed of the reader counts as recent.
+
+        0 or less if this instance is the reader, or if the reader has fallen silent.
+        """
+        if self._next_offset is None or self._sharing is None:
+            return 0.0
+        rank = self._sharing.get_reader_rank()
+        if rank == 0:
+            return 0.0
+        delay = TAKEOVER_RANK_DELAY_S * min(MAX_TAKEOVER_RANK, rank)
         limit = self._interval_s + self._wait_s + FEED_TIMEOUT_MARGIN_S + delay
-        return self._loop.now() - self._last_feed_at < limit
+        return self._last_feed_at + limit - self._loop.now()
 
     def apply_feed(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
         """Applies a peer's records, or requests the missing ones if there is a gap before them."""
--- a/tests/unit/test_peer_reports.py
+++ b/tests/unit/test_peer_reports.py
@@ -27,7 +27,7 @@
         self.exchange._subscriber = Mock()
 
         self.exchange._subscriber.recv_multipart.side_effect = [*frames, zmq.Again()]
-        self.exchange._receive(0)
+        self.exchange._receive()
 
     def build_message(self, instance: str = "i2") -> PeerReport:
         report = PeerReport(instance=instance, data_centre="z1")
@@ -55,10 +55,7 @@
                 self.assertEqual(self.loads.estimate_running_calls(TARGET, 1.0), 0)
 
     def test_error_in_one_report_does_not_hide_the_next(self) -> None:
-        """Guards against messages that stay unread until the next one arrives.
-
-        ZeroMQ signals only the arrival of the first message.
-        """
+        """Guards against messages that stay unread because of the one before them."""
         self.state.cache_sharing.apply.side_effect = [RuntimeError("broken"), None]
         first, second = self.build_message("i2"), self.build_message("i3")
         first.caches.add(holder="h")
