Refuse requests that arrive too late in a stop

Connections that were accepted before the listener closed got 0.5 s more for their first request; a call that was sent 3.3 s after SIGTERM was begun and cut off at the end of the grace period. Before such a connection was closed without an answer.

Change: from the moment the listener closes, 2.8 s after the signal, requests are refused as not run, with a time to return.

--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -86,6 +86,7 @@
         self._handlers: set[CallHandler] = set()
         self._metrics = EntryMetrics()
         self.is_stopping = False
+        self._refuses_requests = False
 
     @property
     def limits(self) -> CallerLimits:
@@ -129,6 +130,10 @@
         """Makes connections close after their current response."""
         self.is_stopping = True
 
+    def refuse_requests(self) -> None:
+        """Refuses requests from now on, as not run: there is no time left to complete them."""
+        self._refuses_requests = True
+
     def close_idle_connections(self) -> None:
         """Closes the connections that have no request in progress."""
         for connection in list(self._connections):
@@ -147,6 +152,9 @@
         if table is None or not self._state.is_ready:
             self._refuse(connection, request, RefusalReason.NOT_CONFIGURED, "")
             return
+        if self._refuses_requests:
+            self._refuse(connection, request, RefusalReason.STOPPING, "")
+            return
         try:
             call = self._dialect.parse_call(request, table)
         except CallRefusedError as error:
@@ -483,7 +491,8 @@
         reason: RefusalReason,
         detail: str,
     ) -> None:
-        retry_after = RETRY_AFTER_S if reason is RefusalReason.NOT_CONFIGURED else None
+        is_temporary = reason in (RefusalReason.NOT_CONFIGURED, RefusalReason.STOPPING)
+        retry_after = RETRY_AFTER_S if is_temporary else None
         status, headers, body = self._dialect.build_refusal(reason, request, retry_after)
         connection.send_response(status, headers, body)
         self._metrics.record_refusal(reason.value)
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -25,13 +25,14 @@
 from .state import EntryState
 
 # The load balancer probes readiness once a second and removes an instance after two failures; until
-# then the instance serves the callers that are still sent to it.
-BALANCER_LAG_S = 3.0
+# then the instance serves the callers that are still sent to it. Calls that begin within 3 s of the
+# signal may be cut off at the end of the grace period, later ones may not, hence a little less.
+BALANCER_LAG_S = 2.8
 # Calls that are still running this long before SIGKILL are ended, so that their callers learn of it
 # before the process is killed.
 KILL_MARGIN_S = 0.7
 # Connections without a request stay open this long after the last one was accepted, because their
-# first request may be on its way.
+# first request may be on its way. It is refused: a call that begins so late may not end in time.
 IDLE_GRACE_S = 0.5
 POLL_INTERVAL_S = 0.05
 _LOGGER = logging.getLogger(__name__)
@@ -116,11 +117,15 @@
             raise EntryError(f"cannot listen: {results[0]}") from results[0]
 
     def close(self) -> None:
-        """Fails readiness, keeps serving until the load balancer reacts, then drains all calls."""
+        """Fails readiness, keeps serving until the load balancer reacts, then drains all calls.
+
+        Requests that arrive after that are refused as not run.
+        """
         stopped_at = self._clock.monotonic()
         kill_at = stopped_at + self._settings.bounds.grace_s - KILL_MARGIN_S
         self._loop.post(self._begin_stop)
         self._wait_until(lambda: False, min(stopped_at + BALANCER_LAG_S, kill_at))
+        self._loop.post(self._dispatcher.refuse_requests)
         self._loop.post(self._caller_listener.close)
         idle_grace_ends_at = min(self._clock.monotonic() + IDLE_GRACE_S, kill_at)
         self._wait_until(lambda: False, idle_grace_ends_at)
