Log how operators' records reach an instance, and how old its configuration is

A refusal by an old configuration could not be traced: nothing told whether a record came from the store or from a peer, when an instance began to read in place of a silent reader, or how long ago the configuration had last been known to be the newest.

--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -134,6 +134,10 @@
         """Parses a request and finds its route; raises CallRefusedError."""
         ...
 
+    def get_request_id(self, request: HttpRequest) -> RequestId | None:
+        """Returns the id that a request states; None: it has none."""
+        ...
+
     def encode_attempt(self, call: CallRequest, plan: AttemptPlan) -> bytes:
         """Returns the bytes of the request to the attempt's target."""
         ...
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -108,13 +108,15 @@
     def render_metrics(self) -> bytes:
         """Returns counters, histograms and the current state as Prometheus text."""
         table = self._state.route_table
-        gauges = {
+        gauges: dict[str, float] = {
             "running_calls": len(self._handlers),
             "callers": len(self._connections),
             "instances": len(self._state.instances),
             "targets": len(self._state.targets.targets),
             "configuration_version": table.version if table is not None else 0,
         }
+        if (age_s := self._state.operator_records_age_s) is not None:
+            gauges["configuration_age_seconds"] = age_s
         return self._metrics.render(gauges)
 
     def start(self) -> None:
@@ -496,13 +498,16 @@
         status, headers, body = self._dialect.build_refusal(reason, request, retry_after)
         connection.send_response(status, headers, body)
         self._metrics.record_refusal(reason.value)
+        age_s = self._state.operator_records_age_s
         log_event(
             _LOGGER,
             logging.INFO,
             Event.ENTRY_CALL_REFUSED,
             reason.value,
+            request=self._dialect.get_request_id(request),
             detail=detail,
             configuration=self._state.route_table.version if self._state.route_table else None,
+            configuration_checked_s=None if age_s is None else round(age_s, 3),
         )
 
     def _clean_up(self) -> None:
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -71,6 +71,10 @@
         """
         ...
 
+    def on_operator_records_checked(self) -> None:
+        """The operators' records, the configuration among them, were found to be the newest."""
+        ...
+
     def on_peers(self, peers: list[Peer]) -> None:
         """The list of live entry instances, including this one, was read."""
         ...
@@ -107,6 +111,8 @@
         self.has_peer_list = False
         self._has_registry = False
         self._is_store_reachable: bool | None = None
+        # Boot time at which the operators' records were last found to be the newest.
+        self._operator_records_checked_at: float | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -132,6 +138,16 @@
             routes=len(table.routes),
         )
 
+    def on_operator_records_checked(self) -> None:
+        """Records that the configuration in force was the newest one until now."""
+        self._operator_records_checked_at = self._loop.boottime()
+
+    @property
+    def operator_records_age_s(self) -> float | None:
+        """Seconds since the operators' records were last found to be the newest; None: never."""
+        checked_at = self._operator_records_checked_at
+        return None if checked_at is None else self._loop.boottime() - checked_at
+
     def on_registration(self, registration: Registration) -> None:
         """Applies a target's registration."""
         if self.targets.apply(registration, self._loop.now()):
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -134,6 +134,11 @@
             last_event_id=_parse_integer(request.get(LAST_EVENT_ID)),
         )
 
+    def get_request_id(self, request: HttpRequest) -> RequestId | None:
+        """Returns the id that a request states; None: it has none."""
+        request_id = _decode_header(request.get(REQUEST_ID))
+        return RequestId(request_id) if request_id else None
+
     def encode_attempt(self, call: CallRequest, plan: AttemptPlan) -> bytes:
         """Returns the request for a target; headers that the system sets come last."""
         headers = strip_hop_by_hop_headers(call.http.headers, SYSTEM_HEADERS)
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -8,8 +8,10 @@
 """
 
 import logging
+import math
 import traceback
 from collections.abc import Callable
+from enum import Enum
 from functools import partial
 from typing import Protocol
 
@@ -66,6 +68,13 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class RecordSource(Enum):
+    """Where an instance has a record from; the values are logged."""
+
+    STORE = "store"
+    FEED = "peer"
+
+
 class TopicFollower:
     """Reads one keyed topic: first the newest record of each key, then all later records."""
 
@@ -80,8 +89,14 @@
         on_record: Callable[[KeyedRecord], None],
         on_reachability: Callable[[bool, str], None],
         sharing: "FeedSharing | None" = None,
+        *,
+        logs_records: bool = False,
     ) -> None:
+        """``logs_records``: each applied record is logged, for topics that change rarely."""
         self._loop = loop
+        self._logs_records = logs_records
+        # Whether this instance reads although another one should, because that one fell silent.
+        self._has_taken_over = False
         self._store = store
         self._sharing = sharing
         self._last_feed_at = float("-inf")
@@ -118,6 +133,7 @@
         if self._is_closed:
             return
         feed_time_left_s = self._get_feed_time_left()
+        self._record_takeover(feed_time_left_s)
         if feed_time_left_s > 0:
             delay_s = min(FEED_CHECK_INTERVAL_S, feed_time_left_s)
             self._loop.call_later(delay_s, self._read)
@@ -127,6 +143,23 @@
             on_page = partial(self.on_records_read, self._next_offset)
             self._store.read_keyed(self._topic, self._next_offset, self._wait_s, on_page)
 
+    def _record_takeover(self, feed_time_left_s: float) -> None:
+        """Logs that this instance begins to read in place of a silent reader."""
+        rank = self._sharing.get_reader_rank() if self._sharing is not None else 0
+        has_taken_over = rank > 0 and self._next_offset is not None and feed_time_left_s <= 0
+        if has_taken_over and not self._has_taken_over:
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.LOG_READER_SILENT,
+                "no recent records from the instance that reads for the data centre; reading",
+                topic=self._topic,
+                offset=self._next_offset,
+                rank=rank,
+                feed_age_s=_round_age(self._loop.now() - self._last_feed_at),
+            )
+        self._has_taken_over = has_taken_over
+
     def has_recent_feed(self) -> bool:
         """Whether a peer reads for this instance and its last feed is recent."""
         return self._get_feed_time_left() > 0
@@ -159,7 +192,7 @@
         # records are applied: a target removed during an outage is kept for a grace period.
         self._on_success(Offset(new_records[-1].offset + 1) if new_records else self._next_offset)
         for record in new_records:
-            self._apply_record(record)
+            self._apply_record(record, RecordSource.FEED)
 
     def apply_newest_feed(self, end: Offset, records: tuple[KeyedRecord, ...]) -> None:
         """Applies the newest record of each key from a peer, unless this instance is up to date."""
@@ -233,15 +266,26 @@
         next_offset = self._next_offset if self._next_offset is not None else start
         for record in page.records:
             if record.offset >= next_offset:
-                self._apply_record(record)
+                self._apply_record(record, RecordSource.STORE)
         self._on_success(max(next_offset, end))
         self._schedule_read()
 
-    def _apply_record(self, record: KeyedRecord) -> None:
+    def _apply_record(self, record: KeyedRecord, source: RecordSource) -> None:
         if record.value is None:
             self._newest.pop(record.key, None)
         else:
             self._newest[record.key] = record
+        if self._logs_records:
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.LOG_RECORD_READ,
+                "record read",
+                topic=self._topic,
+                key=record.key,
+                offset=record.offset,
+                source=source.value,
+            )
         try:
             self._on_record(record)
         except Exception as error:  # One record must not keep the later ones from being read.
@@ -394,6 +438,7 @@
             self._on_operator_record,
             partial(self._on_store_reachability, OPERATOR_TOPIC),
             self._sharing[OPERATOR_TOPIC],
+            logs_records=True,
         )
         self._registry_follower = TopicFollower(
             loop,
@@ -419,6 +464,10 @@
         self._operator_follower.close()
         self._registry_follower.close()
 
+    def is_reader(self, topic: str) -> bool:
+        """Whether this instance reads a topic for its data centre."""
+        return self._sharing[topic].is_reader()
+
     def on_log_feed(self, feed: LogFeed) -> None:
         """Applies records that a peer of this data centre has sent."""
         records = tuple(
@@ -451,6 +500,8 @@
         else:
             self._unreachable_topics.add(topic)
         self._observer.on_store_reachability(not self._unreachable_topics, detail)
+        if is_reachable and topic == OPERATOR_TOPIC:
+            self._observer.on_operator_records_checked()
 
     def _on_newest_operator_records(self, records: tuple[KeyedRecord, ...]) -> None:
         evacuated = {
@@ -541,6 +592,11 @@
         self._observer.on_peers(peers)
 
 
+def _round_age(age_s: float) -> float | None:
+    """Returns an age for logs; None if there has been nothing."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 def _format_member(peer: Peer) -> str:
     return MEMBER_SEPARATOR.join((peer.instance, peer.data_centre, peer.address))
 
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 
+from mulberryrill.internal.events import Event
 from mulberryrill.platform.follower import INSTANCE_TOPICS
 from tests.common.entry import (
     KEY,
@@ -491,3 +492,14 @@
         self.assertIn('refusals_total{reason="no route"} 1', text)
         self.assertIn('call_ms_count{kind="idempotent"} 1', text)
         self.assertIn("mulberryrill_entry_targets 1", text)
+        self.assertRegex(text, r"mulberryrill_entry_configuration_age_seconds [0-9.e-]+\n")
+
+    def test_refusal_names_request_and_age_of_the_configuration(self) -> None:
+        """Without them nobody can tell which configuration refused a request, and why."""
+        self.deployment.wait_ready()
+        with self.assertLogs(level="INFO") as logs:
+            self.deployment.call("/none/", Request_Id="r-7")
+        lines = [vars(record) for record in logs.records]
+        refused = [line for line in lines if line["event"] == Event.ENTRY_CALL_REFUSED]
+        self.assertEqual([line["request"] for line in refused], ["r-7"])
+        self.assertLess(refused[0]["configuration_checked_s"], 5.0)
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -6,6 +6,7 @@
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
 from mulberryrill.internal.eventloop import EventLoop
+from mulberryrill.internal.events import Event
 from mulberryrill.internal.ids import InstanceId, Offset
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
 from mulberryrill.platform.follower import CUT_OFF_DURATION_S, FeedSharing, TopicFollower
@@ -166,6 +167,18 @@
         self.assertTrue(ahead.follower.has_recent_feed())
         self.assertTrue(behind.sharing.is_reader())
 
+    def test_instance_that_reads_for_a_silent_reader_says_so(self) -> None:
+        """Without this line nobody can tell why a change came late to one instance."""
+        instance = self.nodes_by_rank[3].follower
+        instance.apply_feed(Offset(1), ())
+        self.clock.advance(5.0)
+        with self.assertLogs(level="INFO") as logs:
+            instance.start()
+            instance.start()
+        lines = [vars(record) for record in logs.records]
+        taken_over = [line for line in lines if line["event"] == Event.LOG_READER_SILENT]
+        self.assertEqual([line["feed_age_s"] for line in taken_over], [5.0])
+
     def test_starting_instance_learns_from_a_peer(self) -> None:
         late = Node("front-9", self.clock, self.nodes)
         late.follower.on_newest_read(STORE_ERROR)
