Read the store in place of a silent reader before the bound runs out

Cause: one instance of a data centre reads the operators' records for the others, which took over 2.2 to 2.4 s after its last message: fixed times that did not know the deployment's bound of 2.0 s (docs/constants.md even said that a deployment below 2.7 s needs shorter ones). A message also counted from its arrival, so that a late one prolonged the silence.

Now every time is a share of the bound (configuration_ms, drain_ms), and what counts is the age of the records: up to when they are known to be complete, told with each message, plus the time that the message took. After a page with records the reader reads once more without waiting, since such a page proves nothing about later records, and it announces a read of the newest records after older ones have expired. Bounds that are reloaded take effect with the next read; before, the registry kept its first pace.

Fault runs now check 2.0 s instead of 3.0 s. The same class was looked for in the registry (same follower, now the same timing) and in the control process, whose instances each read for themselves.

--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -99,7 +99,7 @@
         self._subscriber = self._context.socket(zmq.SUB)
         self._connected: set[str] = set()
         self._is_closed = False
-        self.on_log_feed: Callable[[LogFeed], None] | None = None
+        self.on_log_feed: Callable[[InstanceId, LogFeed], None] | None = None
         self.on_log_request: Callable[[InstanceId, LogRequest], None] | None = None
         self._last_sent_at = float("-inf")
         self._version_ages_sent_at = float("-inf")
@@ -261,7 +261,7 @@
         """Passes on store records, and requests for them, that a peer sent."""
         for feed in report.feeds:
             if self.on_log_feed is not None:
-                self.on_log_feed(feed)
+                self.on_log_feed(InstanceId(report.instance), feed)
         for request in report.requests:
             if self.on_log_request is not None:
                 self.on_log_request(InstanceId(report.instance), request)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -71,8 +71,8 @@
         """
         ...
 
-    def on_operator_records_checked(self) -> None:
-        """The operators' records, the configuration among them, were found to be the newest."""
+    def on_operator_records_checked(self, complete_at: float) -> None:
+        """All records that operators wrote up to boot time ``complete_at`` are known."""
         ...
 
     def on_peers(self, peers: list[Peer]) -> None:
@@ -138,9 +138,9 @@
             routes=len(table.routes),
         )
 
-    def on_operator_records_checked(self) -> None:
-        """Records that the configuration in force was the newest one until now."""
-        self._operator_records_checked_at = self._loop.boottime()
+    def on_operator_records_checked(self, complete_at: float) -> None:
+        """Records up to when the configuration in force was the newest one."""
+        self._operator_records_checked_at = complete_at
 
     @property
     def operator_records_age_s(self) -> float | None:
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -3,20 +3,27 @@
 Operators' records are rare, so their topic is read by long polling. Targets write several times a
 second, so a long poll would return for each record; their topic is polled at a fixed interval. One
 instance of each data centre, the reader, reads a topic and forwards its records to the others;
-another one takes over if the reader falls silent. Instances that cannot reach the store get missing
-records from the reader.
+another one takes over when its own records become too old (``core/serving/readtiming.py``).
+Instances that cannot reach the store get missing records from the reader.
 """
 
 import logging
 import math
 import traceback
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from functools import partial
 from typing import Protocol
 
 from ..errors import CorruptRecordError, StoreCallError
 from ..internal.core.rendezvous import rank_members
+from ..internal.core.serving.readtiming import (
+    ReadTiming,
+    TransitClock,
+    plan_periodic_reads,
+    plan_waiting_reads,
+)
 from ..internal.core.serving.targettable import Registration
 from ..internal.entry.peers import Peer
 from ..internal.entry.state import StoreObserver
@@ -25,6 +32,7 @@
 from ..internal.ids import DataCentre, InstanceId, Offset, TargetId
 from ..internal.logs import log_event
 from ..internal.schema.peers_pb2 import LogFeed, LogRequest
+from ..internal.schema.settings_pb2 import EntryBounds
 from .records import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -35,19 +43,10 @@
 )
 from .store import OPERATOR_TOPIC, REGISTRY_TOPIC, KeyedRecord, RecordPage, StoreClient
 
-# The store may lose a response and then stays silent on that connection, so a read must end well
-# within the 3 s in which a change has to become known.
-OPERATOR_READ_WAIT_S = 1.5
-# An instance reads for itself if it got no feed for the reader's interval and wait plus this time.
-FEED_TIMEOUT_MARGIN_S = 0.6
-# How often an instance that gets feeds checks that the last one is recent and that it is still not
-# the reader. It also checks at the moment at which the last feed is no longer recent.
+# How often an instance that gets feeds checks that they are recent and that it is still not the
+# reader. It also checks at the moment at which they are no longer recent.
 FEED_CHECK_INTERVAL_S = 0.5
-# Instances take over from a silent reader by rank, each this much later than the one before; ranks
-# above the maximum add no more delay. Read interval, margin and longest delay together must stay
-# below the time after which a draining target may get no work.
-TAKEOVER_RANK_DELAY_S = 0.1
-MAX_TAKEOVER_RANK = 3
+MS_PER_S = 1000
 # An instance that requests records from its peers counts as cut off from the store, and so is no
 # reader, for this long.
 CUT_OFF_DURATION_S = 3.0
@@ -75,6 +74,16 @@
     FEED = "peer"
 
 
+@dataclass(frozen=True)
+class PendingRead:
+    """A read of a topic's records that the store has not answered yet."""
+
+    start: Offset
+    # Boot time.
+    started_at: float
+    wait_s: float
+
+
 class TopicFollower:
     """Reads one keyed topic: first the newest record of each key, then all later records."""
 
@@ -83,8 +92,7 @@
         loop: EventLoop,
         store: StoreClient,
         topic: str,
-        wait_s: float,
-        interval_s: float,
+        get_timing: Callable[[], ReadTiming],
         on_newest: Callable[[tuple[KeyedRecord, ...]], None],
         on_record: Callable[[KeyedRecord], None],
         on_reachability: Callable[[bool, str], None],
@@ -92,17 +100,20 @@
         *,
         logs_records: bool = False,
     ) -> None:
-        """``logs_records``: each applied record is logged, for topics that change rarely."""
+        """``get_timing`` is called before each read, so that new bounds take effect.
+
+        ``logs_records``: each applied record is logged, for topics that change rarely.
+        """
         self._loop = loop
         self._logs_records = logs_records
         # Whether this instance reads although another one should, because that one fell silent.
         self._has_taken_over = False
         self._store = store
         self._sharing = sharing
-        self._last_feed_at = float("-inf")
         self._topic = topic
-        self._wait_s = wait_s
-        self._interval_s = interval_s
+        self._get_timing = get_timing
+        # Boot time up to which this instance knew all records, from the store or from peers.
+        self._complete_at = float("-inf")
         self._on_newest = on_newest
         self._on_record = on_record
         self._on_reachability = on_reachability
@@ -112,7 +123,10 @@
         self._is_closed = False
         # The newest record of each key, to send to peers that missed records.
         self._newest: dict[str, KeyedRecord] = {}
-        self._last_read_at = float("-inf")
+        # The same from the store alone: only such records are sent to peers that request them.
+        self._read_complete_at = float("-inf")
+        # Records wait in the store as far as known, so that the next read returns at once.
+        self._has_more = False
         self._last_request_at = float("-inf")
         self._last_reply_at: dict[InstanceId, float] = {}
 
@@ -138,10 +152,13 @@
             delay_s = min(FEED_CHECK_INTERVAL_S, feed_time_left_s)
             self._loop.call_later(delay_s, self._read)
         elif self._next_offset is None:
-            self._store.read_newest(self._topic, self.on_newest_read)
+            on_newest = partial(self.on_newest_read, self._loop.boottime())
+            self._store.read_newest(self._topic, on_newest)
         else:
-            on_page = partial(self.on_records_read, self._next_offset)
-            self._store.read_keyed(self._topic, self._next_offset, self._wait_s, on_page)
+            wait_s = 0.0 if self._has_more else self._get_timing().wait_s
+            read = PendingRead(self._next_offset, self._loop.boottime(), wait_s)
+            on_page = partial(self.on_records_read, read)
+            self._store.read_keyed(self._topic, read.start, wait_s, on_page)
 
     def _record_takeover(self, feed_time_left_s: float) -> None:
         """Logs that this instance begins to read in place of a silent reader."""
@@ -156,7 +173,7 @@
                 topic=self._topic,
                 offset=self._next_offset,
                 rank=rank,
-                feed_age_s=_round_age(self._loop.now() - self._last_feed_at),
+                feed_age_s=_round_age(self._loop.boottime() - self._complete_at),
             )
         self._has_taken_over = has_taken_over
 
@@ -165,28 +182,32 @@
         return self._get_feed_time_left() > 0
 
     def _get_feed_time_left(self) -> float:
-        """Returns the seconds for which the last feed of the reader counts as recent.
+        """Returns the seconds for which this instance need not read itself.
 
-        0 or less if this instance is the reader, or if the reader has fallen silent.
+        0 or less if it is the reader, or if the reader has fallen silent.
         """
         if self._next_offset is None or self._sharing is None:
             return 0.0
         rank = self._sharing.get_reader_rank()
         if rank == 0:
             return 0.0
-        delay = TAKEOVER_RANK_DELAY_S * min(MAX_TAKEOVER_RANK, rank)
-        limit = self._interval_s + self._wait_s + FEED_TIMEOUT_MARGIN_S + delay
-        return self._last_feed_at + limit - self._loop.now()
+        takeover_age_s = self._get_timing().compute_takeover_age(rank)
+        return self._complete_at + takeover_age_s - self._loop.boottime()
+
+    def apply_feed(
+        self, start: Offset, records: tuple[KeyedRecord, ...], complete_at: float
+    ) -> None:
+        """Applies a peer's records, or requests the missing ones if there is a gap before them.
 
-    def apply_feed(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
-        """Applies a peer's records, or requests the missing ones if there is a gap before them."""
+        With them, all records up to boot time ``complete_at`` are known.
+        """
         if self._next_offset is None or start > self._next_offset:
             self._request_from_peers()
             return
         if start + len(records) < self._next_offset:
             # The peer is behind: its feeds must not keep this instance from reading.
             return
-        self._last_feed_at = self._loop.now()
+        self._complete_at = max(self._complete_at, complete_at)
         new_records = [record for record in records if record.offset >= self._next_offset]
         # The peer reached the store, even if it read nothing new. This is reported before the
         # records are applied: a target removed during an outage is kept for a grace period.
@@ -194,11 +215,13 @@
         for record in new_records:
             self._apply_record(record, RecordSource.FEED)
 
-    def apply_newest_feed(self, end: Offset, records: tuple[KeyedRecord, ...]) -> None:
+    def apply_newest_feed(
+        self, end: Offset, records: tuple[KeyedRecord, ...], complete_at: float
+    ) -> None:
         """Applies the newest record of each key from a peer, unless this instance is up to date."""
         if self._next_offset is not None and end <= self._next_offset:
             return
-        self._last_feed_at = self._loop.now()
+        self._complete_at = max(self._complete_at, complete_at)
         log_event(
             _LOGGER,
             logging.INFO,
@@ -214,19 +237,21 @@
     def serve_request(self, instance: InstanceId, next_offset: Offset) -> None:
         """Sends the newest record of each key to a peer that misses records from an offset on."""
         now = self._loop.now()
-        is_current = (
-            now - self._last_read_at < self._interval_s + self._wait_s + FEED_TIMEOUT_MARGIN_S
-        )
+        age_s = self._loop.boottime() - self._read_complete_at
+        is_current = age_s < self._get_timing().compute_takeover_age(0)
         if self._sharing is None or self._next_offset is None or not is_current:
             return
         last_reply_at = self._last_reply_at.get(instance, float("-inf"))
         if next_offset >= self._next_offset or now - last_reply_at < CATCH_UP_INTERVAL_S:
             return
         self._last_reply_at[instance] = now
-        self._sharing.send_newest(instance, self._next_offset, tuple(self._newest.values()))
+        self._sharing.send_newest(instance, self._next_offset, tuple(self._newest.values()), age_s)
+
+    def on_newest_read(self, started_at: float, page: RecordPage | StoreCallError) -> None:
+        """Applies the newest record of each key and schedules the next read.
 
-    def on_newest_read(self, page: RecordPage | StoreCallError) -> None:
-        """Applies the newest record of each key and schedules the next read."""
+        ``started_at`` is the boot time at which the read began.
+        """
         if isinstance(page, StoreCallError):
             self._on_failure(page)
             return
@@ -234,15 +259,19 @@
             # A stale copy of the topic must not bring back replaced records.
             self._loop.call_later(self._retry_delay_s, self._read)
             return
-        self._last_read_at = self._loop.now()
+        self._record_read(started_at)
+        has_followed = self._highest_end > 0
         self._on_success(page.end)
+        if has_followed and self._sharing is not None and self._sharing.is_reader():
+            # Records expired unread. Peers that lack them, too, see the gap and request them.
+            self._sharing.send_records(page.end, (), self._loop.boottime() - started_at)
         try:
             self._apply_newest(page.records)
         finally:
             self._schedule_read()
 
-    def on_records_read(self, start: Offset, page: RecordPage | StoreCallError) -> None:
-        """Applies the records from ``start`` on and forwards them to the peers.
+    def on_records_read(self, read: "PendingRead", page: RecordPage | StoreCallError) -> None:
+        """Applies the records that a read returned and forwards them to the peers.
 
         Peers may have sent some of these records while the read was under way.
         """
@@ -259,17 +288,25 @@
                 self._next_offset = None
             self._on_failure(page)
             return
-        self._last_read_at = self._loop.now()
-        end = Offset(page.records[-1].offset + 1) if page.records else start
+        now = self._loop.boottime()
+        # Records that arrived during a wait say nothing about later ones: the next read tells.
+        self._has_more = bool(page.records)
+        complete_at = read.started_at if page.records else min(now, read.started_at + read.wait_s)
+        self._record_read(complete_at)
+        end = Offset(page.records[-1].offset + 1) if page.records else read.start
         if self._sharing is not None:
-            self._sharing.send_records(start, page.records)
-        next_offset = self._next_offset if self._next_offset is not None else start
+            self._sharing.send_records(read.start, page.records, now - complete_at)
+        next_offset = self._next_offset if self._next_offset is not None else read.start
         for record in page.records:
             if record.offset >= next_offset:
                 self._apply_record(record, RecordSource.STORE)
         self._on_success(max(next_offset, end))
         self._schedule_read()
 
+    def _record_read(self, complete_at: float) -> None:
+        self._read_complete_at = max(self._read_complete_at, complete_at)
+        self._complete_at = max(self._complete_at, complete_at)
+
     def _apply_record(self, record: KeyedRecord, source: RecordSource) -> None:
         if record.value is None:
             self._newest.pop(record.key, None)
@@ -311,9 +348,15 @@
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._on_reachability(True, "")
 
+    @property
+    def complete_at(self) -> float:
+        """Boot time up to which all records are known; negative infinity: none are."""
+        return self._complete_at
+
     def _schedule_read(self) -> None:
-        if self._interval_s > 0:
-            self._loop.call_later(self._interval_s, self._read)
+        interval_s = self._get_timing().interval_s
+        if interval_s > 0:
+            self._loop.call_later(interval_s, self._read)
         else:
             self._loop.call_soon(self._read)
 
@@ -344,12 +387,12 @@
         self,
         topic: str,
         local_instance: InstanceId,
-        now: Callable[[], float],
+        boottime: Callable[[], float],
         peers: "LogPeers",
     ) -> None:
         self._topic = topic
         self._local_instance = local_instance
-        self._now = now
+        self._boottime = boottime
         self._peers = peers
         self._instances: tuple[InstanceId, ...] = (local_instance,)
         self._cut_off_at: dict[InstanceId, float] = {}
@@ -364,7 +407,7 @@
 
     def get_reader_rank(self) -> int:
         """Returns the number of instances that are readers before this one; 0: it is the reader."""
-        now = self._now()
+        now = self._boottime()
         eligible = [
             i
             for i in self._instances
@@ -375,27 +418,32 @@
 
     def mark_cut_off(self, instance: InstanceId) -> None:
         """Records that an instance cannot read the topic now."""
-        self._cut_off_at[instance] = self._now()
+        self._cut_off_at[instance] = self._boottime()
 
     def request_records(self, next_offset: Offset) -> None:
         """Requests the records from ``next_offset`` on from the peers."""
         self.mark_cut_off(self._local_instance)
         self._peers.send_log_request(LogRequest(topic=self._topic, next=next_offset))
 
-    def send_records(self, start: Offset, records: tuple[KeyedRecord, ...]) -> None:
-        """Sends records to all peers."""
-        self._peers.send_log_feed(self._build_feed(start, records), None)
+    def send_records(self, start: Offset, records: tuple[KeyedRecord, ...], age_s: float) -> None:
+        """Sends records to all peers; ``age_s`` ago the records up to them were complete."""
+        self._peers.send_log_feed(self._build_feed(start, records, age_s), None)
 
     def send_newest(
-        self, instance: InstanceId, end: Offset, records: tuple[KeyedRecord, ...]
+        self, instance: InstanceId, end: Offset, records: tuple[KeyedRecord, ...], age_s: float
     ) -> None:
         """Sends the newest record of each key to one peer."""
-        feed = self._build_feed(end, records)
+        feed = self._build_feed(end, records, age_s)
         feed.is_newest = True
         self._peers.send_log_feed(feed, instance)
 
-    def _build_feed(self, start: Offset, records: tuple[KeyedRecord, ...]) -> LogFeed:
-        feed = LogFeed(topic=self._topic, start=start)
+    def _build_feed(self, start: Offset, records: tuple[KeyedRecord, ...], age_s: float) -> LogFeed:
+        feed = LogFeed(
+            topic=self._topic,
+            start=start,
+            sent_ms=round(self._boottime() * MS_PER_S),
+            age_ms=round(age_s * MS_PER_S),
+        )
         for record in records:
             is_deleted = record.value is None
             feed.records.add(key=record.key, is_deleted=is_deleted, value=record.value or b"")
@@ -411,17 +459,19 @@
         store: StoreClient,
         observer: StoreObserver,
         local_peer: Peer,
-        registry_interval_s: float,
+        bounds: EntryBounds,
         peers: LogPeers,
     ) -> None:
+        """``bounds`` may change later; the next read uses the new ones."""
         self._loop = loop
         self._store = store
         self._observer = observer
         self._local_peer = local_peer
         self._sharing = {
-            topic: FeedSharing(topic, local_peer.instance, loop.now, peers)
+            topic: FeedSharing(topic, local_peer.instance, loop.boottime, peers)
             for topic in (OPERATOR_TOPIC, REGISTRY_TOPIC)
         }
+        self._transit_clocks: dict[InstanceId, TransitClock] = {}
         self._group_generation = 0
         self._is_closed = False
         self._has_operator_records = False
@@ -432,8 +482,7 @@
             loop,
             store,
             OPERATOR_TOPIC,
-            OPERATOR_READ_WAIT_S,
-            0.0,
+            lambda: plan_waiting_reads(bounds.configuration_ms / MS_PER_S),
             self._on_newest_operator_records,
             self._on_operator_record,
             partial(self._on_store_reachability, OPERATOR_TOPIC),
@@ -444,8 +493,7 @@
             loop,
             store,
             REGISTRY_TOPIC,
-            0.0,
-            registry_interval_s,
+            lambda: plan_periodic_reads(bounds.drain_ms / MS_PER_S),
             self._on_newest_registrations,
             self._on_registration_record,
             partial(self._on_store_reachability, REGISTRY_TOPIC),
@@ -468,8 +516,12 @@
         """Whether this instance reads a topic for its data centre."""
         return self._sharing[topic].is_reader()
 
-    def on_log_feed(self, feed: LogFeed) -> None:
+    def on_log_feed(self, instance: InstanceId, feed: LogFeed) -> None:
         """Applies records that a peer of this data centre has sent."""
+        now = self._loop.boottime()
+        clock = self._transit_clocks.setdefault(instance, TransitClock())
+        transit_s = clock.measure(feed.sent_ms / MS_PER_S, now)
+        complete_at = now - transit_s - feed.age_ms / MS_PER_S
         records = tuple(
             KeyedRecord(
                 record.key, None if record.is_deleted else record.value, Offset(feed.start + number)
@@ -480,9 +532,9 @@
             if follower.topic != feed.topic:
                 continue
             if feed.is_newest:
-                follower.apply_newest_feed(Offset(feed.start), records)
+                follower.apply_newest_feed(Offset(feed.start), records, complete_at)
             else:
-                follower.apply_feed(Offset(feed.start), records)
+                follower.apply_feed(Offset(feed.start), records, complete_at)
 
     def on_log_request(self, instance: InstanceId, request: LogRequest) -> None:
         """Sends the newest records to a peer that misses some, if this instance has read recently.
@@ -501,7 +553,7 @@
             self._unreachable_topics.add(topic)
         self._observer.on_store_reachability(not self._unreachable_topics, detail)
         if is_reachable and topic == OPERATOR_TOPIC:
-            self._observer.on_operator_records_checked()
+            self._observer.on_operator_records_checked(self._operator_follower.complete_at)
 
     def _on_newest_operator_records(self, records: tuple[KeyedRecord, ...]) -> None:
         evacuated = {
@@ -587,6 +639,8 @@
             )
         peers = [peer for member in members if (peer := _parse_member(member))]
         local = {p.instance for p in peers if p.data_centre == self._local_peer.data_centre}
+        for instance in self._transit_clocks.keys() - local:
+            del self._transit_clocks[instance]
         for sharing in self._sharing.values():
             sharing.set_instances(tuple(sorted({*local, self._local_peer.instance})))
         self._observer.on_peers(peers)
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -13,9 +13,6 @@
 from .store import StoreClient
 from .targetorders import PlatformOrderClient
 
-# Number of registry reads within the time in which a draining target must be noticed.
-READS_PER_DRAIN = 3.0
-
 
 class PlatformTasks:
     """Owns the store client and the tasks that use it."""
@@ -37,7 +34,7 @@
             self._store,
             state,
             local_peer,
-            bounds.drain_ms / 1000 / READS_PER_DRAIN,
+            bounds,
             peers,
         )
         peers.on_log_feed = self._follower.on_log_feed
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -417,6 +417,7 @@
             store_address=self.store.address,
             metrics_address=f"{LOCAL}:{find_port()}",
             bounds=EntryBounds(
+                configuration_ms=2000,
                 drain_ms=400,
                 grace_s=8,
                 order_lease_ms=3000,
--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -32,7 +32,14 @@
     find_port,
 )
 from .links import Link, LinkState
-from .promises import GRACE_S, CallKind, CallRecord, Disturbances, PromiseChecker
+from .promises import (
+    CONFIGURATION_BOUND_S,
+    GRACE_S,
+    CallKind,
+    CallRecord,
+    Disturbances,
+    PromiseChecker,
+)
 
 STREAM_EVENTS = 8
 EVENT_INTERVAL_S = 0.015
@@ -164,6 +171,7 @@
             "store_address": f"{LOCAL}:{self.link.port}",
             "metrics_address": f"{LOCAL}:{find_port()}",
             "bounds": {
+                "configuration_ms": CONFIGURATION_BOUND_S * 1000,
                 "drain_ms": 3000,
                 "grace_s": GRACE_S,
                 "order_lease_ms": 3000,
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -5,31 +5,37 @@
 
 import heapq
 import itertools
+import json
+import os
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
 from mulberryrill.internal.core.serving.routetable import RouteTable
+from mulberryrill.internal.core.serving.targettable import Registration, RegistrationState
 from mulberryrill.internal.entry.peers import Peer
 from mulberryrill.internal.eventloop import EventLoop
-from mulberryrill.internal.ids import DataCentre, InstanceId, Offset
+from mulberryrill.internal.ids import DataCentre, InstanceId, Offset, TargetId
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
+from mulberryrill.internal.schema.settings_pb2 import EntryBounds
 from mulberryrill.platform.follower import STATUS_GONE, StoreFollower
 from mulberryrill.platform.store import (
     CALL_TIMEOUT_S,
     OPERATOR_TOPIC,
     READ_TIMEOUT_MARGIN_S,
+    REGISTRY_TOPIC,
     KeyedRecord,
     RecordPage,
     StoreClient,
 )
 
 DATA_CENTRE = DataCentre("z1")
-STEP_S = 0.005
+STEP_S = 0.0005
 STORE_LATENCY_S = 0.004
 LINK_DELAY_S = 0.001
-REGISTRY_INTERVAL_S = 0.667
+BOUNDS = EntryBounds(configuration_ms=2000, drain_ms=2000)
 
 
 class SimulatedLoop(EventLoop):
@@ -40,6 +46,15 @@
         self._run_timers()
         self._run_soon()
 
+    def close(self) -> None:
+        """Closes the descriptors; there is no thread to stop."""
+        self._epoll.close()
+        os.close(self._wake_fd)
+
+    def get_next_time(self) -> float:
+        """Returns when the next timer is due; infinity: there is none."""
+        return self._timers[0][0] if self._timers else float("inf")
+
 
 class SimulatedObserver:
     """Implements ``StoreObserver``: keeps the configuration versions and when they were applied."""
@@ -47,18 +62,23 @@
     def __init__(self, clock: ManualClock) -> None:
         self._clock = clock
         self.applied_at: dict[int, float] = {}
+        self.draining_since: dict[TargetId, float] = {}
         self.peers: list[Peer] = []
 
     def on_configuration(self, table: RouteTable) -> None:
         self.applied_at.setdefault(table.version, self._clock.monotonic())
 
+    def on_registration(self, registration: Registration) -> None:
+        if registration.state is RegistrationState.DRAINING:
+            self.draining_since.setdefault(registration.target, self._clock.monotonic())
+
     def on_peers(self, peers: list[Peer]) -> None:
         self.peers = peers
 
     def _ignore(self, *args: object) -> None:
         return
 
-    on_registration = on_registration_removed = on_registry_read = _ignore
+    on_registration_removed = on_registry_read = _ignore
     on_evacuations_read = on_evacuation = on_desired_version = _ignore
     on_store_reachability = on_operator_records_checked = _ignore
 
@@ -80,6 +100,13 @@
     send_delay_s: float = LINK_DELAY_S
     inbox: list[Callable[[], None]] = field(default_factory=list)
 
+    def get_next_time(self) -> float:
+        """Returns when this instance has something to do; infinity: it stands still."""
+        is_still = self.is_frozen or self.is_dead
+        if is_still or not self.inbox:
+            return float("inf") if is_still else self.loop.get_next_time()
+        return float("-inf")
+
     def run_due(self) -> None:
         if self.is_frozen or self.is_dead:
             return
@@ -104,26 +131,20 @@
         self._respond(STORE_LATENCY_S, lambda: done(page), CALL_TIMEOUT_S, done)
 
     def read_keyed(self, topic: str, start: Offset, wait_s: float, done: Callable) -> None:
-        deadline = self._simulation.now() + wait_s
-        timeout_s = max(CALL_TIMEOUT_S, wait_s + READ_TIMEOUT_MARGIN_S)
-        self._poll(topic, start, deadline, self._simulation.now() + timeout_s, done)
+        simulation = self._simulation
+        gives_up_at = simulation.now() + max(CALL_TIMEOUT_S, wait_s + READ_TIMEOUT_MARGIN_S)
 
-    def _poll(
-        self, topic: str, start: Offset, deadline: float, gives_up_at: float, done: Callable
-    ) -> None:
-        now = self._simulation.now()
-        if start < self._simulation.first_offset:
-            expired = StoreCallError("store: 410", STATUS_GONE, in_doubt=False)
-            self._respond(STORE_LATENCY_S, lambda: done(expired), gives_up_at - now, done)
-            return
-        records = tuple(self._simulation.topics[topic][start:])
-        if records or now >= deadline:
-            page = RecordPage(records, Offset(len(self._simulation.topics[topic])))
-            self._respond(STORE_LATENCY_S, lambda: done(page), gives_up_at - now, done)
-        else:
-            self._simulation.schedule(
-                STEP_S, lambda: self._poll(topic, start, deadline, gives_up_at, done)
-            )
+        def respond() -> None:
+            timeout_s = gives_up_at - simulation.now()
+            if topic == OPERATOR_TOPIC and start < simulation.first_offset:
+                expired = StoreCallError("store: 410", STATUS_GONE, in_doubt=False)
+                self._respond(STORE_LATENCY_S, lambda: done(expired), timeout_s, done)
+                return
+            records = simulation.topics[topic]
+            page = RecordPage(tuple(records[start:]), Offset(len(records)))
+            self._respond(STORE_LATENCY_S, lambda: done(page), timeout_s, done)
+
+        simulation.wait_for_records(topic, start, wait_s, respond)
 
     def _respond(
         self, delay_s: float, handle: Callable[[], None], timeout_s: float, done: Callable
@@ -163,9 +184,10 @@
         self._instance = instance
 
     def send_log_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
+        sender = self._instance.name
         for receiver in self._simulation.instances:
             if receiver is not self._instance and instance in (None, receiver.name):
-                self._send(receiver, lambda follower: follower.on_log_feed(feed))
+                self._send(receiver, lambda follower: follower.on_log_feed(sender, feed))
 
     def send_log_request(self, request: LogRequest) -> None:
         sender = self._instance.name
@@ -190,13 +212,16 @@
         self._clock = ManualClock()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
-        self.topics: dict[str, list[KeyedRecord]] = {OPERATOR_TOPIC: [], "keyed.servers": []}
+        self.topics: dict[str, list[KeyedRecord]] = {OPERATOR_TOPIC: [], REGISTRY_TOPIC: []}
+        # Reads that wait for records.
+        self._waiting: dict[str, list[Callable[[], None]]] = defaultdict(list)
         # Older records of the operators' topic have expired.
         self.first_offset = 0
         self.members: set[str] = set()
         self.written_at: dict[int, float] = {}
         self.write_configuration()
         self.instances = [self._create_instance(n) for n in range(count)]
+        self._replaced: list[SimulatedInstance] = []
 
     def now(self) -> float:
         return self._clock.monotonic()
@@ -215,15 +240,41 @@
             assert len(instance.observer.peers) == len(self.instances)
 
     def close(self) -> None:
-        for instance in self.instances:
+        for instance in [*self.instances, *self._replaced]:
             assert instance.follower is not None
             instance.follower.close()
+            instance.loop.close()
+
+    def wait_for_records(
+        self, topic: str, start: Offset, wait_s: float, respond: Callable[[], None]
+    ) -> None:
+        """Calls ``respond`` when a topic has records from ``start`` on, or after the wait."""
+
+        def respond_once() -> None:
+            if respond_once in self._waiting[topic]:
+                self._waiting[topic].remove(respond_once)
+                respond()
+
+        if wait_s <= 0 or len(self.topics[topic]) > start or start < self.first_offset:
+            respond()
+        else:
+            self._waiting[topic].append(respond_once)
+            self.schedule(wait_s, respond_once)
+
+    def _append(self, topic: str, key: str, value: bytes) -> None:
+        records = self.topics[topic]
+        records.append(KeyedRecord(key, value, Offset(len(records))))
+        for respond_once in list(self._waiting[topic]):
+            respond_once()
 
     def run_for(self, duration_s: float) -> None:
         """Advances the simulated time."""
         end = self.now() + duration_s
         while self.now() < end:
-            self._clock.advance(STEP_S)
+            times = [instance.get_next_time() for instance in self.instances]
+            times += [self._events[0][0] if self._events else end, end]
+            # The smallest step lets time pass where rounding leaves a task just not due.
+            self._clock.advance(max(STEP_S, min(times) - self.now()))
             while self._events and self._events[0][0] <= self.now():
                 heapq.heappop(self._events)[2]()
             for instance in self.instances:
@@ -233,11 +284,23 @@
         """Writes the next version of the configuration, which the store acknowledges at once."""
         version = len(self.written_at) + 1
         value = b'{"version": %d, "routes": [], "services": []}' % version
-        records = self.topics[OPERATOR_TOPIC]
-        records.append(KeyedRecord("config", value, Offset(len(records))))
+        self._append(OPERATOR_TOPIC, "config", value)
         self.written_at[version] = self.now()
         return version
 
+    def write_draining_target(self) -> TargetId:
+        """Writes a registration that says that its target is leaving."""
+        target = TargetId(f"t{len(self.topics[REGISTRY_TOPIC])}")
+        registration = {
+            "service": "desk",
+            "address": "127.0.0.1:1",
+            "zone": DATA_CENTRE,
+            "state": "draining",
+            "slots": 1,
+        }
+        self._append(REGISTRY_TOPIC, target, json.dumps(registration).encode())
+        return target
+
     def expire_records(self) -> None:
         """Drops all records; the newest one of each key stays available."""
         self.first_offset = len(self.topics[OPERATOR_TOPIC]) + 1
@@ -245,15 +308,18 @@
     def restart(self, instance: SimulatedInstance) -> None:
         """Starts a killed instance again."""
         new = self._create_instance(self.instances.index(instance))
+        # What the process before it had applied stays known to the test.
+        new.observer.applied_at = instance.observer.applied_at
+        self._replaced.append(instance)
         self.instances[self.instances.index(instance)] = new
         assert new.follower is not None
         new.follower.start()
 
-    def get_reader(self) -> SimulatedInstance:
-        """Returns the instance that reads the operators' records for the others."""
+    def get_reader(self, topic: str = OPERATOR_TOPIC) -> SimulatedInstance:
+        """Returns the instance that reads a topic for the others."""
         for instance in self.instances:
             assert instance.follower is not None
-            if instance.follower.is_reader(OPERATOR_TOPIC):
+            if instance.follower.is_reader(topic):
                 return instance
         raise AssertionError("no instance is the reader")
 
@@ -271,7 +337,7 @@
             SimulatedStoreClient(self, instance),
             instance.observer,
             Peer(name, DATA_CENTRE, f"127.0.0.1:{7000 + number}"),
-            REGISTRY_INTERVAL_S,
+            BOUNDS,
             InstanceLinks(self, instance),
         )
         return instance
--- a/tests/common/promises.py
+++ b/tests/common/promises.py
@@ -14,7 +14,8 @@
 # Bounds from the users' specification.
 MIN_UNDISTURBED_S = 4.0
 DRAIN_BOUND_S = 3.0
-CONFIGURATION_BOUND_S = 3.0
+# The shortest bound of all deployments.
+CONFIGURATION_BOUND_S = 2.0
 RESPONSE_SLACK_S = 0.5
 GRACE_S = 8.0
 ORDER_LEASE_S = 3.0
--- a/tests/regressions/test_shared_read_is_mislabelled.py
+++ b/tests/regressions/test_shared_read_is_mislabelled.py
@@ -19,14 +19,14 @@
         nodes: dict[InstanceId, Node] = {}
         reader, peer = (Node(name, ManualClock(), nodes) for name in ("front-1", "front-2"))
         for node in nodes.values():
-            node.follower.on_newest_read(RecordPage((), Offset(0)))
+            node.read_newest(RecordPage((), Offset(0)))
         older_records = create_records(("t1", b"ready"), start=0)
         older_page = RecordPage(older_records, Offset(1))
         records = (*older_records, *create_records(("t2", b"ready"), start=1))
         for node in nodes.values():
-            node.follower.apply_feed(Offset(0), records)
-        reader.follower.on_records_read(Offset(0), older_page)
+            node.follower.apply_feed(Offset(0), records, node.clock.boottime())
+        reader.read(0, older_page)
         draining_records = create_records(("t1", b"draining"), start=2)
-        reader.follower.on_records_read(Offset(2), RecordPage(draining_records, Offset(3)))
+        reader.read(2, RecordPage(draining_records, Offset(3)))
         for node in nodes.values():
             self.assertEqual(node.records, {"t1": b"draining", "t2": b"ready"})
--- a/tests/regressions/test_silent_reader_delays_configuration.py
+++ b/tests/regressions/test_silent_reader_delays_configuration.py
@@ -3,10 +3,12 @@
 import unittest
 from collections.abc import Callable
 
+from mulberryrill.platform.store import REGISTRY_TOPIC
 from tests.common.followersimulation import FollowerSimulation, SimulatedInstance
+from tests.common.promises import CONFIGURATION_BOUND_S
 
-# The shortest time in which a deployment requires a change to be in force on every instance.
-CONFIGURATION_BOUND_S = 2.0
+# The shortest time within which a leaving target must get no more work.
+DRAIN_BOUND_S = 2.0
 INSTANCE_COUNT = 4
 # Faults begin at these phases of the reader's cycle, in steps of this many seconds.
 PHASE_STEP_S = 0.05
@@ -81,6 +83,22 @@
                 simulation.run_for(CONFIGURATION_BOUND_S + 1.0)
                 self.check_instances(simulation, reader, version)
 
+    def test_draining_target_behind_late_messages(self) -> None:
+        """Targets are read in the same way as the operators' records."""
+        for number in range(PHASE_COUNT):
+            with self.subTest(phase_s=round(number * PHASE_STEP_S, 3)):
+                simulation = self.start_simulation(number)
+                reader = simulation.get_reader(REGISTRY_TOPIC)
+                reader.send_delay_s = LATE_MESSAGE_S
+                simulation.run_for(0.3)
+                reader.is_dead = True
+                target, written_at = simulation.write_draining_target(), simulation.now()
+                simulation.run_for(DRAIN_BOUND_S + 1.0)
+                for instance in simulation.instances:
+                    if instance is not reader:
+                        since = instance.observer.draining_since.get(target, float("inf"))
+                        self.assertLess(since - written_at, DRAIN_BOUND_S, instance.name)
+
     def test_reader_whose_records_expire(self) -> None:
         """The reader reads the newest record of each key, and its peers must learn of it."""
         for number in range(PHASE_COUNT):
--- a/tests/regressions/test_stale_outage_delays_drain.py
+++ b/tests/regressions/test_stale_outage_delays_drain.py
@@ -10,9 +10,10 @@
 
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.core.serving.readtiming import plan_periodic_reads
 from mulberryrill.internal.eventloop import EventLoop
 from mulberryrill.internal.ids import Offset
-from mulberryrill.platform.follower import TopicFollower
+from mulberryrill.platform.follower import PendingRead, TopicFollower
 from mulberryrill.platform.store import KeyedRecord, RecordPage, StoreClient
 
 
@@ -24,25 +25,25 @@
             loop,
             StoreClient(loop, "127.0.0.1:1"),
             "keyed.servers",
-            0.0,
-            1.0,
+            lambda: plan_periodic_reads(3.0),
             lambda records: None,
             self.events.append,
             lambda is_reachable, detail: self.events.append(is_reachable),
         )
-        self.follower.on_newest_read(RecordPage((), Offset(5)))
-        self.follower.on_records_read(Offset(5), StoreCallError("lost", 0, False))
+        self.follower.on_newest_read(0.0, RecordPage((), Offset(5)))
+        read = PendingRead(Offset(5), 0.0, 0.0)
+        self.follower.on_records_read(read, StoreCallError("lost", 0, False))
         self.events.clear()
 
     def test_empty_feed_shows_that_the_store_is_back(self) -> None:
-        self.follower.apply_feed(Offset(5), ())
+        self.follower.apply_feed(Offset(5), (), 0.0)
         self.assertEqual(self.events, [True])
 
     def test_return_of_the_store_is_known_before_records_are_applied(self) -> None:
         record = KeyedRecord("t1", None, Offset(5))
-        self.follower.apply_feed(Offset(5), (record,))
+        self.follower.apply_feed(Offset(5), (record,), 0.0)
         self.assertEqual(self.events, [True, record])
 
     def test_feed_after_a_gap_tells_nothing(self) -> None:
-        self.follower.apply_feed(Offset(7), ())
+        self.follower.apply_feed(Offset(7), (), 0.0)
         self.assertEqual(self.events, [])
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -5,14 +5,21 @@
 
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.core.serving.readtiming import plan_periodic_reads
 from mulberryrill.internal.eventloop import EventLoop
 from mulberryrill.internal.events import Event
 from mulberryrill.internal.ids import InstanceId, Offset
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
-from mulberryrill.platform.follower import CUT_OFF_DURATION_S, FeedSharing, TopicFollower
+from mulberryrill.platform.follower import (
+    CUT_OFF_DURATION_S,
+    FeedSharing,
+    PendingRead,
+    TopicFollower,
+)
 from mulberryrill.platform.store import KeyedRecord, RecordPage, StoreClient
 
 TOPIC = "keyed.servers"
+DRAIN_BOUND_S = 3.0
 STORE_ERROR = StoreCallError("lost", 0, False)
 
 
@@ -32,17 +39,17 @@
     def __init__(self, name: str, clock: ManualClock, nodes: dict[InstanceId, "Node"]) -> None:
         self.name = InstanceId(name)
         self.nodes = nodes
+        self.clock = clock
         nodes[self.name] = self
         loop = EventLoop(clock, name)
-        self.sharing = FeedSharing(TOPIC, self.name, clock.monotonic, self)
+        self.sharing = FeedSharing(TOPIC, self.name, clock.boottime, self)
         self.records: dict[str, bytes | None] = {}
         self.newest_feed_count = 0
         self.follower = TopicFollower(
             loop,
             UnresponsiveStore(loop, "127.0.0.1:1"),
             TOPIC,
-            0.0,
-            1.0,
+            lambda: plan_periodic_reads(DRAIN_BOUND_S),
             self.apply_newest,
             lambda record: self.records.update({record.key: record.value}),
             lambda is_reachable, detail: None,
@@ -62,7 +69,20 @@
             if node is self or instance not in (None, node.name):
                 continue
             apply = node.follower.apply_newest_feed if feed.is_newest else node.follower.apply_feed
-            apply(Offset(feed.start), records)
+            apply(Offset(feed.start), records, self.clock.boottime() - feed.age_ms / 1000)
+
+    def read_newest(self, page: RecordPage | StoreCallError) -> None:
+        """Passes the newest records to the follower, as the store would."""
+        self.follower.on_newest_read(self.clock.boottime(), page)
+
+    def read(self, start: int, page: RecordPage | StoreCallError) -> None:
+        """Passes the records from ``start`` on to the follower, as the store would."""
+        read = PendingRead(Offset(start), self.clock.boottime(), 0.0)
+        self.follower.on_records_read(read, page)
+
+    def receive(self, start: int) -> None:
+        """Passes a peer's message without records to the follower."""
+        self.follower.apply_feed(Offset(start), (), self.clock.boottime())
 
     def send_log_request(self, request: LogRequest) -> None:
         for node in self.nodes.values():
@@ -88,14 +108,12 @@
             self.nodes.values(), key=lambda node: node.sharing.get_reader_rank()
         )
         for node in self.nodes_by_rank:
-            node.follower.on_newest_read(
-                RecordPage(create_records(("t1", b"1"), start=0), Offset(1))
-            )
+            node.read_newest(RecordPage(create_records(("t1", b"1"), start=0), Offset(1)))
 
     def test_next_instance_reads_when_the_first_one_cannot(self) -> None:
         """Guards against two readers, or none, while the first one cannot reach the store."""
         first, second = self.nodes_by_rank[:2]
-        first.follower.on_records_read(Offset(1), STORE_ERROR)
+        first.read(1, STORE_ERROR)
         self.assertTrue(second.sharing.is_reader())
         self.assertFalse(first.sharing.is_reader())
         self.clock.advance(CUT_OFF_DURATION_S)
@@ -105,7 +123,7 @@
     def test_records_reach_all_from_whoever_reads(self) -> None:
         """Guards against old targets in a data centre whose first reader cannot reach the store."""
         page = RecordPage(create_records(("t2", b"2"), ("t1", None), start=1), Offset(3))
-        self.nodes_by_rank[1].follower.on_records_read(Offset(1), page)
+        self.nodes_by_rank[1].read(1, page)
         for node in self.nodes_by_rank:
             self.assertEqual(node.records.get("t2"), b"2")
             self.assertIsNone(node.records.get("t1"))
@@ -114,63 +132,53 @@
         """Guards against an instance that stays out of date because it missed one message."""
         reader, behind = self.nodes_by_rank[0], self.nodes_by_rank[3]
         del self.nodes[behind.name]
-        reader.follower.on_records_read(
-            Offset(1), RecordPage(create_records(("t1", None), start=1), Offset(2))
-        )
+        reader.read(1, RecordPage(create_records(("t1", None), start=1), Offset(2)))
         self.nodes[behind.name] = behind
         self.assertIn("t1", behind.records)
-        reader.follower.on_records_read(
-            Offset(2), RecordPage(create_records(("t2", b"2"), start=2), Offset(3))
-        )
+        reader.read(2, RecordPage(create_records(("t2", b"2"), start=2), Offset(3)))
         self.assertEqual(behind.records, {"t2": b"2"})
         self.assertEqual(reader.newest_feed_count, 1)
 
     def test_instance_without_the_store_is_told_what_it_misses(self) -> None:
         reader, behind = self.nodes_by_rank[0], self.nodes_by_rank[3]
         del self.nodes[behind.name]
-        reader.follower.on_records_read(
-            Offset(1), RecordPage(create_records(("t3", b"3"), start=1), Offset(2))
-        )
+        reader.read(1, RecordPage(create_records(("t3", b"3"), start=1), Offset(2)))
         self.nodes[behind.name] = behind
-        behind.follower.on_records_read(Offset(1), STORE_ERROR)
+        behind.read(1, STORE_ERROR)
         self.assertEqual(behind.records, {"t1": b"1", "t3": b"3"})
 
     def test_old_state_is_not_taken_over(self) -> None:
         """Guards against configuration that returns to an older state."""
         ahead = self.nodes_by_rank[3]
-        ahead.follower.on_records_read(
-            Offset(1), RecordPage(create_records(("t1", b"2"), start=1), Offset(2))
-        )
-        ahead.follower.apply_newest_feed(Offset(1), create_records(("t1", b"1"), start=0))
+        ahead.read(1, RecordPage(create_records(("t1", b"2"), start=1), Offset(2)))
+        old_records = create_records(("t1", b"1"), start=0)
+        ahead.follower.apply_newest_feed(Offset(1), old_records, self.clock.boottime())
         self.assertEqual(ahead.records, {"t1": b"2"})
 
     def test_instance_that_has_not_read_lately_answers_nothing(self) -> None:
         """Guards against out-of-date records of a peer that count as the store's newest."""
-        self.nodes_by_rank[0].follower.on_records_read(
-            Offset(1), RecordPage(create_records(("t2", b"2"), start=1), Offset(2))
-        )
+        self.nodes_by_rank[0].read(1, RecordPage(create_records(("t2", b"2"), start=1), Offset(2)))
         self.clock.advance(5.0)
         late = Node("front-9", self.clock, self.nodes)
-        late.follower.apply_feed(Offset(2), ())
+        late.receive(2)
         self.assertEqual(late.records, {})
 
     def test_peer_that_is_behind_does_not_keep_others_from_reading(self) -> None:
         """Guards against a reader whose old copy of the topic keeps its peers from reading."""
         ahead, behind = self.nodes_by_rank[3], self.nodes_by_rank[0]
-        ahead.follower.on_records_read(
-            Offset(1), RecordPage(create_records(("t1", b"2"), start=1), Offset(2))
-        )
+        ahead.read(1, RecordPage(create_records(("t1", b"2"), start=1), Offset(2)))
         self.clock.advance(5.0)
-        ahead.follower.apply_feed(Offset(1), ())
+        ahead.receive(1)
         self.assertFalse(ahead.follower.has_recent_feed())
-        ahead.follower.apply_feed(Offset(2), ())
+        ahead.receive(2)
         self.assertTrue(ahead.follower.has_recent_feed())
         self.assertTrue(behind.sharing.is_reader())
 
     def test_instance_that_reads_for_a_silent_reader_says_so(self) -> None:
         """Without this line nobody can tell why a change came late to one instance."""
-        instance = self.nodes_by_rank[3].follower
-        instance.apply_feed(Offset(1), ())
+        node = self.nodes_by_rank[3]
+        instance = node.follower
+        node.receive(1)
         self.clock.advance(5.0)
         with self.assertLogs(level="INFO") as logs:
             instance.start()
@@ -181,5 +189,5 @@
 
     def test_starting_instance_learns_from_a_peer(self) -> None:
         late = Node("front-9", self.clock, self.nodes)
-        late.follower.on_newest_read(STORE_ERROR)
+        late.read_newest(STORE_ERROR)
         self.assertEqual(late.records, {"t1": b"1"})
