Give control tests ports that no outgoing connection can take

Both now use find_port of the entry tests, which chooses below that range and is moved to tests/common/ports.py.

--- a/tests/common/control.py
+++ b/tests/common/control.py
@@ -1,7 +1,6 @@
 """Runs control programs in this process, with a platform stand-in and test doubles of gateways."""
 
 import json
-import socket
 import time
 import unittest
 import uuid
@@ -32,6 +31,8 @@
 from mulberryrill.internal.standins.platform import PlatformStandin
 from mulberryrill.internal.transport import decode_envelope, encode_envelope, open_client
 
+from .ports import LOCAL, find_port
+
 WAIT_TIMEOUT_S = 20.0
 TOKENS = {"asha": "token-asha", "baraka": "token-baraka"}
 DOCUMENT = """service: {service}
@@ -235,8 +236,7 @@
 def configure_peers(*all_settings: ControlSettings) -> None:
     """Gives each instance its own peer endpoint and lists the other instances as its peers."""
     for settings in all_settings:
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            settings.peer_endpoint = f"tcp://127.0.0.1:{server.getsockname()[1]}"
+        settings.peer_endpoint = f"tcp://{LOCAL}:{find_port()}"
     for settings in all_settings:
         for other in all_settings:
             if other is not settings:
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -6,7 +6,6 @@
 import base64
 import http.client
 import json
-import random
 import socket
 import struct
 import threading
@@ -23,33 +22,14 @@
 from mulberryrill.platform.calls import PlatformDialect
 from mulberryrill.platform.tasks import PlatformTasks
 
-LOCAL = "127.0.0.1"
+from .ports import LOCAL, find_port
+
 HOST = "a.example"
 KEY = "key-of-asha"
 CUSTOMER = "asha"
 MODEL = "m0"
 WAIT_S = 10.0
-FIRST_PORT, LAST_PORT = 15_000, 31_000
 PARTITIONS_PER_TOPIC = 12
-_assigned_ports: set[int] = set()
-
-
-def find_port() -> int:
-    """Returns a free port below the ephemeral port range of the operating system.
-
-    Any outgoing connection could take an ephemeral port before the server is started on it.
-    """
-    while True:
-        port = random.randint(FIRST_PORT, LAST_PORT)
-        if port in _assigned_ports:
-            continue  # The server for it may not have started yet.
-        with socket.socket() as sock:
-            try:
-                sock.bind((LOCAL, port))
-            except OSError:
-                continue
-        _assigned_ports.add(port)
-        return port
 
 
 def wait_for(condition: Callable[[], bool], timeout_s: float = WAIT_S) -> None:
--- a/tests/process/test_control_program.py
+++ b/tests/process/test_control_program.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,6 +18,7 @@
 from mulberryrill.internal.httpclient import HttpClient
 from mulberryrill.internal.schema.settings_pb2 import ControlSettings
 from tests.common.control import TOKENS, ControlTestCase, build_document_text, wait_for
+from tests.common.ports import find_port
 
 START_TIMEOUT_S = 20
 
@@ -114,8 +114,3 @@
         text = self.errors.read_text()
         self.assertIn("max_instances", text)
         self.assertIn("gateway_url", text)
-
-
-def find_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return int(probe.getsockname()[1])
