Log the parts of a call's prompt with its end

The incident of crashing engines could not be read from the logs: nothing showed which calls have a prompt part in common.

--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -392,6 +392,7 @@
             request=call.request_id,
             route=call.route.name,
             customer=call.customer.name if call.customer is not None else None,
+            parts=[part for part, _ in call.prompt.parts] if call.prompt is not None else None,
             attempts=handler.attempt_history,
             elapsed_ms=round(elapsed * 1000),
             configuration=table.version if table is not None else None,
