Show that calls which end their targets are sent to target after target

Four entry processes, eight targets behind them, and calls that end each target that begins to run them: with one prompt part in common, behind a shared part or before one, with all instances restarted, and as the same request again. Sound calls share caller, route and parts with them.

A closed link of the tests now refuses connections at once, as a port without a process does.

--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -14,6 +14,7 @@
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
 
@@ -50,6 +51,9 @@
 READY_TIMEOUT_S = 30.0
 API_KEY_COUNT = 40
 COLD_DURATION_S = 3.0
+# From the beginning of a call until the target ends, and until it is back.
+CRASH_DELAY_S = 0.05
+TARGET_RESTART_S = 1.5
 SERVICES = ("desk", "lm")
 DATA_CENTRES = ("z1", "z2")
 PATHS = {
@@ -82,6 +86,9 @@
         self.data_centre = data_centre
         self.fault = TargetFault.NONE
         self.link: Link | None = None
+        # Calls on which the target ends as soon as it begins to run them.
+        self.crashes_on: Callable[[ReceivedCall], bool] = lambda call: False
+        self.on_crash: Callable[[FleetTarget], None] = lambda target: None
         self._checker = checker
         self._run_numbers = itertools.count()
 
@@ -101,6 +108,10 @@
         if self.fault is TargetFault.REJECT:
             request.reply(503, b"", Not_Run="1", Request_Id=request_id)
             return
+        if self.crashes_on(call):
+            time.sleep(CRASH_DELAY_S)
+            self.on_crash(self)
+            return
         stamp = f"{self.name}/{next(self._run_numbers)}"
         self._checker.record_run(request_id, self.name, stamp, headers.get("tenant"))
         delay_factor = SLOW_FACTOR if self.fault is TargetFault.SLOW else 1
@@ -249,6 +260,7 @@
             for n in range(instances)
         ]
         self._target_numbers = itertools.count(1)
+        self._crash_lock = threading.Lock()
         self.targets = [self._create_target(n) for n in range(targets)]
 
     def start(self) -> None:
@@ -295,6 +307,23 @@
         entry = target.build_registry_entry(target.service, zone=target.data_centre, **changes)
         self.store.put("keyed.servers", target.name, entry)
 
+    def crash_target(self, target: FleetTarget) -> None:
+        """Ends a target, which comes back under another name some seconds later."""
+        with self._crash_lock:
+            if target.link is None:
+                return
+            link, target.link = target.link, None
+        link.close()
+        timer = threading.Timer(TARGET_RESTART_S, self._restart_target, (target,))
+        timer.daemon = True
+        timer.start()
+
+    def _restart_target(self, target: FleetTarget) -> None:
+        self.store.put("keyed.servers", target.name, None)
+        target.name = f"t{next(self._target_numbers)}"
+        target.link = Link(LOCAL, target.port)
+        self.register_target(target)
+
     def replace_target(self, target: FleetTarget, service: str, *, is_cold: bool) -> None:
         """Replaces a target by a new one at its address and deletes the old registry entry."""
         old = target.name
--- a/tests/common/links.py
+++ b/tests/common/links.py
@@ -63,6 +63,9 @@
             self._closed = True
             self._changed.notify_all()
             self._close_connections()
+        # Ends the other thread's accept call; until then the port would still take connections.
+        with contextlib.suppress(OSError):
+            self._server.shutdown(socket.SHUT_RDWR)
         self._server.close()
 
     def _close_connections(self) -> None:
--- /dev/null
+++ b/tests/process/test_entry_crashes.py
@@ -0,0 +1,183 @@
+"""Calls that end every target that runs them are recognized and refused, on all instances."""
+
+import http.client
+import itertools
+import threading
+import time
+import unittest
+from collections import Counter
+from dataclasses import dataclass, field
+
+from tests.common.entry import HOST, LOCAL, MODEL, ReceivedCall
+from tests.common.entryfleet import EntryFleet, EntryProcess, FleetTarget
+
+# Bounds from the users' specification: after this many crashes, and a time for instances to learn
+# of them, at most this many calls of the kind may still reach a target.
+MAX_CRASHES = 5
+MAX_CRASHES_OF_ONE_REQUEST = 3
+CONTACT_S = 3.0
+MAX_LATE_CALLS = 3
+# From twice the contact time on, sound calls begin at the first attempt at least half as often as
+# without the trouble.
+MIN_SOUND_SHARE = 0.5
+SOUND_INTERVAL_S = 0.1
+CRASHING_INTERVAL_S = 0.2
+TROUBLE_S = 14.0
+AFTER_RESTART_S = 8.0
+CALL_TIMEOUT_S = 4.0
+CRASHING_PART = "dead"
+
+
+@dataclass
+class CrashRecord:
+    """Calls that targets received and that would end them."""
+
+    crashed_at: list[float] = field(default_factory=list)
+    # When each instance was sent the call, by request id.
+    sent_at: dict[str, float] = field(default_factory=dict)
+    reached: list[str] = field(default_factory=list)
+
+    def list_late(self, max_crashes: int) -> list[str]:
+        """Returns the calls that were sent too late to reach a target, and reached one."""
+        if len(self.crashed_at) < max_crashes:
+            return []
+        limit = sorted(self.crashed_at)[max_crashes - 1] + CONTACT_S
+        return [request for request in self.reached if self.sent_at[request] > limit]
+
+
+class CrashTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.record = CrashRecord()
+        self.fleet = EntryFleet(instances=4, targets=8)
+        self.addCleanup(self.fleet.close)
+        self.is_ended = threading.Event()
+        self.numbers = itertools.count()
+        self.statuses: list[tuple[str, float, int | None]] = []
+        for target in self.fleet.targets:
+            target.crashes_on = self.crashes
+            target.on_crash = self.crash
+        self.fleet.start()
+        self.threads: list[threading.Thread] = []
+        self.addCleanup(self.end_callers)
+
+    def crashes(self, call: ReceivedCall) -> bool:
+        is_crashing = CRASHING_PART in call.headers.get("prefix-hash", "") or call.path.endswith(
+            CRASHING_PART
+        )
+        if is_crashing:
+            self.record.reached.append(call.headers["request-id"])
+        return is_crashing
+
+    def crash(self, target: FleetTarget) -> None:
+        if target.link is not None:
+            self.record.crashed_at.append(time.monotonic())
+            self.fleet.crash_target(target)
+
+    def start_caller(self, name: str, interval_s: float, path: str, parts: str = "") -> None:
+        """Starts a thread that makes calls at all instances in turn until the test ends."""
+
+        def run() -> None:
+            for entry in itertools.cycle(self.fleet.entries):
+                if self.is_ended.wait(interval_s):
+                    return
+                caller = threading.Thread(target=self.call, args=(name, entry, path, parts))
+                caller.daemon = True
+                caller.start()
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        self.threads.append(thread)
+
+    def end_callers(self) -> None:
+        self.is_ended.set()
+        for thread in self.threads:
+            thread.join()
+
+    def call(self, name: str, entry: EntryProcess, path: str, parts: str) -> None:
+        number = next(self.numbers)
+        request_id = f"{name}-{number}"
+        headers = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "X-Api-Key": self.fleet.keys[0],
+            "Deadline-Ms": "2000",
+        }
+        if parts:
+            # The last part belongs to the request alone.
+            prefix = f"{parts},{number + 0x1000:x}:10"
+            headers |= {"Model": MODEL, "Token-Usage": "1000,16", "Prefix-Hash": prefix}
+        sent_at = self.record.sent_at[request_id] = time.monotonic()
+        connection = http.client.HTTPConnection(LOCAL, entry.callers_port, timeout=CALL_TIMEOUT_S)
+        status: int | None = None
+        try:
+            connection.request("POST", path, b"{}", headers)
+            response = connection.getresponse()
+            response.read()
+            status = response.status
+        except (OSError, http.client.HTTPException):
+            pass  # The stream was cut, or the instance is restarting.
+        finally:
+            connection.close()
+        self.statuses.append((name, sent_at, status))
+
+    def count_statuses(self, name: str, since: float) -> Counter[int | None]:
+        return Counter(s for n, sent_at, s in list(self.statuses) if n == name and sent_at > since)
+
+    def check_sound_calls(self, name: str, since: float) -> None:
+        counts = self.count_statuses(name, since)
+        self.assertGreaterEqual(counts[200], MIN_SOUND_SHARE * counts.total(), counts)
+        self.assertGreaterEqual(counts.total(), 20)
+
+    def check_late_calls(self, max_crashes: int) -> None:
+        late = self.record.list_late(max_crashes)
+        self.assertGreater(len(self.record.reached), 0)
+        self.assertLessEqual(len(late), MAX_LATE_CALLS, f"{len(self.record.crashed_at)} crashes")
+
+
+class PromptPartTest(CrashTest):
+    def check_part(self, parts: str) -> None:
+        self.start_caller("sound", SOUND_INTERVAL_S, "/plan/a", "aa:500,bb:300")
+        self.start_caller("sound", SOUND_INTERVAL_S, "/quick/a", "aa:500,cc:300")
+        time.sleep(2.0)
+        started_at = time.monotonic()
+        self.start_caller("crashing", CRASHING_INTERVAL_S, "/quick/a", parts)
+        time.sleep(TROUBLE_S)
+        self.check_late_calls(MAX_CRASHES)
+        self.check_sound_calls("sound", started_at + 2 * CONTACT_S + 2.0)
+
+    def test_part_after_shared_ones(self) -> None:
+        self.check_part(f"aa:500,{CRASHING_PART}:300")
+
+    def test_first_part(self) -> None:
+        self.check_part(f"{CRASHING_PART}:500,bb:300")
+
+    def test_part_is_refused_after_restarts(self) -> None:
+        """Guards against instances that send it to targets again after their restart."""
+        self.start_caller("sound", SOUND_INTERVAL_S, "/plan/a", "aa:500,bb:300")
+        time.sleep(2.0)
+        self.start_caller(
+            "crashing", CRASHING_INTERVAL_S, "/quick/a", f"aa:500,{CRASHING_PART}:300"
+        )
+        time.sleep(TROUBLE_S)
+        for entry in self.fleet.entries:
+            entry.kill()
+        for entry in self.fleet.entries:
+            entry.start()
+        for entry in self.fleet.entries:
+            self.fleet.wait_ready(entry)
+        restarted_at = time.monotonic()
+        time.sleep(AFTER_RESTART_S)
+        self.check_late_calls(MAX_CRASHES)
+        self.check_sound_calls("sound", restarted_at + 1.0)
+
+
+class RepeatedRequestTest(CrashTest):
+    def test_request_that_comes_again(self) -> None:
+        """The same path, caller and body, at any instance."""
+        self.start_caller("sound", SOUND_INTERVAL_S, "/get/a")
+        time.sleep(1.0)
+        started_at = time.monotonic()
+        self.start_caller("crashing", CRASHING_INTERVAL_S, f"/get/{CRASHING_PART}")
+        time.sleep(TROUBLE_S)
+        self.check_late_calls(MAX_CRASHES_OF_ONE_REQUEST)
+        self.check_sound_calls("sound", started_at + 2 * CONTACT_S + 2.0)
