Refuse calls under which targets end, by the trait that they share

Cause: the entry process remembered nothing of what ran when a target ended. The class is a fault that follows the work and not the target, while only targets had a memory. The gateways of the product's own interface count crashes of one request; the entry process did not even do that.

Now a connection that breaks before or just after the first event makes its call a suspect, and the target has ended if it refuses connections or its registration is gone without a drain. Instances share ends with their suspects, and answers to calls with the same traits. The trait (a prompt part, or path, customer and body) under which at least 4 targets and 0.6 of all ended, with no answer since, is the cause: its calls get 503 at once with the time for which they are refused. The decision is kept in the store's topic keyed.quarantine, so it holds for all data centres and after restarts.

--- a/src/mulberryrill/internal/core/quarantine.py
+++ b/src/mulberryrill/internal/core/quarantine.py
@@ -1,4 +1,7 @@
-"""Quarantine of requests that are suspected of crashing targets."""
+"""Quarantine of requests that are suspected of crashing targets.
+
+A fingerprint stands for one request, or for all requests with something in common.
+"""
 
 from ..ids import TargetId
 from ..schema.log_pb2 import QuarantineEntry
@@ -60,6 +63,20 @@
             return False
         return entry.crashes >= CRASH_THRESHOLD
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request is quarantined or suspected."""
+        return not self._entries
+
+    def remove_entry(self, fingerprint: str) -> None:
+        """Lifts the quarantine of a request."""
+        self._entries.pop(fingerprint, None)
+
+    def compute_time_left(self, fingerprint: str, now_unix_ms: int) -> float:
+        """Returns the seconds until an entry expires; 0 if there is none."""
+        entry = self._entries.get(fingerprint)
+        return max(0, entry.expires_unix_ms - now_unix_ms) / 1000 if entry is not None else 0.0
+
     def list_entries(self, now_unix_ms: int) -> list[QuarantineEntry]:
         """Returns the entries that have not expired."""
         self._remove_expired(now_unix_ms)
--- /dev/null
+++ b/src/mulberryrill/internal/core/serving/crashcauses.py
@@ -0,0 +1,244 @@
+"""Finds what the calls under which targets end have in common.
+
+Pattern: each call with a certain prompt part, or one call that comes again and again, ends every
+target that begins to run it. The calls come at any instance, other calls on the same target break
+off with them, and sound calls share their customer, path and all other parts. Each end of a target
+is therefore kept with all calls that may have caused it, and a trait of calls counts as the cause
+once several targets have ended under it and no call with it has been answered since.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NewType
+
+from ...ids import Incarnation, RequestId, TargetId
+
+# What calls can have in common: a prompt part, or path, customer and body.
+Trait = NewType("Trait", str)
+# Calls may need this many targets to end before their trait counts as the cause, and more if a call
+# with the trait was answered in the time before the first end.
+CRASH_THRESHOLD = 4
+CRASH_THRESHOLD_AFTER_ANSWER = 5
+ANSWER_MEMORY_S = 60.0
+# A cause must explain this share of the ends since its first one. Where targets end for other
+# reasons, a rare trait is now and then on several of them, but on few of all.
+MIN_EXPLAINED_SHARE = 0.6
+# Ends that nothing explains are forgotten after this time, and beyond this number.
+HISTORY_S = 600.0
+MAX_ENDS = 200
+# Traits whose last answer is kept; 20,000 take about 3 MB.
+MAX_TRAITS = 20_000
+MAX_POSITION = 1_000_000
+# Peers are told of answers to calls with suspected traits at most once in this time for each trait.
+ANSWER_UPDATE_INTERVAL_S = 0.25
+
+
+@dataclass(frozen=True)
+class SuspectCall:
+    """A call that had not begun its response, or had only just, when its target ended."""
+
+    request: RequestId
+    # Equal for calls with the same path, customer and body.
+    fingerprint: Trait
+    # The prompt's shared parts, in order.
+    parts: tuple[Trait, ...]
+    # The prompt's last part, which belongs to the call; empty without a prompt.
+    own_part: str
+
+    @property
+    def traits(self) -> tuple[Trait, ...]:
+        """All traits."""
+        return (*self.parts, self.fingerprint)
+
+    @property
+    def identity(self) -> tuple[Trait, str]:
+        """Equal for calls that are the same call again."""
+        return self.fingerprint, self.own_part
+
+
+@dataclass(frozen=True)
+class TargetRun:
+    """One incarnation of a target."""
+
+    target: TargetId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True)
+class TargetEnd:
+    """The unplanned end of a target, and the calls that may have caused it."""
+
+    run: TargetRun
+    # Boot time.
+    ended_at: float
+    suspects: tuple[SuspectCall, ...]
+
+
+@dataclass(frozen=True)
+class CrashCause:
+    """A trait under which targets end."""
+
+    trait: Trait
+    runs: tuple[TargetRun, ...]
+
+
+class CrashCauses:
+    """Collects ends of targets and answered calls. All times are boot times in seconds."""
+
+    def __init__(self) -> None:
+        # What this instance and its peers know.
+        self._ends: dict[TargetRun, TargetEnd] = {}
+        # Least recently answered first.
+        self._answered_at: dict[Trait, float] = {}
+        # What this instance has seen itself and tells its peers.
+        self._own_ends: dict[TargetRun, TargetEnd] = {}
+        self._own_answered_at: dict[Trait, float] = {}
+        self._told_at: dict[Trait, float] = {}
+
+    @property
+    def has_ends(self) -> bool:
+        """Whether any targets have ended recently."""
+        return bool(self._ends)
+
+    def record_answer(self, traits: Iterable[Trait], now: float) -> None:
+        """Records that a target ran a call with these traits and did not end."""
+        for trait in traits:
+            _update_time(self._own_answered_at, trait, now)
+            _update_time(self._answered_at, trait, now)
+
+    def record_peer_answer(self, trait: Trait, answered_at: float) -> None:
+        """Records an answer that a peer has seen."""
+        _update_time(self._answered_at, trait, answered_at)
+
+    def add_own_end(self, end: TargetEnd) -> bool:
+        """Adds an end that this instance has seen; returns whether anything is new."""
+        _merge_end(self._own_ends, end)
+        return self.add_end(end)
+
+    def add_end(self, end: TargetEnd) -> bool:
+        """Adds an end, or further calls to a known one; returns whether anything is new."""
+        return _merge_end(self._ends, end)
+
+    def find_cause(self, known_causes: Iterable[Trait], now: float) -> CrashCause | None:
+        """Returns the trait that most ends have in common, if they are enough.
+
+        Ends that a known cause explains say nothing about other traits.
+        """
+        self._forget_old(now)
+        explained = set(known_causes)
+        ends = [
+            end
+            for end in self._ends.values()
+            if not any(trait in explained for s in end.suspects for trait in s.traits)
+        ]
+        candidates: dict[Trait, _Candidate] = {}
+        for end in ends:
+            self._count_end(end, candidates)
+        eligible = [c for c in candidates.values() if self._is_cause(c, ends)]
+        if not eligible:
+            return None
+        best = max(eligible, key=lambda c: (len(c.ends), not self._was_answered(c), c.narrowness))
+        return CrashCause(best.trait, tuple(end.run for end in best.ends))
+
+    def _count_end(self, end: TargetEnd, candidates: dict[Trait, "_Candidate"]) -> None:
+        for suspect in end.suspects:
+            for position, trait in enumerate(suspect.traits):
+                if self._answered_at.get(trait, float("-inf")) >= end.ended_at:
+                    continue
+                is_call = trait == suspect.fingerprint
+                candidate = candidates.setdefault(trait, _Candidate(trait, is_call))
+                candidate.position = max(candidate.position, position)
+                candidate.calls.add(suspect.identity)
+                if end not in candidate.ends:
+                    candidate.ends.append(end)
+
+    def _is_cause(self, candidate: "_Candidate", ends: list[TargetEnd]) -> bool:
+        threshold = (
+            CRASH_THRESHOLD_AFTER_ANSWER if self._was_answered(candidate) else CRASH_THRESHOLD
+        )
+        # One call that comes again is refused by itself, not by the parts that it shares.
+        is_common = candidate.is_call or len(candidate.calls) > 1
+        if not is_common or len(candidate.ends) < threshold:
+            return False
+        first_end_at = candidate.first_end_at
+        count = sum(end.ended_at >= first_end_at for end in ends)
+        return len(candidate.ends) >= MIN_EXPLAINED_SHARE * count
+
+    def _was_answered(self, candidate: "_Candidate") -> bool:
+        answered_at = self._answered_at.get(candidate.trait, float("-inf"))
+        return candidate.first_end_at - answered_at < ANSWER_MEMORY_S
+
+    def list_own_ends(self, max_age_s: float, now: float) -> list[TargetEnd]:
+        """Returns the ends of the last ``max_age_s`` that this instance has seen itself."""
+        return [end for end in self._own_ends.values() if now - end.ended_at < max_age_s]
+
+    def pop_answers(self, now: float) -> list[tuple[Trait, float]]:
+        """Returns suspected traits with answers that peers were not told of, and their times."""
+        suspected = {
+            trait for end in self._ends.values() for s in end.suspects for trait in s.traits
+        }
+        self._told_at = {trait: at for trait, at in self._told_at.items() if trait in suspected}
+        answers = []
+        for trait in suspected:
+            answered_at = self._own_answered_at.get(trait)
+            told_at = self._told_at.get(trait, float("-inf"))
+            if answered_at is None or answered_at <= told_at:
+                continue
+            if now - told_at >= ANSWER_UPDATE_INTERVAL_S:
+                self._told_at[trait] = now
+                answers.append((trait, answered_at))
+        return answers
+
+    def _forget_old(self, now: float) -> None:
+        for ends in (self._ends, self._own_ends):
+            for run in [run for run, end in ends.items() if now - end.ended_at > HISTORY_S]:
+                del ends[run]
+
+
+class _Candidate:
+    """The ends under which calls with a trait ran."""
+
+    def __init__(self, trait: Trait, is_call: bool) -> None:
+        self.trait = trait
+        self.is_call = is_call
+        self.ends: list[TargetEnd] = []
+        self.calls: set[tuple[Trait, str]] = set()
+        self.position = 0
+
+    @property
+    def first_end_at(self) -> float:
+        """Boot time of the first end."""
+        return min(end.ended_at for end in self.ends)
+
+    @property
+    def narrowness(self) -> int:
+        """Orders traits by how few calls share them: one call, later parts, earlier parts.
+
+        Calls with different prompts may have path, customer and body in common.
+        """
+        if not self.is_call:
+            return self.position
+        return MAX_POSITION if len(self.calls) == 1 else -1
+
+
+def _merge_end(ends: dict[TargetRun, TargetEnd], end: TargetEnd) -> bool:
+    """Adds an end to others; returns whether it, or one of its calls, is new."""
+    known = ends.get(end.run)
+    if known is None:
+        ends[end.run] = end
+        if len(ends) > MAX_ENDS:
+            del ends[min(ends, key=lambda run: ends[run].ended_at)]
+        return True
+    requests = {suspect.request for suspect in known.suspects}
+    added = tuple(s for s in end.suspects if s.request not in requests)
+    if added:
+        ended_at = min(known.ended_at, end.ended_at)
+        ends[end.run] = TargetEnd(end.run, ended_at, (*known.suspects, *added))
+    return bool(added)
+
+
+def _update_time(times: dict[Trait, float], trait: Trait, time: float) -> None:
+    """Moves a trait to the end with the later of two times, and drops the first ones beyond MAX."""
+    times[trait] = max(time, times.pop(trait, time))
+    if len(times) > MAX_TRAITS:
+        del times[next(iter(times))]
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -75,6 +75,10 @@
         self.may_have_run = False
         self.has_events = False
         self.first_event_at: float | None = None
+        # Whether nothing listened at the target's address.
+        self.was_refused = False
+        # Whether this instance ended the attempt because its response made no progress.
+        self.was_stalled = False
         # Whether this call's prompt still counts as pending prefill at the target.
         self.is_prefill_pending = False
         self._call = call
@@ -139,7 +143,7 @@
 
     def abort_stalled(self) -> None:
         """Ends the attempt because its response makes no progress."""
-        self.may_have_run = True
+        self.may_have_run = self.was_stalled = True
         self._end(Outcome.BROKEN, f"a head or an event was incomplete for {MAX_ELEMENT_S} s")
 
     def on_head(self, response: HttpResponse) -> None:
@@ -209,6 +213,7 @@
             self._end(Outcome.REJECTED, failure.message)
             return
         self.may_have_run = failure.was_sent
+        self.was_refused = failure.was_refused
         outcome = Outcome.BROKEN if failure.was_sent else Outcome.NOT_SENT
         self._end(outcome, f"{failure.kind.value}: {failure.message}")
 
--- a/src/mulberryrill/internal/entry/connection.py
+++ b/src/mulberryrill/internal/entry/connection.py
@@ -4,6 +4,7 @@
 closed, which would run a non-idempotent call twice, and it hides bytes that follow a response.
 """
 
+import errno
 import select
 import socket
 from collections.abc import Callable
@@ -33,6 +34,8 @@
     kind: FailureKind
     was_sent: bool
     message: str
+    # Whether nothing listens at the address.
+    was_refused: bool = False
 
 
 class ExchangeHandler(Protocol):
@@ -105,8 +108,8 @@
         try:
             self._socket = open_connection(self.address)
         except (OSError, ValueError) as error:
-            message = str(error)
-            self._loop.call_soon(lambda: self._fail(FailureKind.CONNECT, message))
+            message, was_refused = str(error), isinstance(error, ConnectionRefusedError)
+            self._loop.call_soon(lambda: self._fail(FailureKind.CONNECT, message, was_refused))
             return
         self._connect_timer = self._loop.call_later(
             self._connect_timeout_s, lambda: self._fail(FailureKind.CONNECT, "connect timeout")
@@ -160,14 +163,14 @@
             self._socket.close()
         self._on_closed(self)
 
-    def _fail(self, kind: FailureKind, message: str) -> None:
+    def _fail(self, kind: FailureKind, message: str, was_refused: bool = False) -> None:
         if self._state is _State.CLOSED:
             return
         handler, self._handler = self._handler, None
         was_sent = self._was_sent
         self._close()
         if handler is not None:
-            handler.on_failure(ExchangeFailure(kind, was_sent, message))
+            handler.on_failure(ExchangeFailure(kind, was_sent, message, was_refused))
 
     def _on_events(self, mask: int) -> None:
         if self._state is _State.CONNECTING:
@@ -182,7 +185,8 @@
         assert self._socket is not None
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
-            self._fail(FailureKind.CONNECT, f"connect failed with error {error}")
+            message = f"connect failed with error {error}"
+            self._fail(FailureKind.CONNECT, message, error == errno.ECONNREFUSED)
             return
         if self._connect_timer is not None:
             self._connect_timer.cancel()
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -31,6 +31,7 @@
     EXPIRED = "deadline passed before the call was sent"
     OUTCOME_UNKNOWN = "outcome unknown"
     TIMEOUT = "timeout"
+    QUARANTINED = "targets end under such calls"
 
 
 @dataclass(frozen=True)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -27,8 +27,10 @@
 from ..http.messages import HttpRequest, RequestErrorReason
 from ..ids import CustomerName, DataCentre, ModelName, ServiceName, TargetId, WeightVersion
 from ..logs import log_event
+from ..schema.log_pb2 import QuarantineEntry
 from ..schema.settings_pb2 import EntrySettings
 from .attempt import Attempt, Outcome
+from .crashwatch import CrashWatch
 from .dialect import (
     AttemptPlan,
     CachePlan,
@@ -85,6 +87,10 @@
         self._connections: set[InboundConnection] = set()
         self._handlers: set[CallHandler] = set()
         self._metrics = EntryMetrics()
+        self._crash_watch = CrashWatch(loop, state, lambda: int(loop.wall() * 1000))
+        self._crash_watch.on_quarantined = self._store_quarantine
+        state.on_target_lost = self._crash_watch.on_target_removed
+        state.on_peer_ends = self._crash_watch.on_ends_changed
         self.is_stopping = False
         self._refuses_requests = False
 
@@ -197,6 +203,10 @@
         service = handler.service
         if service is None or handler.time_left_s <= 0:
             return PlacementRefusal(RefusalReason.NO_TARGET, "unknown service, or no time left")
+        trait = self._crash_watch.find_quarantined(handler.call)
+        if trait is not None:
+            time_left_s = self._crash_watch.compute_time_left(trait)
+            return PlacementRefusal(RefusalReason.QUARANTINED, trait, time_left_s)
         now = self._loop.now()
         targets = self._list_reachable_targets(service)
         request = PlacementRequest(
@@ -324,6 +334,7 @@
         self._end_prefill(handler, attempt)
         self._state.loads.remove_run(target.id, count_held_tokens(handler.call))
         has_later_version = self._update_version(handler, attempt)
+        self._crash_watch.on_attempt_end(handler.call, attempt, outcome)
         if outcome is Outcome.ANSWERED:
             target.record_success()
         elif outcome is Outcome.ERROR:
@@ -344,6 +355,10 @@
             target.record_failure(now)
             self._get_pool(target).close_idle()
 
+    def _store_quarantine(self, entry: QuarantineEntry) -> None:
+        if self._state.store_quarantine is not None:
+            self._state.store_quarantine(entry)
+
     def _record_reset(self, attempt: Attempt, now: float) -> None:
         """Records a reused connection that was reset as soon as a call was sent on it."""
         is_reset = attempt.response is None and now - attempt.started_at < MAX_RESET_DELAY_S
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -14,15 +14,25 @@
 import zmq
 from google.protobuf.message import DecodeError
 
+from ..core.serving.crashcauses import CrashCauses, SuspectCall, TargetEnd, TargetRun, Trait
 from ..core.serving.loads import IDLE_REPORT_INTERVAL_S, LoadReport, LoadTable, build_report
 from ..core.serving.namedversions import NamedVersion
 from ..eventloop import EventLoop
 from ..events import Event
-from ..ids import DataCentre, InstanceId, ModelName, TargetId, WeightVersion
+from ..ids import (
+    DataCentre,
+    Incarnation,
+    InstanceId,
+    ModelName,
+    RequestId,
+    TargetId,
+    WeightVersion,
+)
 from ..logs import log_event
 from ..schema.peers_pb2 import LoadReport as LoadReportMessage
 from ..schema.peers_pb2 import LogFeed, LogRequest, PeerReport
 from ..schema.peers_pb2 import NamedVersion as NamedVersionMessage
+from ..schema.peers_pb2 import TargetEnd as TargetEndMessage
 from .cachesharing import CacheSharing
 from .targetupdates import TargetUpdates
 
@@ -41,6 +51,9 @@
 MAX_MESSAGE_BYTES = 16_777_216
 # Interval at which peers are told the ages of recently named model versions.
 VERSION_AGES_INTERVAL_S = 0.5
+# Peers are told of a target's end at this interval, for this long.
+END_REPORT_INTERVAL_S = 1.0
+END_REPORT_DURATION_S = 10.0
 MS_PER_S = 1000
 # ZeroMQ topic, the first frame of a message: its recipient, or this value for all peers. A message
 # to one peer is not sent to the others, as they do not subscribe to its topic.
@@ -78,6 +91,15 @@
         """Observations of targets to send and to apply."""
         ...
 
+    @property
+    def crash_causes(self) -> CrashCauses:
+        """Ends of targets and answers to tell and to learn of."""
+        ...
+
+    def apply_peer_ends(self, ends: list[TargetEnd]) -> None:
+        """Adds ends of targets that a peer has seen."""
+        ...
+
     def list_recent_versions(self) -> list[NamedVersion]:
         """Returns the recently named model versions with their ages."""
         ...
@@ -103,6 +125,8 @@
         self.on_log_request: Callable[[InstanceId, LogRequest], None] | None = None
         self._last_sent_at = float("-inf")
         self._version_ages_sent_at = float("-inf")
+        self._ends_sent_at = float("-inf")
+        self._sent_ends: list[TargetEnd] = []
 
     @property
     def local_peer(self) -> Peer:
@@ -146,7 +170,8 @@
     def _publish_report(self) -> None:
         if self._is_closed:
             return
-        interval = max(REPORT_INTERVAL_S, len(self._connected) / MAX_REPORTS_PER_S)
+        peer_count = len(self._connected) + 1
+        interval = compute_report_interval(peer_count, peer_count)
         self._loop.call_later(interval, self._publish_report)
         report = self._build_report()
         _encode_loads(build_report(self._state.loads.get_own_loads()), report.loads)
@@ -156,11 +181,14 @@
         if missing := self._state.cache_sharing.pop_missing_holders():
             report.cache_request.holders.extend(missing)
         self._add_version_ages(report, now)
+        self._add_crashes(report, now)
         has_content = (
             report.loads.targets
             or report.caches
             or report.updates
             or report.named_versions
+            or report.target_ends
+            or report.answered_traits
             or report.HasField("cache_request")
         )
         if has_content or now - self._last_sent_at >= IDLE_REPORT_INTERVAL_S:
@@ -176,6 +204,19 @@
                 model=named.model, version=named.version, age_ms=round(named.age_s * MS_PER_S)
             )
 
+    def _add_crashes(self, report: PeerReport, now: float) -> None:
+        """Adds the targets that this instance has seen end, and answers to calls like theirs."""
+        causes, boottime = self._state.crash_causes, self._loop.boottime()
+        for trait, answered_at in causes.pop_answers(boottime):
+            report.answered_traits.add(trait=trait, age_ms=_encode_age(boottime - answered_at))
+        ends = causes.list_own_ends(END_REPORT_DURATION_S, boottime)
+        # Messages can get lost while connections are established, so recent ends are repeated.
+        is_due = now - self._ends_sent_at >= END_REPORT_INTERVAL_S
+        if ends and (is_due or ends != self._sent_ends):
+            self._ends_sent_at = now
+            report.target_ends.extend(_encode_end(end, boottime) for end in ends)
+        self._sent_ends = ends
+
     def send_log_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
         """Sends records of the platform's store at once, to one peer or, with None, to all."""
         report = self._build_report()
@@ -244,6 +285,13 @@
             self._state.target_updates.apply(update, now)
         for named in report.named_versions:
             self._state.apply_peer_version(_decode_named_version(named))
+        boottime = self._loop.boottime()
+        for answered in report.answered_traits:
+            answered_at = boottime - answered.age_ms / MS_PER_S
+            self._state.crash_causes.record_peer_answer(Trait(answered.trait), answered_at)
+        if report.target_ends:
+            ends = [_decode_end(end, boottime) for end in report.target_ends]
+            self._state.apply_peer_ends(ends)
 
     def _send_full_updates(self, request: PeerReport) -> None:
         """Sends a peer the full cache contents of the holders that it requests."""
@@ -300,6 +348,47 @@
     )
 
 
+def compute_report_interval(instance_count: int, local_count: int) -> float:
+    """Returns the seconds between two reports, from the number of instances and of local ones."""
+    is_mesh = instance_count - 1 <= MAX_MESH_PEERS
+    peer_count = (instance_count if is_mesh else local_count) - 1
+    return max(REPORT_INTERVAL_S, peer_count / MAX_REPORTS_PER_S)
+
+
+def _encode_age(age_s: float) -> int:
+    return max(0, round(age_s * MS_PER_S))
+
+
+def _encode_end(end: TargetEnd, boottime: float) -> TargetEndMessage:
+    message = TargetEndMessage(
+        target=end.run.target,
+        incarnation=end.run.incarnation,
+        age_ms=_encode_age(boottime - end.ended_at),
+    )
+    for suspect in end.suspects:
+        message.suspects.add(
+            request=suspect.request,
+            fingerprint=suspect.fingerprint,
+            parts=suspect.parts,
+            own_part=suspect.own_part,
+        )
+    return message
+
+
+def _decode_end(message: TargetEndMessage, boottime: float) -> TargetEnd:
+    suspects = tuple(
+        SuspectCall(
+            RequestId(suspect.request),
+            Trait(suspect.fingerprint),
+            tuple(Trait(part) for part in suspect.parts),
+            suspect.own_part,
+        )
+        for suspect in message.suspects
+    )
+    run = TargetRun(TargetId(message.target), Incarnation(message.incarnation))
+    return TargetEnd(run, boottime - message.age_ms / MS_PER_S, suspects)
+
+
 def _encode_topic(instance: InstanceId) -> bytes:
     """Returns an instance's topic. Topics match by prefix, so the name needs an end mark."""
     return b"@" + instance.encode() + b"|"
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -8,20 +8,23 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from ..core.quarantine import Quarantine
 from ..core.serving.cacheindex import CacheIndex, RemoteClock
+from ..core.serving.crashcauses import CrashCauses, TargetEnd
 from ..core.serving.loads import LoadTable
 from ..core.serving.namedversions import NamedVersion, NamedVersions
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
 from ..core.serving.routetable import RouteTable
-from ..core.serving.targettable import Registration, TargetTable
+from ..core.serving.targettable import Registration, RegistrationState, Target, TargetTable
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import DataCentre, InstanceId, ModelName, TargetId, WeightVersion
 from ..logs import log_event
+from ..schema.log_pb2 import QuarantineEntry
 from ..schema.settings_pb2 import EntryBounds
 from .cachesharing import CacheSharing
-from .peers import Peer
+from .peers import Peer, compute_report_interval
 from .targetupdates import TargetUpdates
 
 # An instance that has just started learns within this time from its peers for how long the current
@@ -75,6 +78,10 @@
         """All records that operators wrote up to boot time ``complete_at`` are known."""
         ...
 
+    def on_quarantine(self, trait: str, entry: QuarantineEntry | None) -> None:
+        """Calls with a trait are quarantined; None: no longer."""
+        ...
+
     def on_peers(self, peers: list[Peer]) -> None:
         """The list of live entry instances, including this one, was read."""
         ...
@@ -104,9 +111,17 @@
         self.cache_sharing = CacheSharing(self.cache_index, instance, loop.now)
         self.target_updates = TargetUpdates(self.targets)
         self.engine_clock = RemoteClock()
+        self.crash_causes = CrashCauses()
+        self.quarantine = Quarantine()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self.local_instances: tuple[InstanceId, ...] = (instance,)
         self.on_peers_changed: Callable[[list[Peer]], None] | None = None
+        # A target that was not draining is gone, or another incarnation has its id.
+        self.on_target_lost: Callable[[Registration], None] | None = None
+        # A peer has seen targets end.
+        self.on_peer_ends: Callable[[], None] | None = None
+        # Stores an entry of the quarantine for all instances.
+        self.store_quarantine: Callable[[QuarantineEntry], None] | None = None
         # Whether the list of the live instances has been read.
         self.has_peer_list = False
         self._has_registry = False
@@ -150,7 +165,11 @@
 
     def on_registration(self, registration: Registration) -> None:
         """Applies a target's registration."""
-        if self.targets.apply(registration, self._loop.now()):
+        current = self.targets.get(registration.target)
+        has_changed = self.targets.apply(registration, self._loop.now())
+        if current is not None and self.targets.get(registration.target) is not current:
+            self._report_lost(current)
+        if has_changed:
             self._log_target(registration.target, registration.state.value, registration.address)
 
     def on_registration_removed(self, target: TargetId) -> None:
@@ -158,6 +177,8 @@
         current = self.targets.get(target)
         self.targets.remove(target, self._loop.now())
         if current is not None:
+            if self.targets.get(target) is None:
+                self._report_lost(current)
             state = "removed" if self.targets.get(target) is None else "lapsed"
             self._log_target(target, state, current.registration.address)
 
@@ -173,6 +194,41 @@
             targets=len(registrations),
         )
 
+    def on_quarantine(self, trait: str, entry: QuarantineEntry | None) -> None:
+        """Refuses calls with a trait from now on, or accepts them again."""
+        known = trait in {e.fingerprint for e in self.quarantine.list_entries(self._get_unix_ms())}
+        if entry is None:
+            self.quarantine.remove_entry(trait)
+        else:
+            self.quarantine.merge_entry(entry)
+        if known != (entry is not None):
+            log_event(
+                _LOGGER,
+                logging.WARNING,
+                Event.ENTRY_QUARANTINE_CHANGED,
+                "calls with this trait are refused" if entry is not None else "accepted again",
+                trait=trait,
+            )
+
+    def _get_unix_ms(self) -> int:
+        return int(self._loop.wall() * MS_PER_S)
+
+    def _report_lost(self, target: Target) -> None:
+        is_ready = target.registration.state is RegistrationState.READY
+        if is_ready and self.on_target_lost is not None:
+            self.on_target_lost(target.registration)
+
+    def apply_peer_ends(self, ends: list[TargetEnd]) -> None:
+        """Adds ends of targets that a peer has seen."""
+        has_new = [self.crash_causes.add_end(end) for end in ends]
+        if any(has_new) and self.on_peer_ends is not None:
+            self.on_peer_ends()
+
+    @property
+    def report_interval_s(self) -> float:
+        """Interval at which the instances report to their peers."""
+        return compute_report_interval(len(self.instances), len(self.local_instances))
+
     def on_evacuations_read(self, data_centres: set[DataCentre]) -> None:
         """Replaces the set of evacuated data centres."""
         self.targets.set_evacuated_data_centres(data_centres)
--- a/src/mulberryrill/internal/eventloop.py
+++ b/src/mulberryrill/internal/eventloop.py
@@ -71,6 +71,10 @@
         """Returns the clock's time in seconds that also counts while the host is suspended."""
         return self._clock.boottime()
 
+    def wall(self) -> float:
+        """Returns the Unix time of the loop's clock, in seconds."""
+        return self._clock.wall()
+
     def start(self) -> None:
         """Starts the thread."""
         self._epoll.register(self._wake_fd, select.EPOLLIN)
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -94,6 +94,7 @@
     RefusalReason.EXPIRED: 503,
     RefusalReason.OUTCOME_UNKNOWN: 502,
     RefusalReason.TIMEOUT: 504,
+    RefusalReason.QUARANTINED: 503,
 }
 _REQUEST_ERROR_REFUSALS = {
     RequestErrorReason.MALFORMED: RefusalReason.MALFORMED,
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -31,6 +31,7 @@
 from ..internal.events import Event
 from ..internal.ids import DataCentre, InstanceId, Offset, TargetId
 from ..internal.logs import log_event
+from ..internal.schema.log_pb2 import QuarantineEntry
 from ..internal.schema.peers_pb2 import LogFeed, LogRequest
 from ..internal.schema.settings_pb2 import EntryBounds
 from .records import (
@@ -39,14 +40,28 @@
     MODEL_VERSION_PREFIX,
     parse_configuration,
     parse_desired_version,
+    parse_quarantine_entry,
     parse_registration,
 )
-from .store import OPERATOR_TOPIC, REGISTRY_TOPIC, KeyedRecord, RecordPage, StoreClient
+from .store import (
+    OPERATOR_TOPIC,
+    QUARANTINE_TOPIC,
+    REGISTRY_TOPIC,
+    KeyedRecord,
+    RecordPage,
+    StoreClient,
+)
 
 # How often an instance that gets feeds checks that they are recent and that it is still not the
 # reader. It also checks at the moment at which they are no longer recent.
 FEED_CHECK_INTERVAL_S = 0.5
 MS_PER_S = 1000
+# Calls that end targets are refused everywhere within this time, also if the instance that reads
+# for a data centre falls silent. Usually its waiting read returns at once.
+QUARANTINE_BOUND_S = 10.0
+# An entry of the quarantine is written again after a failure, so often and after this time.
+MAX_APPEND_ATTEMPTS = 60
+APPEND_RETRY_DELAY_S = 1.0
 # An instance that requests records from its peers counts as cut off from the store, and so is no
 # reader, for this long.
 CUT_OFF_DURATION_S = 3.0
@@ -469,7 +484,7 @@
         self._local_peer = local_peer
         self._sharing = {
             topic: FeedSharing(topic, local_peer.instance, loop.boottime, peers)
-            for topic in (OPERATOR_TOPIC, REGISTRY_TOPIC)
+            for topic in (OPERATOR_TOPIC, REGISTRY_TOPIC, QUARANTINE_TOPIC)
         }
         self._transit_clocks: dict[InstanceId, TransitClock] = {}
         self._group_generation = 0
@@ -499,18 +514,34 @@
             partial(self._on_store_reachability, REGISTRY_TOPIC),
             self._sharing[REGISTRY_TOPIC],
         )
+        self._quarantine_follower = TopicFollower(
+            loop,
+            store,
+            QUARANTINE_TOPIC,
+            lambda: plan_waiting_reads(QUARANTINE_BOUND_S),
+            self._on_newest_quarantine,
+            self._on_quarantine_record,
+            lambda is_reachable, detail: None,
+            self._sharing[QUARANTINE_TOPIC],
+            logs_records=True,
+        )
+        self._followers = (
+            self._operator_follower,
+            self._registry_follower,
+            self._quarantine_follower,
+        )
 
     def start(self) -> None:
         """Starts to read and joins the group of entry instances."""
-        self._operator_follower.start()
-        self._registry_follower.start()
+        for follower in self._followers:
+            follower.start()
         self._join_group()
 
     def close(self) -> None:
         """Stops reading."""
         self._is_closed = True
-        self._operator_follower.close()
-        self._registry_follower.close()
+        for follower in self._followers:
+            follower.close()
 
     def is_reader(self, topic: str) -> bool:
         """Whether this instance reads a topic for its data centre."""
@@ -528,7 +559,7 @@
             )
             for number, record in enumerate(feed.records)
         )
-        for follower in (self._operator_follower, self._registry_follower):
+        for follower in self._followers:
             if follower.topic != feed.topic:
                 continue
             if feed.is_newest:
@@ -541,7 +572,7 @@
 
         The peer is not chosen as the reader for CUT_OFF_DURATION_S.
         """
-        for follower in (self._operator_follower, self._registry_follower):
+        for follower in self._followers:
             if follower.topic == request.topic:
                 self._sharing[request.topic].mark_cut_off(instance)
                 follower.serve_request(instance, Offset(request.next))
@@ -604,6 +635,40 @@
         if registration is not None:
             self._observer.on_registration(registration)
 
+    def append_quarantine(self, entry: QuarantineEntry, attempt: int = 1) -> None:
+        """Writes an entry of the quarantine for all instances; repeats a write that fails."""
+
+        def on_result(result: Offset | StoreCallError) -> None:
+            if not isinstance(result, StoreCallError) or self._is_closed:
+                return
+            log_event(
+                _LOGGER,
+                logging.WARNING,
+                Event.LOG_APPEND_FAILED,
+                f"quarantine entry, attempt {attempt}: {result}",
+                key=entry.fingerprint,
+            )
+            if attempt < MAX_APPEND_ATTEMPTS:
+                self._loop.call_later(
+                    APPEND_RETRY_DELAY_S, partial(self.append_quarantine, entry, attempt + 1)
+                )
+
+        self._store.append_keyed(
+            QUARANTINE_TOPIC, entry.fingerprint, entry.SerializeToString(), None, on_result
+        )
+
+    def _on_newest_quarantine(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self._on_quarantine_record(record)
+
+    def _on_quarantine_record(self, record: KeyedRecord) -> None:
+        try:
+            entry = None if record.value is None else parse_quarantine_entry(record.value)
+        except CorruptRecordError as error:
+            _log_corrupt(record, error)
+            return
+        self._observer.on_quarantine(record.key, entry)
+
     def _join_group(self) -> None:
         if self._is_closed:
             return
--- a/src/mulberryrill/platform/records.py
+++ b/src/mulberryrill/platform/records.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from google.protobuf.message import DecodeError
+
 from ..errors import CorruptRecordError
 from ..internal.core.serving.routetable import (
     CallerLimits,
@@ -31,6 +33,7 @@
     TargetId,
     WeightVersion,
 )
+from ..internal.schema.log_pb2 import QuarantineEntry
 
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
@@ -250,6 +253,16 @@
     )
 
 
+def parse_quarantine_entry(value: bytes) -> QuarantineEntry:
+    """Parses an entry of the quarantine; raises CorruptRecordError."""
+    entry = QuarantineEntry()
+    try:
+        entry.ParseFromString(value)
+    except DecodeError as error:
+        raise CorruptRecordError(f"quarantine entry: {error}") from error
+    return entry
+
+
 def parse_desired_version(value: bytes) -> DesiredVersion:
     """Parses the operators' desired version of a model; raises CorruptRecordError."""
     item = _parse_object(value, "model version")
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -27,6 +27,8 @@
 # registered targets.
 OPERATOR_TOPIC = "keyed.op"
 REGISTRY_TOPIC = "keyed.servers"
+# The entry instances' own topic: traits of calls that are refused because targets end under them.
+QUARANTINE_TOPIC = "keyed.quarantine"
 PARTITION = 0
 # The store usually responds in a few milliseconds; the timeout allows for a slow one.
 CALL_TIMEOUT_S = 2.0
@@ -113,10 +115,19 @@
         self._get("/-/log-read", _build_read_query(topic, start, wait_s), decode, done, wait_s)
 
     def append_keyed(
-        self, topic: str, key: str, value: bytes, expected_end: Offset, done: ResultCallback[Offset]
+        self,
+        topic: str,
+        key: str,
+        value: bytes,
+        expected_end: Offset | None,
+        done: ResultCallback[Offset],
     ) -> None:
-        """Appends a record if the partition ends at ``expected_end``; reports its offset."""
-        query = urlencode({"topic": topic, "part": PARTITION, "at": expected_end})
+        """Appends a record and reports its offset.
+
+        With ``expected_end``, only if the partition ends there.
+        """
+        condition = {} if expected_end is None else {"at": expected_end}
+        query = urlencode({"topic": topic, "part": PARTITION, **condition})
         record = bytes([len(key)]) + key.encode() + value
         body = _LENGTH_PREFIX.pack(len(record)) + record
         self._post(
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -37,6 +37,7 @@
             bounds,
             peers,
         )
+        state.store_quarantine = self._follower.append_quarantine
         peers.on_log_feed = self._follower.on_log_feed
         peers.on_log_request = self._follower.on_log_request
         self._order_client = PlatformOrderClient(loop, self._store, instance)
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -24,6 +24,7 @@
 from mulberryrill.platform.store import (
     CALL_TIMEOUT_S,
     OPERATOR_TOPIC,
+    QUARANTINE_TOPIC,
     READ_TIMEOUT_MARGIN_S,
     REGISTRY_TOPIC,
     KeyedRecord,
@@ -80,7 +81,7 @@
 
     on_registration_removed = on_registry_read = _ignore
     on_evacuations_read = on_evacuation = on_desired_version = _ignore
-    on_store_reachability = on_operator_records_checked = _ignore
+    on_store_reachability = on_operator_records_checked = on_quarantine = _ignore
 
 
 @dataclass
@@ -212,7 +213,11 @@
         self._clock = ManualClock()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
-        self.topics: dict[str, list[KeyedRecord]] = {OPERATOR_TOPIC: [], REGISTRY_TOPIC: []}
+        self.topics: dict[str, list[KeyedRecord]] = {
+            OPERATOR_TOPIC: [],
+            REGISTRY_TOPIC: [],
+            QUARANTINE_TOPIC: [],
+        }
         # Reads that wait for records.
         self._waiting: dict[str, list[Callable[[], None]]] = defaultdict(list)
         # Older records of the operators' topic have expired.
