Do not take a stream without any event for a complete one

A stream may come with neither a length nor chunks and end with its connection. One that ended before its first event was passed on as a complete, empty answer, though a run begins with its first token; callers could not tell it from a finished one and did not repeat it.

Such a stream now counts as broken off, unless it resumes one whose last event the caller has. CloseDelimitedTest covers responses without length and chunks: whole, reset, ended inside an event, resumed elsewhere. Of its seven tests, the one for the empty stream failed before (200, not 502).

--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -201,12 +201,26 @@
         elif self._event_parser is not None and self._event_parser.has_partial_event:
             self.may_have_run = True
             self._end(Outcome.BROKEN, "stream ended inside an event")
+        elif self._has_empty_stream:
+            self.may_have_run = True
+            self._end(Outcome.BROKEN, "stream ended before its first event")
         else:
             self.may_have_run = True
             self.buffered_response = BufferedResponse(self.response, bytes(self._body))
             is_error = kind is ResponseKind.ERROR
             self._end(Outcome.ERROR if is_error else Outcome.ANSWERED, "")
 
+    @property
+    def _has_empty_stream(self) -> bool:
+        """Whether a new run ended without any event, and without a mark that it is complete."""
+        return (
+            self._event_parser is not None
+            and self.response is not None
+            and self.response.is_close_delimited
+            and not self.has_events
+            and self.plan.last_event_id is None
+        )
+
     def on_failure(self, failure: ExchangeFailure) -> None:
         """The connection failed before the response was complete."""
         if self.response_info is not None and self.response_info.kind is ResponseKind.REJECTED:
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -72,6 +73,25 @@
     break_connection(target, request, call)
 
 
+def answer_until_close(
+    target: TargetStandin, request, call: ReceivedCall, body: bytes, *, resets: bool = False
+) -> None:
+    """Sends a body without length or chunks that ends with its connection, or with a reset."""
+    request.send_response(200)
+    for name, value in target.build_origin_headers(call).items():
+        request.send_header(name.replace("_", "-"), value)
+    request.send_header("connection", "close")
+    request.end_headers()
+    request.wfile.write(body)
+    request.wfile.flush()
+    if resets:
+        # With this option the close sends a reset instead of the end of the data.
+        option = struct.pack("ii", 1, 0)
+        request.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        time.sleep(0.05)
+        request.connection.close()
+
+
 class EntryCase(unittest.TestCase):
     """Runs a deployment for each test."""
 
@@ -481,6 +501,75 @@
         return table.version if table is not None else 0
 
 
+class CloseDelimitedTest(EntryCase):
+    """Responses with neither a length nor chunks, which end with their connection."""
+
+    def add_target(self, name: str, service: str, body: bytes, *, resets: bool = False) -> None:
+        def answer(target: TargetStandin, request, call: ReceivedCall) -> None:
+            answer_until_close(target, request, call, body, resets=resets)
+
+        self.deployment.add_target(name, service, answer)
+
+    def test_plain_answer_is_whole_and_the_caller_keeps_its_connection(self) -> None:
+        self.add_target("t1", "desk", b"whole")
+        self.deployment.wait_ready()
+        connection = self.deployment.connect()
+        self.addCleanup(connection.close)
+        for _ in range(2):
+            response = self.deployment.call_on(connection, "/pay/", "POST", b"p")
+            self.assertEqual((response.status, response.body), (200, b"whole"))
+
+    def test_plain_answer_that_is_reset_is_not_passed_on(self) -> None:
+        self.add_target("t1", "desk", b"half", resets=True)
+        self.deployment.wait_ready()
+        self.assertEqual(self.deployment.call("/pay/", "POST", b"p").status, 502)
+
+    def test_stream_is_passed_on(self) -> None:
+        events = b"".join(b"id: %d\ndata: t1\n\n" % number for number in range(1, 4))
+        self.add_target("t1", "lm", events)
+        self.deployment.wait_ready()
+        response = self.deployment.call("/quick/", "POST", b"p", **PROMPT_HEADERS)
+        self.assertEqual((response.status, response.body), (200, events))
+
+    def test_stream_that_ends_inside_an_event_does_not_look_complete(self) -> None:
+        self.add_target("t1", "lm", b"id: 1\ndata: t1\n\nid: 2\nda")
+        self.deployment.wait_ready()
+        self.check_incomplete()
+
+    def test_stream_that_is_reset_does_not_look_complete(self) -> None:
+        self.add_target("t1", "lm", b"id: 1\ndata: t1\n\n", resets=True)
+        self.deployment.wait_ready()
+        self.check_incomplete()
+
+    def test_stream_that_ends_before_its_first_event_is_not_complete(self) -> None:
+        self.add_target("t1", "lm", b"")
+        self.deployment.wait_ready()
+        response = self.deployment.call("/quick/", "POST", b"p", **PROMPT_HEADERS)
+        self.assertEqual(response.status, 502)
+
+    def test_resumable_stream_that_ends_inside_an_event_goes_on_elsewhere(self) -> None:
+        """Guards against a lost event, a repeated one and one joined from two runs."""
+
+        def answer(target: TargetStandin, request, call: ReceivedCall) -> None:
+            if "last-event-id" in call.headers:
+                answer_stream(target, request, call)
+            else:
+                body = b"id: 1\ndata: t1\n\nid: 2\nda"
+                answer_until_close(target, request, call, body)
+
+        for name in ("t1", "t2"):
+            self.deployment.add_target(name, "lm", answer)
+        self.deployment.wait_ready()
+        response = self.deployment.call("/plan/", "POST", b"p", **PROMPT_HEADERS)
+        numbers = [line for line in response.body.split(b"\n") if line.startswith(b"id:")]
+        self.assertEqual(numbers, [b"id: %d" % number for number in range(1, 5)])
+
+    def check_incomplete(self) -> None:
+        with self.assertRaises(Exception) as raised:
+            self.deployment.call("/quick/", "POST", b"p", **PROMPT_HEADERS)
+        self.assertIn(type(raised.exception).__name__, ("IncompleteRead", "ConnectionResetError"))
+
+
 class MetricsTest(EntryCase):
     def test_calls_and_latencies_are_counted(self) -> None:
         self.deployment.add_target("t1", "desk", answer_plain)
