Keep the work for suspected calls small while targets end

Each report to peers built the set of all suspected traits anew, and a process that had once seen a target end went on to hash the body of every answered call. The set is now kept up to date, only its answers that peers lack are looked at, and old ends are pruned each second.

--- a/src/mulberryrill/internal/core/serving/crashcauses.py
+++ b/src/mulberryrill/internal/core/serving/crashcauses.py
@@ -93,6 +93,9 @@
         # What this instance has seen itself and tells its peers.
         self._own_ends: dict[TargetRun, TargetEnd] = {}
         self._own_answered_at: dict[Trait, float] = {}
+        # Traits of all known ends, and those with an answer that peers were not told of.
+        self._suspected: set[Trait] = set()
+        self._untold: set[Trait] = set()
         self._told_at: dict[Trait, float] = {}
 
     @property
@@ -105,6 +108,8 @@
         for trait in traits:
             _update_time(self._own_answered_at, trait, now)
             _update_time(self._answered_at, trait, now)
+            if trait in self._suspected:
+                self._untold.add(trait)
 
     def record_peer_answer(self, trait: Trait, answered_at: float) -> None:
         """Records an answer that a peer has seen."""
@@ -117,6 +122,9 @@
 
     def add_end(self, end: TargetEnd) -> bool:
         """Adds an end, or further calls to a known one; returns whether anything is new."""
+        traits = {trait for suspect in end.suspects for trait in suspect.traits}
+        self._untold |= (traits - self._suspected) & self._own_answered_at.keys()
+        self._suspected |= traits
         return _merge_end(self._ends, end)
 
     def find_cause(self, known_causes: Iterable[Trait], now: float) -> CrashCause | None:
@@ -124,7 +132,7 @@
 
         Ends that a known cause explains say nothing about other traits.
         """
-        self._forget_old(now)
+        self.prune(now)
         explained = set(known_causes)
         ends = [
             end
@@ -138,7 +146,7 @@
         if not eligible:
             return None
         best = max(eligible, key=lambda c: (len(c.ends), not self._was_answered(c), c.narrowness))
-        return CrashCause(best.trait, tuple(end.run for end in best.ends))
+        return CrashCause(best.trait, tuple(best.ends))
 
     def _count_end(self, end: TargetEnd, candidates: dict[Trait, "_Candidate"]) -> None:
         for suspect in end.suspects:
@@ -149,8 +157,7 @@
                 candidate = candidates.setdefault(trait, _Candidate(trait, is_call))
                 candidate.position = max(candidate.position, position)
                 candidate.calls.add(suspect.identity)
-                if end not in candidate.ends:
-                    candidate.ends.append(end)
+                candidate.ends[end.run] = end
 
     def _is_cause(self, candidate: "_Candidate", ends: list[TargetEnd]) -> bool:
         threshold = (
@@ -174,25 +181,27 @@
 
     def pop_answers(self, now: float) -> list[tuple[Trait, float]]:
         """Returns suspected traits with answers that peers were not told of, and their times."""
-        suspected = {
-            trait for end in self._ends.values() for s in end.suspects for trait in s.traits
-        }
-        self._told_at = {trait: at for trait, at in self._told_at.items() if trait in suspected}
-        answers = []
-        for trait in suspected:
-            answered_at = self._own_answered_at.get(trait)
-            told_at = self._told_at.get(trait, float("-inf"))
-            if answered_at is None or answered_at <= told_at:
-                continue
-            if now - told_at >= ANSWER_UPDATE_INTERVAL_S:
-                self._told_at[trait] = now
-                answers.append((trait, answered_at))
-        return answers
-
-    def _forget_old(self, now: float) -> None:
+        due = [
+            trait
+            for trait in self._untold
+            if now - self._told_at.get(trait, float("-inf")) >= ANSWER_UPDATE_INTERVAL_S
+        ]
+        self._untold.difference_update(due)
+        self._told_at.update(dict.fromkeys(due, now))
+        return [(trait, self._own_answered_at.get(trait, now)) for trait in due]
+
+    def prune(self, now: float) -> None:
+        """Forgets old ends."""
+        count = len(self._ends)
         for ends in (self._ends, self._own_ends):
             for run in [run for run, end in ends.items() if now - end.ended_at > HISTORY_S]:
                 del ends[run]
+        if len(self._ends) == count:
+            return
+        suspects = (suspect for end in self._ends.values() for suspect in end.suspects)
+        self._suspected = {trait for suspect in suspects for trait in suspect.traits}
+        self._untold &= self._suspected
+        self._told_at = {t: at for t, at in self._told_at.items() if t in self._suspected}
 
 
 class _Candidate:
@@ -201,14 +210,14 @@
     def __init__(self, trait: Trait, is_call: bool) -> None:
         self.trait = trait
         self.is_call = is_call
-        self.ends: list[TargetEnd] = []
+        self.ends: dict[TargetRun, TargetEnd] = {}
         self.calls: set[tuple[Trait, str]] = set()
         self.position = 0
 
     @property
     def first_end_at(self) -> float:
         """Boot time of the first end."""
-        return min(end.ended_at for end in self.ends)
+        return min(end.ended_at for end in self.ends.values())
 
     @property
     def narrowness(self) -> int:
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -530,6 +530,7 @@
         for handler in list(self._handlers):
             handler.check_progress()
         self._state.remove_expired_targets()
+        self._state.crash_causes.prune(self._loop.boottime())
         self._state.loads.prune({target.id for target in self._state.targets.targets})
         for target_id, pool in list(self._pools.items()):
             pool.close_expired()
--- a/tests/unit/test_serving_crashcauses.py
+++ b/tests/unit/test_serving_crashcauses.py
@@ -96,6 +96,8 @@
 
     def test_old_ends_are_forgotten(self) -> None:
         self.add_ends(CRASH_THRESHOLD, BAD)
+        self.causes.prune(10_000.0)
+        self.assertFalse(self.causes.has_ends)
         self.assertIsNone(self.find(10_000.0))
 
     def test_peers_are_told_of_own_answers_to_suspected_calls_only(self) -> None:
