Test the stored quarantine; log its changes as they take effect

An entry that had expired was logged as if its calls were refused. The log line now compares what is in force before and after a record.

QuarantineRecordTest covers a stored entry, one that cannot be read, an expired one and the deletion that lifts a quarantine.

--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -196,23 +196,22 @@
 
     def on_quarantine(self, trait: str, entry: QuarantineEntry | None) -> None:
         """Refuses calls with a trait from now on, or accepts them again."""
-        known = trait in {e.fingerprint for e in self.quarantine.list_entries(self._get_unix_ms())}
+        unix_ms = int(self._loop.wall() * MS_PER_S)
+        was_refused = self.quarantine.is_quarantined(trait, unix_ms)
         if entry is None:
             self.quarantine.remove_entry(trait)
         else:
             self.quarantine.merge_entry(entry)
-        if known != (entry is not None):
+        is_refused = self.quarantine.is_quarantined(trait, unix_ms)
+        if is_refused != was_refused:
             log_event(
                 _LOGGER,
                 logging.WARNING,
                 Event.ENTRY_QUARANTINE_CHANGED,
-                "calls with this trait are refused" if entry is not None else "accepted again",
+                f"calls with this trait are {'refused' if is_refused else 'accepted again'}",
                 trait=trait,
             )
 
-    def _get_unix_ms(self) -> int:
-        return int(self._loop.wall() * MS_PER_S)
-
     def _report_lost(self, target: Target) -> None:
         is_ready = target.registration.state is RegistrationState.READY
         if is_ready and self.on_target_lost is not None:
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -9,10 +9,13 @@
 import unittest
 
 from mulberryrill.internal.events import Event
+from mulberryrill.internal.schema.log_pb2 import QuarantineEntry
 from mulberryrill.platform.follower import INSTANCE_TOPICS
+from mulberryrill.platform.store import QUARANTINE_TOPIC
 from tests.common.entry import (
     KEY,
     MODEL,
+    CallerResponse,
     EntryDeployment,
     ReceivedCall,
     TargetStandin,
@@ -501,6 +504,41 @@
         return table.version if table is not None else 0
 
 
+class QuarantineRecordTest(EntryCase):
+    """Calls that are refused because targets end under them, as the store's records say."""
+
+    def put_entry(self, trait: str, *, seconds: float) -> None:
+        expires_ms = int((time.time() + seconds) * 1000)
+        entry = QuarantineEntry(fingerprint=trait, crashes=4, expires_unix_ms=expires_ms)
+        self.deployment.store.put_raw(QUARANTINE_TOPIC, trait, entry.SerializeToString())
+
+    def call_with_parts(self, parts: str) -> CallerResponse:
+        headers = {**PROMPT_HEADERS, "Prefix_Hash": parts}
+        return self.deployment.call("/quick/", "POST", b"p", **headers)
+
+    def test_calls_are_refused_until_the_record_is_deleted(self) -> None:
+        target = self.deployment.add_target("t1", "lm", answer_stream)
+        self.deployment.wait_ready()
+        self.deployment.store.put_raw(QUARANTINE_TOPIC, "part:ff", b"\xff unreadable")
+        self.put_entry("part:bb", seconds=100)
+        wait_for(lambda: self.call_with_parts("aa:5,bb:5,c1:5").status == 503)
+        target.received_calls.clear()
+        response = self.call_with_parts("aa:5,BB:5,c2:5")
+        self.assertEqual((response.status, target.received_calls), (503, []))
+        self.assertGreater(float(response.headers["retry-after"]), 90)
+        # The last part belongs to the call itself.
+        for parts in ("aa:5,c3:5", "aa:5,bb:5"):
+            self.assertEqual(self.call_with_parts(parts).status, 200)
+        self.deployment.store.put_raw(QUARANTINE_TOPIC, "part:bb", None)
+        wait_for(lambda: self.call_with_parts("aa:5,bb:5,c4:5").status == 200)
+
+    def test_expired_record_refuses_nothing(self) -> None:
+        self.deployment.add_target("t1", "lm", answer_stream)
+        self.put_entry("part:bb", seconds=-1)
+        self.deployment.wait_ready()
+        self.assertEqual(self.call_with_parts("aa:5,bb:5,c1:5").status, 200)
+
+
 class CloseDelimitedTest(EntryCase):
     """Responses with neither a length nor chunks, which end with their connection."""
 
