Log the rate limits that targets name, and the calls sent to them

The logs could not tell whether a limit was unknown, kept by each instance alone, or passed by attempts beside the usual placement. A limit ends with a response to a call that was sent after it was last named, since responses may overtake each other. Nothing else depends on it yet.

--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -45,6 +45,10 @@
         """A head, a complete event or body bytes of the response arrived."""
         ...
 
+    def on_classified(self, attempt: "Attempt") -> None:
+        """The head of the response was classified."""
+        ...
+
     def on_events(self, attempt: "Attempt", events: bytes) -> None:
         """Complete events of a stream arrived."""
         ...
@@ -151,6 +155,7 @@
         self.response = response
         self._owner.on_progress(self)
         self.response_info = self._dialect.classify_response(response, self._call, self.plan)
+        self._owner.on_classified(self)
         kind = self.response_info.kind
         if kind is ResponseKind.SUCCESS and self._call.route.kind is CallKind.STREAM:
             self._event_parser = EventStreamParser(self.plan.last_event_id)
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -126,6 +126,10 @@
     # Whether another target than the addressed one responded.
     is_from_other_target: bool = False
     closes_connection: bool = False
+    # Calls per second that the target accepts from all instances together; None: it names no limit.
+    rate_limit: float | None = None
+    # Whether the response tells anything about a limit: not if its origin or the value is unclear.
+    tells_rate_limit: bool = False
 
 
 class Dialect(Protocol):
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -119,6 +119,7 @@
             "callers": len(self._connections),
             "instances": len(self._state.instances),
             "targets": len(self._state.targets.targets),
+            "limited_targets": self._state.target_limits.limited_count,
             "configuration_version": table.version if table is not None else 0,
         }
         if (age_s := self._state.operator_records_age_s) is not None:
@@ -297,6 +298,7 @@
         now = self._loop.now()
         if target.is_cold(now):
             self._state.cold_pacer.record_send(target.id, now)
+        self._state.target_limits.record_send(target.id, now)
         cache = attempt.plan.cache
         if cache is not None:
             attempt.is_prefill_pending = True
@@ -306,6 +308,13 @@
         max_idle_s = self._idle_limits.find_limit(target.registration.service, now)
         attempt.start(pool.acquire(not handler.call.route.is_repeatable, max_idle_s))
 
+    def on_response(self, attempt: Attempt) -> None:
+        """Records the rate limit that the target names."""
+        info = attempt.response_info
+        if info is not None and info.tells_rate_limit:
+            target = attempt.plan.target.registration
+            self._state.record_rate_limit(target, info.rate_limit, attempt.started_at)
+
     def on_first_event(self, handler: CallHandler, attempt: Attempt) -> None:
         """Updates the target's prefill rate and removes the prompt from its pending load."""
         plan = attempt.plan
@@ -531,7 +540,9 @@
             handler.check_progress()
         self._state.remove_expired_targets()
         self._state.crash_causes.prune(self._loop.boottime())
-        self._state.loads.prune({target.id for target in self._state.targets.targets})
+        live = {target.id for target in self._state.targets.targets}
+        self._state.loads.prune(live)
+        self._state.target_limits.prune(live, self._loop.now())
         for target_id, pool in list(self._pools.items()):
             pool.close_expired()
             if self._state.targets.get(target_id) is None:
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -48,6 +48,10 @@
         """Sends the attempt over a connection to its target and counts it."""
         ...
 
+    def on_response(self, attempt: Attempt) -> None:
+        """A target's response to an attempt has begun and was classified."""
+        ...
+
     def on_first_event(self, handler: "CallHandler", attempt: Attempt) -> None:
         """The target has finished prefill and sent a first event."""
         ...
@@ -139,6 +143,10 @@
         """Records that the target is alive."""
         attempt.plan.target.last_response_at = self._loop.now()
 
+    def on_classified(self, attempt: Attempt) -> None:
+        """Reports what the target says of itself."""
+        self._owner.on_response(attempt)
+
     def on_events(self, attempt: Attempt, events: bytes) -> None:
         """Forwards events of the stream to the caller."""
         if attempt is not self._attempt:
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -16,6 +16,7 @@
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
 from ..core.serving.routetable import RouteTable
+from ..core.serving.targetlimits import TargetLimits
 from ..core.serving.targettable import Registration, RegistrationState, Target, TargetTable
 from ..eventloop import EventLoop
 from ..events import Event
@@ -106,6 +107,7 @@
         self.named_versions = NamedVersions()
         self.rollout = VersionRollout(self.named_versions, bounds.version_ms / MS_PER_S)
         self.cold_pacer = ColdPacer(instance, bounds.cold_factor, bounds.cold_reserve)
+        self.target_limits = TargetLimits()
         self.cache_index = CacheIndex()
         self.loads = LoadTable()
         self.cache_sharing = CacheSharing(self.cache_index, instance, loop.now)
@@ -288,6 +290,22 @@
         if self.on_peers_changed is not None:
             self.on_peers_changed(peers)
 
+    def record_rate_limit(
+        self, registration: Registration, rate_limit: float | None, sent_at: float
+    ) -> None:
+        """Records the limit that a target names in its response to a call sent at ``sent_at``."""
+        target, now = registration.target, self._loop.now()
+        if self.target_limits.observe(target, rate_limit, sent_at, now):
+            log_event(
+                _LOGGER,
+                logging.WARNING,
+                Event.ENTRY_RATE_LIMIT_CHANGED,
+                "target names a rate limit" if rate_limit is not None else "rate limit lifted",
+                target=target,
+                calls_per_s=rate_limit,
+                sent=self.target_limits.count_sent(target, now),
+            )
+
     def on_store_reachability(self, is_reachable: bool, detail: str) -> None:
         """Records whether the store is reachable; targets are kept while it is not."""
         if is_reachable == self._is_store_reachable:
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -1,5 +1,6 @@
 """The platform's HTTP dialect for calls: request and response headers, statuses, refusals."""
 
+import logging
 import re
 
 from ..internal.core.serving.routetable import Customer, Prompt, Route, RouteTable
@@ -11,6 +12,7 @@
     ResponseInfo,
     ResponseKind,
 )
+from ..internal.events import Event
 from ..internal.http.messages import (
     Header,
     HttpRequest,
@@ -20,6 +22,7 @@
     strip_hop_by_hop_headers,
 )
 from ..internal.ids import ModelName, RequestId, WeightVersion
+from ..internal.logs import log_event
 
 REQUEST_ID = b"request-id"
 # Milliseconds for which the sender will still wait.
@@ -48,6 +51,8 @@
 NOT_RUN = b"not-run"
 RESPONDING_TARGET = b"instance-id"
 WEIGHT_VERSION = b"weight-versions"
+# Calls per second, as a decimal number, that a target in need accepts from all instances together.
+RATE_LIMIT = b"server-limit"
 
 # Headers that only the system may send to a target; a caller's values are dropped.
 SYSTEM_HEADERS = frozenset(
@@ -101,8 +106,12 @@
     RequestErrorReason.BODY_TOO_LARGE: RefusalReason.BODY_TOO_LARGE,
     RequestErrorReason.HEAD_TOO_LARGE: RefusalReason.HEAD_TOO_LARGE,
 }
+_DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+# Longest part of an unreadable header that is logged.
+MAX_LOGGED_BYTES = 40
 _PROMPT_PART_PATTERN = re.compile(r"([0-9a-fA-F]{1,64}):([0-9]{1,9})")
 HIGHEST_PRIORITY, LOWEST_PRIORITY = 0, 9
+_LOGGER = logging.getLogger(__name__)
 
 
 class PlatformDialect:
@@ -192,7 +201,17 @@
             kind = ResponseKind.SUCCESS
         else:
             kind = ResponseKind.ERROR
-        return ResponseInfo(kind, versions, is_other_target, not response.keeps_alive)
+        rate_limit = _parse_rate_limit(response.get(RATE_LIMIT))
+        has_known_origin = kind not in (ResponseKind.MISDIRECTED, ResponseKind.UNVERIFIED)
+        is_readable = rate_limit is not None or response.get(RATE_LIMIT) is None
+        return ResponseInfo(
+            kind,
+            versions,
+            is_other_target,
+            not response.keeps_alive,
+            rate_limit,
+            has_known_origin and not is_other_target and is_readable,
+        )
 
     def list_response_headers(self, response: HttpResponse) -> list[Header]:
         """Returns the headers of a target's response that are passed on to the caller."""
@@ -253,6 +272,21 @@
     return int(value) if value is not None and value.isdigit() else None
 
 
+def _parse_rate_limit(value: bytes | None) -> float | None:
+    """Returns calls per second; None if there is no value, or one that is not a decimal number."""
+    if value is None:
+        return None
+    if _DECIMAL_PATTERN.fullmatch(value.strip()):
+        return float(value)
+    log_event(
+        _LOGGER,
+        logging.WARNING,
+        Event.MESSAGE_REJECTED,
+        f"a target's rate limit is not a decimal number: {value[:MAX_LOGGED_BYTES]!r}",
+    )
+    return None
+
+
 def _parse_ms_as_seconds(value: bytes | None) -> float | None:
     milliseconds = _parse_integer(value)
     return milliseconds / 1000 if milliseconds is not None else None
