Show that targets get more calls than the rate that they named

Four entry processes before eight targets, of which one, or all of a service, name a limit of 1.5 calls a second. Counted as the users' rule does: over 4 s, from 3 s after the limit was named, from instances that passed on a response with it.

--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -89,6 +89,9 @@
         # Calls on which the target ends as soon as it begins to run them.
         self.crashes_on: Callable[[ReceivedCall], bool] = lambda call: False
         self.on_crash: Callable[[FleetTarget], None] = lambda target: None
+        # Calls per second that responses name as the target's limit; None: they name none.
+        self.rate_limit: float | None = None
+        self.on_call: Callable[[ReceivedCall], object] = lambda call: None
         self._checker = checker
         self._run_numbers = itertools.count()
 
@@ -105,6 +108,7 @@
         if headers.get("expect-instance", self.name) != self.name:
             request.reply(421, b"", Not_Run="1", Request_Id=request_id)
             return
+        self.on_call(call)
         if self.fault is TargetFault.REJECT:
             request.reply(503, b"", Not_Run="1", Request_Id=request_id)
             return
@@ -122,6 +126,8 @@
             "Server_Stamp": stamp,
             "Weight_Versions": str(self.version),
         }
+        if self.rate_limit is not None:
+            origin_headers["Server_Limit"] = str(self.rate_limit)
         if self.fault is TargetFault.WITHOUT_STAMP:
             del origin_headers["Server_Stamp"]
         if "/get/" in call.path or "/pay/" in call.path:
@@ -251,6 +257,8 @@
         self.checker = PromiseChecker(self.disturbances)
         self.keys = [f"key-of-{CUSTOMER}/{number}" for number in range(API_KEY_COUNT)]
         self.configuration_version = 0
+        # Replace fields of each configuration that is published.
+        self.configuration_changes: dict[str, object] = {}
         self.weight_version = 1
         self.store = PlatformStore()
         self._folder = tempfile.TemporaryDirectory(prefix="mulberryrill-fleet-")
@@ -342,7 +350,9 @@
         """Writes a configuration with the API keys that are still valid."""
         self.configuration_version += 1
         tenants = [{"name": CUSTOMER, "api_keys": self.keys}]
-        configuration = create_configuration(self.configuration_version, tenants=tenants)
+        configuration = create_configuration(
+            self.configuration_version, tenants=tenants, **self.configuration_changes
+        )
         self.store.put("keyed.op", "config", configuration)
 
     def set_desired_version(self) -> None:
