Share the rate that a target names among a few instances

Cause: nothing read the limit. Now up to rate + 2.5 instances, ranked by a hash and spread over the data centres, have an equal share each, and the others send the target nothing. The shares hold without messages, and while instances start, freeze, are cut off or see different lists: together they send at most 5 x rate + 2.5 calls in 4 s, of 6 x rate + 5. Instances tell each other what targets name. Urgent calls come first, and calls that no target admits are refused at once, with the time after which those before them have been admitted.

--- a/src/mulberryrill/internal/core/serving/crashcauses.py
+++ b/src/mulberryrill/internal/core/serving/crashcauses.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from typing import NewType
 
-from ...ids import Incarnation, RequestId, TargetId
+from ...ids import RequestId
+from .targettable import TargetRun
 
 # What calls can have in common: a prompt part, or path, customer and body.
 Trait = NewType("Trait", str)
@@ -56,14 +57,6 @@
         return self.fingerprint, self.own_part
 
 
-@dataclass(frozen=True)
-class TargetRun:
-    """One incarnation of a target."""
-
-    target: TargetId
-    incarnation: Incarnation
-
-
 @dataclass(frozen=True)
 class TargetEnd:
     """The unplanned end of a target, and the calls that may have caused it."""
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -28,6 +28,14 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True)
+class TargetRun:
+    """One incarnation of a target."""
+
+    target: TargetId
+    incarnation: Incarnation
+
+
 @dataclass(frozen=True)
 class Registration:
     """A target's record in the platform's registry, written by the target itself."""
@@ -45,6 +53,11 @@
     order_count: int
     models: tuple[tuple[ModelName, WeightVersion], ...] = ()
 
+    @property
+    def run(self) -> TargetRun:
+        """The target in its present incarnation."""
+        return TargetRun(self.target, self.incarnation)
+
 
 @dataclass
 class Target:
--- a/src/mulberryrill/internal/entry/crashwatch.py
+++ b/src/mulberryrill/internal/entry/crashwatch.py
@@ -19,10 +19,9 @@
     CrashCauses,
     SuspectCall,
     TargetEnd,
-    TargetRun,
     Trait,
 )
-from ..core.serving.targettable import Registration
+from ..core.serving.targettable import Registration, TargetRun
 from ..eventloop import EventLoop
 from ..events import Event
 from ..http.sockets import open_connection
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -27,6 +27,7 @@
     STOPPING = "stopping"
     NO_TARGET = "no target"
     OVERLOADED = "overloaded"
+    LIMITED = "rate limits of the targets"
     REJECTED_BY_TARGETS = "rejected by targets"
     EXPIRED = "deadline passed before the call was sent"
     OUTCOME_UNKNOWN = "outcome unknown"
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -208,8 +208,29 @@
         if trait is not None:
             time_left_s = self._crash_watch.compute_time_left(trait)
             return PlacementRefusal(RefusalReason.QUARANTINED, trait, time_left_s)
+        limits, boottime = self._state.target_limits, self._loop.boottime()
+        priority = handler.call.priority
+        reachable = self._list_reachable_targets(service)
+        targets = limits.list_admitted(reachable, service.name, priority, boottime)
+        if reachable and not targets:
+            delay_s = limits.compute_retry_delay(
+                reachable, service.name, priority, self._random.random(), boottime
+            )
+            detail = f"{len(reachable)} targets, none admits the call by its rate limit"
+            plan: AttemptPlan | PlacementRefusal = PlacementRefusal(
+                RefusalReason.LIMITED, detail, delay_s
+            )
+        else:
+            plan = self._choose_target(handler, service, targets)
+        is_kept_by_limits = len(targets) < len(reachable) and not handler.has_attempt
+        if isinstance(plan, PlacementRefusal) and is_kept_by_limits:
+            limits.record_refusal(service.name, priority, boottime)
+        return plan
+
+    def _choose_target(
+        self, handler: CallHandler, service: Service, targets: list[Target]
+    ) -> AttemptPlan | PlacementRefusal:
         now = self._loop.now()
-        targets = self._list_reachable_targets(service)
         request = PlacementRequest(
             handler.call.prompt, get_isolated_customer(handler.call), handler.tried_targets, now
         )
@@ -298,7 +319,9 @@
         now = self._loop.now()
         if target.is_cold(now):
             self._state.cold_pacer.record_send(target.id, now)
-        self._state.target_limits.record_send(target.id, now)
+        self._state.target_limits.record_send(
+            target.registration, handler.call.priority, self._loop.boottime()
+        )
         cache = attempt.plan.cache
         if cache is not None:
             attempt.is_prefill_pending = True
@@ -312,8 +335,12 @@
         """Records the rate limit that the target names."""
         info = attempt.response_info
         if info is not None and info.tells_rate_limit:
-            target = attempt.plan.target.registration
-            self._state.record_rate_limit(target, info.rate_limit, attempt.started_at)
+            elapsed_s = self._loop.now() - attempt.started_at
+            self._state.record_rate_limit(
+                attempt.plan.target.registration,
+                info.rate_limit,
+                self._loop.boottime() - elapsed_s,
+            )
 
     def on_first_event(self, handler: CallHandler, attempt: Attempt) -> None:
         """Updates the target's prefill rate and removes the prompt from its pending load."""
@@ -540,9 +567,9 @@
             handler.check_progress()
         self._state.remove_expired_targets()
         self._state.crash_causes.prune(self._loop.boottime())
-        live = {target.id for target in self._state.targets.targets}
-        self._state.loads.prune(live)
-        self._state.target_limits.prune(live, self._loop.now())
+        live = {target.id: target.registration for target in self._state.targets.targets}
+        self._state.loads.prune(set(live))
+        self._state.target_limits.prune(live, self._loop.boottime())
         for target_id, pool in list(self._pools.items()):
             pool.close_expired()
             if self._state.targets.get(target_id) is None:
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -14,9 +14,11 @@
 import zmq
 from google.protobuf.message import DecodeError
 
-from ..core.serving.crashcauses import CrashCauses, SuspectCall, TargetEnd, TargetRun, Trait
+from ..core.serving.crashcauses import CrashCauses, SuspectCall, TargetEnd, Trait
 from ..core.serving.loads import IDLE_REPORT_INTERVAL_S, LoadReport, LoadTable, build_report
 from ..core.serving.namedversions import NamedVersion
+from ..core.serving.targetlimits import LimitNews, TargetLimits
+from ..core.serving.targettable import TargetRun
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import (
@@ -31,6 +33,7 @@
 from ..logs import log_event
 from ..schema.peers_pb2 import LoadReport as LoadReportMessage
 from ..schema.peers_pb2 import LogFeed, LogRequest, PeerReport
+from ..schema.peers_pb2 import NamedLimit as NamedLimitMessage
 from ..schema.peers_pb2 import NamedVersion as NamedVersionMessage
 from ..schema.peers_pb2 import TargetEnd as TargetEndMessage
 from .cachesharing import CacheSharing
@@ -51,6 +54,8 @@
 MAX_MESSAGE_BYTES = 16_777_216
 # Interval at which peers are told the ages of recently named model versions.
 VERSION_AGES_INTERVAL_S = 0.5
+# Peers are told of the limits that targets name at once, and again at this interval.
+LIMITS_INTERVAL_S = 0.5
 # Peers are told of a target's end at this interval, for this long.
 END_REPORT_INTERVAL_S = 1.0
 END_REPORT_DURATION_S = 10.0
@@ -96,6 +101,15 @@
         """Ends of targets and answers to tell and to learn of."""
         ...
 
+    @property
+    def target_limits(self) -> TargetLimits:
+        """Limits that targets named to this instance."""
+        ...
+
+    def apply_peer_limit(self, news: LimitNews) -> None:
+        """Applies a limit that a target named to a peer."""
+        ...
+
     def apply_peer_ends(self, ends: list[TargetEnd]) -> None:
         """Adds ends of targets that a peer has seen."""
         ...
@@ -127,6 +141,8 @@
         self._version_ages_sent_at = float("-inf")
         self._ends_sent_at = float("-inf")
         self._sent_ends: list[TargetEnd] = []
+        self._limits_sent_at = float("-inf")
+        self._sent_limits: dict[TargetRun, float | None] = {}
 
     @property
     def local_peer(self) -> Peer:
@@ -182,6 +198,7 @@
             report.cache_request.holders.extend(missing)
         self._add_version_ages(report, now)
         self._add_crashes(report, now)
+        self._add_limits(report, now)
         has_content = (
             report.loads.targets
             or report.caches
@@ -189,6 +206,7 @@
             or report.named_versions
             or report.target_ends
             or report.answered_traits
+            or report.named_limits
             or report.HasField("cache_request")
         )
         if has_content or now - self._last_sent_at >= IDLE_REPORT_INTERVAL_S:
@@ -217,6 +235,17 @@
             report.target_ends.extend(_encode_end(end, boottime) for end in ends)
         self._sent_ends = ends
 
+    def _add_limits(self, report: PeerReport, now: float) -> None:
+        """Adds the limits that targets named to this instance; they are repeated like ends."""
+        news = self._state.target_limits.list_own_news()
+        limits = {item.run: item.rate for item in news}
+        is_due = now - self._limits_sent_at >= LIMITS_INTERVAL_S
+        if news and (is_due or limits != self._sent_limits):
+            self._limits_sent_at = now
+            boottime = self._loop.boottime()
+            report.named_limits.extend(_encode_limit(item, boottime) for item in news)
+        self._sent_limits = limits
+
     def send_log_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
         """Sends records of the platform's store at once, to one peer or, with None, to all."""
         report = self._build_report()
@@ -289,6 +318,8 @@
         for answered in report.answered_traits:
             answered_at = boottime - answered.age_ms / MS_PER_S
             self._state.crash_causes.record_peer_answer(Trait(answered.trait), answered_at)
+        for limit in report.named_limits:
+            self._state.apply_peer_limit(_decode_limit(limit, boottime))
         if report.target_ends:
             ends = [_decode_end(end, boottime) for end in report.target_ends]
             self._state.apply_peer_ends(ends)
@@ -389,6 +420,24 @@
     return TargetEnd(run, boottime - message.age_ms / MS_PER_S, suspects)
 
 
+def _encode_limit(news: LimitNews, boottime: float) -> NamedLimitMessage:
+    return NamedLimitMessage(
+        target=news.run.target,
+        incarnation=news.run.incarnation,
+        calls_per_s=news.rate,
+        age_ms=_encode_age(boottime - news.named_at),
+    )
+
+
+def _decode_limit(message: NamedLimitMessage, boottime: float) -> LimitNews:
+    return LimitNews(
+        TargetRun(TargetId(message.target), Incarnation(message.incarnation)),
+        message.calls_per_s if message.HasField("calls_per_s") else None,
+        boottime - message.age_ms / MS_PER_S,
+        is_own=False,
+    )
+
+
 def _encode_topic(instance: InstanceId) -> bytes:
     """Returns an instance's topic. Topics match by prefix, so the name needs an end mark."""
     return b"@" + instance.encode() + b"|"
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -111,6 +111,11 @@
         """Seconds until the response must be complete."""
         return self.deadline - self._loop.now()
 
+    @property
+    def has_attempt(self) -> bool:
+        """Whether an attempt is in progress."""
+        return self._attempt is not None
+
     def start(self) -> None:
         """Sends the call to a first target."""
         self._connection.on_disconnect = self._on_disconnect
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -16,7 +16,7 @@
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
 from ..core.serving.routetable import RouteTable
-from ..core.serving.targetlimits import TargetLimits
+from ..core.serving.targetlimits import LimitNews, TargetLimits
 from ..core.serving.targettable import Registration, RegistrationState, Target, TargetTable
 from ..eventloop import EventLoop
 from ..events import Event
@@ -107,7 +107,7 @@
         self.named_versions = NamedVersions()
         self.rollout = VersionRollout(self.named_versions, bounds.version_ms / MS_PER_S)
         self.cold_pacer = ColdPacer(instance, bounds.cold_factor, bounds.cold_reserve)
-        self.target_limits = TargetLimits()
+        self.target_limits = TargetLimits(instance)
         self.cache_index = CacheIndex()
         self.loads = LoadTable()
         self.cache_sharing = CacheSharing(self.cache_index, instance, loop.now)
@@ -283,6 +283,9 @@
         self.has_peer_list = True
         self.instances = tuple(sorted({*(peer.instance for peer in peers), self._instance}))
         self.cold_pacer.set_instances(self.instances)
+        data_centres = {peer.instance: peer.data_centre for peer in peers}
+        data_centres[self._instance] = self._data_centre
+        self.target_limits.set_instances(data_centres, self._loop.boottime())
         local = {peer.instance for peer in peers if peer.data_centre == self._data_centre}
         self.local_instances = tuple(sorted({*local, self._instance}))
         self.loads.set_instance_count(len(self.instances))
@@ -291,20 +294,32 @@
             self.on_peers_changed(peers)
 
     def record_rate_limit(
-        self, registration: Registration, rate_limit: float | None, sent_at: float
+        self, registration: Registration, rate: float | None, sent_at: float
     ) -> None:
-        """Records the limit that a target names in its response to a call sent at ``sent_at``."""
-        target, now = registration.target, self._loop.now()
-        if self.target_limits.observe(target, rate_limit, sent_at, now):
-            log_event(
-                _LOGGER,
-                logging.WARNING,
-                Event.ENTRY_RATE_LIMIT_CHANGED,
-                "target names a rate limit" if rate_limit is not None else "rate limit lifted",
-                target=target,
-                calls_per_s=rate_limit,
-                sent=self.target_limits.count_sent(target, now),
-            )
+        """Records the limit that a target names in its response to a call sent at ``sent_at``.
+
+        ``rate`` is in calls per second over all instances; ``sent_at`` is boot time.
+        """
+        if self.target_limits.observe(registration, rate, sent_at, self._loop.boottime()):
+            self._log_rate_limit(registration.target, rate, "response")
+
+    def apply_peer_limit(self, news: LimitNews) -> None:
+        """Applies a limit that a target named in a response to a peer."""
+        target = self.targets.get(news.run.target)
+        if target is not None and self.target_limits.apply_news(target.registration, news):
+            self._log_rate_limit(target.id, news.rate, "peer")
+
+    def _log_rate_limit(self, target: TargetId, rate: float | None, source: str) -> None:
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.ENTRY_RATE_LIMIT_CHANGED,
+            "target names a rate limit" if rate is not None else "rate limit lifted",
+            target=target,
+            calls_per_s=rate,
+            sent=self.target_limits.count_sent(target, self._loop.boottime()),
+            source=source,
+        )
 
     def on_store_reachability(self, is_reachable: bool, detail: str) -> None:
         """Records whether the store is reachable; targets are kept while it is not."""
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -95,6 +95,7 @@
     RefusalReason.STOPPING: 503,
     RefusalReason.NO_TARGET: 503,
     RefusalReason.OVERLOADED: 503,
+    RefusalReason.LIMITED: 503,
     RefusalReason.REJECTED_BY_TARGETS: 503,
     RefusalReason.EXPIRED: 503,
     RefusalReason.OUTCOME_UNKNOWN: 502,
--- a/tests/unit/test_peer_reports.py
+++ b/tests/unit/test_peer_reports.py
@@ -6,8 +6,10 @@
 import zmq
 
 from mulberryrill.internal.core.serving.loads import LoadTable, TargetLoad, build_report
-from mulberryrill.internal.entry.peers import Peer, PeerExchange
-from mulberryrill.internal.ids import DataCentre, InstanceId, TargetId
+from mulberryrill.internal.core.serving.targetlimits import LimitNews
+from mulberryrill.internal.core.serving.targettable import TargetRun
+from mulberryrill.internal.entry.peers import LIMITS_INTERVAL_S, Peer, PeerExchange
+from mulberryrill.internal.ids import DataCentre, Incarnation, InstanceId, TargetId
 from mulberryrill.internal.schema.peers_pb2 import PeerReport
 
 TARGET = TargetId("t1")
@@ -18,7 +20,9 @@
         self.loads = LoadTable()
         self.state = Mock(loads=self.loads)
         peer = Peer(InstanceId("i1"), DataCentre("z1"), "127.0.0.1:1")
-        self.exchange = PeerExchange(Mock(now=lambda: 1.0), peer, self.state)
+        self.exchange = PeerExchange(
+            Mock(now=lambda: 1.0, boottime=lambda: 100.0), peer, self.state
+        )
         self.addCleanup(self.exchange._context.destroy, 0)
 
     def receive(self, *messages: bytes) -> None:
@@ -46,6 +50,31 @@
         self.assertEqual(self.loads.estimate_held_tokens(TARGET, 1.0), 9)
         self.assertEqual(self.loads.estimate_running_calls(TARGET, 1.0), 2)
 
+    def test_named_limits_survive_the_encoding(self) -> None:
+        run = TargetRun(TARGET, Incarnation("7"))
+        for rate in (2.5, 0.0, None):
+            with self.subTest(rate=rate):
+                news = LimitNews(run, rate, named_at=90.0, is_own=True)
+                self.state.target_limits.list_own_news.return_value = [news]
+                sent = self.build_message()
+                self.exchange._limits_sent_at = float("-inf")
+                self.exchange._add_limits(sent, 1.0)
+                self.receive(sent.SerializeToString())
+                received = self.state.apply_peer_limit.call_args.args[0]
+                self.assertEqual(received, LimitNews(run, rate, named_at=90.0, is_own=False))
+
+    def test_limits_are_sent_at_once_when_they_change_and_repeated(self) -> None:
+        def count_sent(rate: float | None, now: float) -> int:
+            news = LimitNews(TargetRun(TARGET, Incarnation("7")), rate, 90.0, is_own=True)
+            self.state.target_limits.list_own_news.return_value = [news]
+            report = PeerReport()
+            self.exchange._add_limits(report, now)
+            return len(report.named_limits)
+
+        self.assertEqual([count_sent(2.0, 1.0), count_sent(2.0, 1.1)], [1, 0])
+        self.assertEqual([count_sent(3.0, 1.2), count_sent(3.0, 1.3)], [1, 0])
+        self.assertEqual(count_sent(3.0, 1.2 + LIMITS_INTERVAL_S), 1)
+
     def test_lists_that_do_not_fit_together_are_rejected(self) -> None:
         for field, value in (("running", 1), ("pending_positions", 5), ("held_tokens", 1)):
             message = self.build_message()
