--- a/src/mulberryrill/internal/ids.py
+++ b/src/mulberryrill/internal/ids.py
@@ -16,6 +16,8 @@
 AttemptId = NewType("AttemptId", str)
 ClaimId = NewType("ClaimId", str)
 Offset = NewType("Offset", int)
+# Number of times that the platform's store has come back from an older copy.
+StoreEra = NewType("StoreEra", int)
 ModelName = NewType("ModelName", str)
 WeightVersion = NewType("WeightVersion", int)
 PartId = NewType("PartId", str)
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -270,6 +270,18 @@
         if isinstance(page, StoreCallError):
             self._on_failure(page)
             return
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.LOG_NEWEST_READ,
+            "newest records read",
+            topic=self._topic,
+            era=self._store.era,
+            end=page.end,
+            known_end=self._highest_end,
+            keys=[f"{r.key}@{r.offset}" for r in page.records] if self._logs_records else None,
+            is_used=page.end >= self._highest_end,
+        )
         if page.end < self._highest_end:
             # A stale copy of the topic must not bring back replaced records.
             self._loop.call_later(self._retry_delay_s, self._read)
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import logging
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,9 +19,11 @@
 from ..internal.entry.exchange import ExchangeResponse, send_request
 from ..internal.entry.pool import ConnectionPool
 from ..internal.eventloop import EventLoop
+from ..internal.events import Event
 from ..internal.http.bounds import MAX_STORE_BODY_BYTES
 from ..internal.http.messages import Header, encode_request
-from ..internal.ids import Offset
+from ..internal.ids import Offset, StoreEra
+from ..internal.logs import log_event
 from .records import DECODE_ERRORS
 
 # Keyed topics, of which the store keeps the newest record of each key: operators' settings and
@@ -30,6 +33,9 @@
 # The entry instances' own topic: traits of calls that are refused because targets end under them.
 QUARANTINE_TOPIC = "keyed.quarantine"
 PARTITION = 0
+# In each response of the store. Rises by one when the store comes back from an older copy: it has
+# lost what it acknowledged last, and gives out offsets again. The platform calls it "Store-Era".
+ERA_HEADER = b"store-era"
 # The store usually responds in a few milliseconds; the timeout allows for a slow one.
 CALL_TIMEOUT_S = 2.0
 # Time for the response, on top of the time that a read waits for records.
@@ -40,6 +46,7 @@
 # End of the partition, offset of the oldest record kept.
 _READ_RESPONSE_HEADER = struct.Struct(">QQ")
 _LENGTH_PREFIX = struct.Struct(">I")
+_LOGGER = logging.getLogger(__name__)
 _JSON_CONTENT_TYPE: Header = (b"content-type", b"application/json")
 
 
@@ -84,6 +91,8 @@
     """Makes calls to the store over persistent connections."""
 
     def __init__(self, loop: EventLoop, address: str) -> None:
+        # The highest era of any response; None: no response stated one.
+        self.era: StoreEra | None = None
         self._loop = loop
         self._address = address
         self._pool = ConnectionPool(loop, address, CALL_TIMEOUT_S)
@@ -233,6 +242,8 @@
         timeout_s: float,
     ) -> None:
         def on_result(result: ExchangeResponse | ExchangeFailure) -> None:
+            if isinstance(result, ExchangeResponse):
+                self._record_era(result)
             if isinstance(result, ExchangeFailure):
                 # Without a connection, nothing was written.
                 in_doubt = is_write and result.kind is not FailureKind.CONNECT
@@ -255,6 +266,22 @@
 
         send_request(self._loop, self._pool, request, timeout_s, on_result, MAX_STORE_BODY_BYTES)
 
+    def _record_era(self, response: ExchangeResponse) -> None:
+        value = response.response.get(ERA_HEADER)
+        if value is None or not value.isdigit():
+            return
+        era = StoreEra(int(value))
+        if self.era is not None and era > self.era:
+            log_event(
+                _LOGGER,
+                logging.WARNING,
+                Event.LOG_RESTORED,
+                "the store came back from an older copy",
+                era=era,
+                previous=self.era,
+            )
+        self.era = era if self.era is None else max(self.era, era)
+
 
 def _build_read_query(topic: str, start: Offset, wait_s: float) -> dict[str, object]:
     query: dict[str, object] = {
