Show that changes are hidden after the store comes back from an older copy

The stand-in of the store and the simulation of followers can come back from an older copy, with the era in each response.

--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -103,15 +103,27 @@
         raise AssertionError("subclasses of StandinServer must override handle")
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at one moment."""
+
+    topics: dict[str, list[tuple[str, bytes | None]]]
+    members: dict[str, list[str]]
+    generation: int
+
+
 class PlatformStore(StandinServer):
     """A store stand-in with keyed topics, conditional appends, consumer groups and faults."""
 
     def __init__(self) -> None:
         super().__init__()
+        # Rises each time the store comes back from an older copy.
+        self.era = 1
         self._changed = threading.Condition()
         self._topics: dict[str, list[tuple[str, bytes | None]]] = defaultdict(list)
         self._first_offsets: dict[str, int] = defaultdict(int)
         self._members: dict[str, list[str]] = {}
+        self._generation = 0
         self.is_unavailable = False
         # Long-poll reads that arrive while this is set get no response.
         self.drops_long_poll_responses = False
@@ -133,12 +145,40 @@
             self._first_offsets[topic] = len(self._topics[topic])
             self._changed.notify_all()
 
+    def take_copy(self) -> StoreCopy:
+        """Returns what the store holds now."""
+        with self._changed:
+            topics = {topic: list(records) for topic, records in self._topics.items()}
+            return StoreCopy(topics, dict(self._members), self._generation)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Comes back from an older copy: offsets go back, and later records are gone."""
+        with self._changed:
+            self.era += 1
+            self._topics.clear()
+            self._topics.update({topic: list(records) for topic, records in copy.topics.items()})
+            self._members = dict(copy.members)
+            self._generation = copy.generation
+            self._changed.notify_all()
+
+    def get_values(self, topic: str) -> dict[str, bytes]:
+        """Returns the newest value of each key of a topic."""
+        with self._changed:
+            newest = dict(self._topics[topic])
+        return {key: value for key, value in newest.items() if value}
+
+    def reply(
+        self, request: RequestHandler, status: int, body: bytes = b"", era: int | None = None
+    ) -> None:
+        """Responds with the era in which the response was made, by default the current one."""
+        request.reply(status, body, Store_Era=str(era or self.era))
+
     def handle(self, request: RequestHandler) -> None:
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         body = request.read_body()
         if self.is_unavailable:
-            request.reply(503)
+            self.reply(request, 503)
         elif url.path == "/-/log-newest":
             self._handle_newest(request, query["topic"])
         elif url.path == "/-/log-read":
@@ -148,9 +188,9 @@
         elif url.path == "/-/log-join":
             self._handle_join(request, json.loads(body))
         elif url.path == "/-/log-owners":
-            request.reply(200, json.dumps({"parts": self._assign_partitions()}).encode())
+            self.reply(request, 200, json.dumps({"parts": self._assign_partitions()}).encode())
         else:
-            request.reply(404)
+            self.reply(request, 404)
 
     def _handle_newest(self, request: RequestHandler, topic: str) -> None:
         with self._changed:
@@ -162,7 +202,8 @@
                 if value is not None
             ]
             response = {"items": items, "more": False, "end": len(records)}
-        request.reply(200, json.dumps(response).encode())
+            era = self.era
+        self.reply(request, 200, json.dumps(response).encode(), era)
 
     def _handle_read(self, request: RequestHandler, query: dict[str, str]) -> None:
         topic, start = query["topic"], int(query["from"])
@@ -171,18 +212,20 @@
             time.sleep(WAIT_S)
             return
         with self._changed:
-            while len(self._topics[topic]) <= start and time.monotonic() < end:
+            era = self.era
+            while len(self._topics[topic]) == start and self.era == era and time.monotonic() < end:
                 self._changed.wait(max(0.0, end - time.monotonic()))
             records = self._topics[topic]
             first = self._first_offsets[topic]
-            if start < first:
-                request.reply(410, json.dumps({"first": first}).encode())
+            if start < first or start > len(records):
+                self.reply(request, 410, json.dumps({"first": first}).encode())
                 return
             data = struct.pack(">QQ", len(records), first)
             for key, value in records[start:]:
                 raw = bytes([len(key)]) + key.encode() + (value or b"")
                 data += struct.pack(">I", len(raw)) + raw
-        request.reply(200, data)
+            era = self.era
+        self.reply(request, 200, data, era)
 
     def _handle_append(self, request: RequestHandler, query: dict[str, str], body: bytes) -> None:
         raw = body[4:]
@@ -190,14 +233,14 @@
         with self._changed:
             records = self._topics[query["topic"]]
             if "at" in query and int(query["at"]) != len(records):
-                request.reply(412, json.dumps({"end": len(records)}).encode())
+                self.reply(request, 412, json.dumps({"end": len(records)}).encode())
                 return
             records.append((key, value))
             offset = len(records) - 1
         if self.drops_append_responses:
             request.close_connection = True
             return
-        request.reply(200, json.dumps({"offset": offset, "end": offset + 1}).encode())
+        self.reply(request, 200, json.dumps({"offset": offset, "end": offset + 1}).encode())
 
     def _assign_partitions(self) -> list[list]:
         """Assigns all partitions round-robin; members without a partition are not listed."""
@@ -210,9 +253,12 @@
         ]
 
     def _handle_join(self, request: RequestHandler, body: dict) -> None:
-        self._members[body["member"]] = body["topics"]
-        response = {"generation": len(self._members), "ttl_ms": 3000, "parts": []}
-        request.reply(200, json.dumps(response).encode())
+        with self._changed:
+            if body["member"] not in self._members:
+                self._generation += 1
+            self._members[body["member"]] = body["topics"]
+            response = {"generation": self._generation, "ttl_ms": 3000, "parts": []}
+        self.reply(request, 200, json.dumps(response).encode())
 
 
 @dataclass
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -17,7 +17,7 @@
 from mulberryrill.internal.core.serving.targettable import Registration, RegistrationState
 from mulberryrill.internal.entry.peers import Peer
 from mulberryrill.internal.eventloop import EventLoop
-from mulberryrill.internal.ids import DataCentre, InstanceId, Offset, TargetId
+from mulberryrill.internal.ids import DataCentre, InstanceId, Offset, StoreEra, TargetId
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
 from mulberryrill.internal.schema.settings_pb2 import EntryBounds
 from mulberryrill.platform.follower import STATUS_GONE, StoreFollower
@@ -142,6 +142,10 @@
                 self._respond(STORE_LATENCY_S, lambda: done(expired), timeout_s, done)
                 return
             records = simulation.topics[topic]
+            if start > len(records):
+                gone = StoreCallError("store: 410", STATUS_GONE, in_doubt=False)
+                self._respond(STORE_LATENCY_S, lambda: done(gone), timeout_s, done)
+                return
             page = RecordPage(tuple(records[start:]), Offset(len(records)))
             self._respond(STORE_LATENCY_S, lambda: done(page), timeout_s, done)
 
@@ -154,8 +158,18 @@
         if instance.is_cut_off:
             error = StoreCallError("store: no answer in time", 0, in_doubt=False)
             simulation.schedule(timeout_s, lambda: instance.inbox.append(lambda: done(error)))
-        else:
-            simulation.schedule(delay_s, lambda: instance.inbox.append(handle))
+            return
+        era = simulation.era
+
+        def deliver() -> None:
+            # As the client does: a response from before the restore is not passed on after it.
+            if self.era is not None and era < self.era:
+                done(StoreCallError("store: response of an earlier era", 0, in_doubt=False))
+                return
+            self.era = era
+            handle()
+
+        simulation.schedule(delay_s, lambda: instance.inbox.append(deliver))
 
     def join_group(
         self,
@@ -220,6 +234,8 @@
         }
         # Reads that wait for records.
         self._waiting: dict[str, list[Callable[[], None]]] = defaultdict(list)
+        # Rises when the store comes back from an older copy.
+        self.era = StoreEra(1)
         # Older records of the operators' topic have expired.
         self.first_offset = 0
         self.members: set[str] = set()
@@ -260,7 +276,7 @@
                 self._waiting[topic].remove(respond_once)
                 respond()
 
-        if wait_s <= 0 or len(self.topics[topic]) > start or start < self.first_offset:
+        if wait_s <= 0 or len(self.topics[topic]) != start or start < self.first_offset:
             respond()
         else:
             self._waiting[topic].append(respond_once)
@@ -293,9 +309,9 @@
         self.written_at[version] = self.now()
         return version
 
-    def write_draining_target(self) -> TargetId:
+    def write_draining_target(self, name: str = "") -> TargetId:
         """Writes a registration that says that its target is leaving."""
-        target = TargetId(f"t{len(self.topics[REGISTRY_TOPIC])}")
+        target = TargetId(name or f"t{len(self.topics[REGISTRY_TOPIC])}")
         registration = {
             "service": "desk",
             "address": "127.0.0.1:1",
@@ -306,6 +322,26 @@
         self._append(REGISTRY_TOPIC, target, json.dumps(registration).encode())
         return target
 
+    def restore_store(self, lost: dict[str, int]) -> dict[str, list[KeyedRecord]]:
+        """Brings the store back without the last records of each topic, which it returns."""
+        self.era = StoreEra(self.era + 1)
+        gone = {}
+        for topic, count in lost.items():
+            records = self.topics[topic]
+            kept = max(0, len(records) - count)
+            gone[topic] = records[kept:]
+            del records[kept:]
+        for topic in self.topics:
+            for respond_once in list(self._waiting[topic]):
+                respond_once()
+        return gone
+
+    def write_again(self, topic: str, records: list[KeyedRecord]) -> None:
+        """Writes lost records again, at the offsets that come next."""
+        for record in records:
+            assert record.value is not None
+            self._append(topic, record.key, record.value)
+
     def expire_records(self) -> None:
         """Drops all records; the newest one of each key stays available."""
         self.first_offset = len(self.topics[OPERATOR_TOPIC]) + 1
