Move the follower of a topic out of the platform's folder

What follows one topic, and what shares its records with peers, knows nothing of the platform's wire: both move to internal/entry, and the records' types to internal/core. No behaviour is changed.

--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -15,6 +15,7 @@
 from urllib.parse import urlencode
 
 from ..errors import StoreCallError
+from ..internal.core.serving.keyedrecords import KeyedRecord, RecordPage
 from ..internal.entry.connection import ExchangeFailure, FailureKind
 from ..internal.entry.exchange import ExchangeResponse, send_request
 from ..internal.entry.pool import ConnectionPool
@@ -50,23 +51,6 @@
 _JSON_CONTENT_TYPE: Header = (b"content-type", b"application/json")
 
 
-@dataclass(frozen=True)
-class KeyedRecord:
-    """One record of a keyed topic; ``value`` is None where the key was deleted."""
-
-    key: str
-    value: bytes | None
-    offset: Offset
-
-
-@dataclass(frozen=True)
-class RecordPage:
-    """Keyed records in the store's order, and the offset at which their partition ends."""
-
-    records: tuple[KeyedRecord, ...]
-    end: Offset
-
-
 @dataclass(frozen=True)
 class RawPage:
     """Undecoded records in order, with the offset of the first one."""
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -10,9 +10,11 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.core.serving.keyedrecords import KeyedRecord, RecordPage
 from mulberryrill.internal.core.serving.routetable import RouteTable
 from mulberryrill.internal.core.serving.targettable import Registration, RegistrationState
 from mulberryrill.internal.entry.peers import Peer
@@ -20,15 +22,13 @@
 from mulberryrill.internal.ids import DataCentre, InstanceId, Offset, StoreEra, TargetId
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
 from mulberryrill.internal.schema.settings_pb2 import EntryBounds
-from mulberryrill.platform.follower import STATUS_GONE, StoreFollower
+from mulberryrill.platform.follower import StoreFollower
 from mulberryrill.platform.store import (
     CALL_TIMEOUT_S,
     OPERATOR_TOPIC,
     QUARANTINE_TOPIC,
     READ_TIMEOUT_MARGIN_S,
     REGISTRY_TOPIC,
-    KeyedRecord,
-    RecordPage,
     StoreClient,
 )
 
@@ -138,12 +138,12 @@
         def respond() -> None:
             timeout_s = gives_up_at - simulation.now()
             if topic == OPERATOR_TOPIC and start < simulation.first_offset:
-                expired = StoreCallError("store: 410", STATUS_GONE, in_doubt=False)
+                expired = StoreCallError("store: 410", HTTPStatus.GONE, in_doubt=False)
                 self._respond(STORE_LATENCY_S, lambda: done(expired), timeout_s, done)
                 return
             records = simulation.topics[topic]
             if start > len(records):
-                gone = StoreCallError("store: 410", STATUS_GONE, in_doubt=False)
+                gone = StoreCallError("store: 410", HTTPStatus.GONE, in_doubt=False)
                 self._respond(STORE_LATENCY_S, lambda: done(gone), timeout_s, done)
                 return
             page = RecordPage(tuple(records[start:]), Offset(len(records)))
--- a/tests/regressions/test_shared_read_is_mislabelled.py
+++ b/tests/regressions/test_shared_read_is_mislabelled.py
@@ -9,8 +9,8 @@
 import unittest
 
 from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.core.serving.keyedrecords import RecordPage
 from mulberryrill.internal.ids import InstanceId, Offset
-from mulberryrill.platform.store import RecordPage
 from tests.unit.test_platform_follower import Node, create_records
 
 
--- a/tests/regressions/test_stale_outage_delays_drain.py
+++ b/tests/regressions/test_stale_outage_delays_drain.py
@@ -10,11 +10,12 @@
 
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.core.serving.keyedrecords import KeyedRecord, RecordPage
 from mulberryrill.internal.core.serving.readtiming import plan_periodic_reads
+from mulberryrill.internal.entry.topicfollower import PendingRead, TopicFollower
 from mulberryrill.internal.eventloop import EventLoop
 from mulberryrill.internal.ids import Offset
-from mulberryrill.platform.follower import PendingRead, TopicFollower
-from mulberryrill.platform.store import KeyedRecord, RecordPage, StoreClient
+from mulberryrill.platform.store import StoreClient
 
 
 class StaleOutageTest(unittest.TestCase):
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -5,18 +5,15 @@
 
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.core.serving.keyedrecords import KeyedRecord, RecordPage
 from mulberryrill.internal.core.serving.readtiming import plan_periodic_reads
+from mulberryrill.internal.entry.feedsharing import CUT_OFF_DURATION_S, FeedSharing
+from mulberryrill.internal.entry.topicfollower import PendingRead, TopicFollower
 from mulberryrill.internal.eventloop import EventLoop
 from mulberryrill.internal.events import Event
 from mulberryrill.internal.ids import InstanceId, Offset
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
-from mulberryrill.platform.follower import (
-    CUT_OFF_DURATION_S,
-    FeedSharing,
-    PendingRead,
-    TopicFollower,
-)
-from mulberryrill.platform.store import KeyedRecord, RecordPage, StoreClient
+from mulberryrill.platform.store import StoreClient
 
 TOPIC = "keyed.servers"
 DRAIN_BOUND_S = 3.0
