--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -19,6 +19,10 @@
 FAILURE_SMOOTHING_FACTOR = 0.12
 # Live targets whose registrations expired during a registry outage register again in this time.
 EXPIRY_GRACE_S = 2.0
+# Targets that are gone are remembered for this long, well beyond the age of a copy from which the
+# registry may come back, and up to this number.
+GONE_RETENTION_S = 120.0
+MAX_GONE_TARGETS = 5_000
 
 
 class RegistrationState(Enum):
@@ -156,6 +160,8 @@
         self._evacuated: set[DataCentre] = set()
         self._is_registry_down = False
         self._registry_returned_at = float("-inf")
+        # Targets that are gone, with their last registered state and when they went, oldest first.
+        self._gone: dict[TargetRun, tuple[RegistrationState, float]] = {}
 
     @property
     def targets(self) -> list[Target]:
@@ -170,6 +176,11 @@
         """Applies a registration; returns whether incarnation, state, models or address changed."""
         current = self._targets.get(registration.target)
         if current is None or current.registration.incarnation != registration.incarnation:
+            if self._has_left(registration.run):
+                return False
+            if current is not None:
+                self._add_gone(current, now)
+            self._gone.pop(registration.run, None)
             current = Target(registration)
             self._targets[registration.target] = current
             self._update_condition(current, registration, now, age_s)
@@ -199,6 +210,7 @@
         if self._is_registry_down or now - self._registry_returned_at < EXPIRY_GRACE_S:
             current.removed_at = current.removed_at or now
         else:
+            self._add_gone(current, now)
             del self._targets[target]
 
     def replace_all(self, registrations: list[Registration], now: float) -> None:
@@ -209,6 +221,30 @@
         for registration in registrations:
             self.apply(registration, now)
 
+    def restore_all(self, registrations: list[Registration], now: float) -> None:
+        """Applies a registry that came back from an older copy.
+
+        It lists targets that are gone, which stay so unless they register again, and lacks targets
+        that have started since, which have some time to register again.
+        """
+        self._registry_returned_at = now
+        self.replace_all([r for r in registrations if r.run not in self._gone], now)
+
+    def _has_left(self, run: TargetRun) -> bool:
+        """Returns whether a target announced its end and is gone: it does not come back."""
+        state, _ = self._gone.get(run, (RegistrationState.READY, 0.0))
+        return state is RegistrationState.DRAINING
+
+    def _add_gone(self, target: Target, now: float) -> None:
+        run = target.registration.run
+        self._gone.pop(run, None)
+        self._gone[run] = (target.registration.state, now)
+        while self._gone:
+            oldest, (_, gone_at) = next(iter(self._gone.items()))
+            if len(self._gone) <= MAX_GONE_TARGETS and now - gone_at < GONE_RETENTION_S:
+                break
+            del self._gone[oldest]
+
     def set_registry_down(self, is_down: bool, now: float) -> None:
         """Records whether the registry is down; its return starts the grace period."""
         if self._is_registry_down and not is_down:
@@ -227,7 +263,7 @@
             return []
         expired = [key for key, target in self._targets.items() if target.removed_at is not None]
         for key in expired:
-            del self._targets[key]
+            self._add_gone(self._targets.pop(key), now)
         return expired
 
     def set_evacuated_data_centres(self, data_centres: set[DataCentre]) -> None:
--- a/src/mulberryrill/internal/entry/feedsharing.py
+++ b/src/mulberryrill/internal/entry/feedsharing.py
@@ -5,7 +5,7 @@
 
 from ..core.rendezvous import rank_members
 from ..core.serving.keyedrecords import KeyedRecord
-from ..ids import InstanceId, Offset
+from ..ids import InstanceId, Offset, StoreEra
 from ..schema.peers_pb2 import LogFeed, LogRequest
 
 MS_PER_S = 1000
@@ -68,29 +68,54 @@
         """Records that an instance cannot read the topic now."""
         self._cut_off_at[instance] = self._boottime()
 
-    def request_records(self, next_offset: Offset) -> None:
-        """Requests the records from ``next_offset`` on from the peers."""
+    def request_records(self, next_offset: Offset, era: StoreEra | None) -> None:
+        """Requests the records from ``next_offset`` of an era on from the peers."""
         self.mark_cut_off(self._local_instance)
-        self._peers.send_log_request(LogRequest(topic=self._topic, next=next_offset))
+        request = LogRequest(topic=self._topic, next=next_offset, era=era)
+        self._peers.send_log_request(request)
 
-    def send_records(self, start: Offset, records: tuple[KeyedRecord, ...], age_s: float) -> None:
+    def send_records(
+        self,
+        start: Offset,
+        records: tuple[KeyedRecord, ...],
+        age_s: float,
+        era: StoreEra | None,
+    ) -> None:
         """Sends records to all peers; ``age_s`` ago the records up to them were complete."""
-        self._peers.send_log_feed(self._build_feed(start, records, age_s), None)
+        self._peers.send_log_feed(self._build_feed(start, records, age_s, era), None)
 
     def send_newest(
-        self, instance: InstanceId, end: Offset, records: tuple[KeyedRecord, ...], age_s: float
+        self,
+        instance: InstanceId | None,
+        end: Offset,
+        records: tuple[KeyedRecord, ...],
+        age_s: float,
+        era: StoreEra | None,
     ) -> None:
-        """Sends the newest record of each key to one peer."""
-        feed = self._build_feed(end, records, age_s)
+        """Sends the newest record of each key to one peer or, with None, to all."""
+        feed = self._build_feed(end, records, age_s, era)
         feed.is_newest = True
         self._peers.send_log_feed(feed, instance)
 
-    def _build_feed(self, start: Offset, records: tuple[KeyedRecord, ...], age_s: float) -> LogFeed:
+    def send_carried(self, records: tuple[KeyedRecord, ...], era: StoreEra | None) -> None:
+        """Sends records that the restored store has lost to all peers."""
+        feed = self._build_feed(Offset(0), records, 0.0, era)
+        feed.is_carried = True
+        self._peers.send_log_feed(feed, None)
+
+    def _build_feed(
+        self,
+        start: Offset,
+        records: tuple[KeyedRecord, ...],
+        age_s: float,
+        era: StoreEra | None,
+    ) -> LogFeed:
         feed = LogFeed(
             topic=self._topic,
             start=start,
             sent_ms=round(self._boottime() * MS_PER_S),
             age_ms=round(age_s * MS_PER_S),
+            era=era,
         )
         for record in records:
             is_deleted = record.value is None
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -110,6 +110,15 @@
         """Applies a limit that a target named to a peer."""
         ...
 
+    @property
+    def carries_records(self) -> bool:
+        """Whether this instance knows records that the restored store has lost."""
+        ...
+
+    def on_peer_report(self, carries_records: bool) -> None:
+        """A peer reported, and whether it knows records that the restored store has lost."""
+        ...
+
     def apply_peer_ends(self, ends: list[TargetEnd]) -> None:
         """Adds ends of targets that a peer has seen."""
         ...
@@ -190,6 +199,7 @@
         interval = compute_report_interval(peer_count, peer_count)
         self._loop.call_later(interval, self._publish_report)
         report = self._build_report()
+        report.carries_records = self._state.carries_records
         _encode_loads(build_report(self._state.loads.get_own_loads()), report.loads)
         now = self._loop.now()
         report.caches.extend(self._state.cache_sharing.pop_updates())
@@ -307,6 +317,7 @@
     def _apply_loads(self, report: PeerReport) -> None:
         """Applies a peer's loads and its observations of targets."""
         now = self._loop.now()
+        self._state.on_peer_report(report.carries_records)
         loads = _decode_loads(report.loads)
         if loads is not None:
             self._state.loads.apply_report(InstanceId(report.instance), loads, now)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -31,6 +31,10 @@
 # An instance that has just started learns within this time from its peers for how long the current
 # model versions have been in force. Until then it uses targets with older versions, too.
 VERSION_AGE_GRACE_S = 2.0
+# A starting instance hears from a peer within this time whether the store has lost anything, and
+# within the longer one what that is.
+PEER_NEWS_TIMEOUT_S = 1.0
+CARRIED_RECORDS_TIMEOUT_S = 2.5
 # Peers are told the age of versions that were named within this multiple of the time in which a
 # version must be in use everywhere; an older one binds all calls.
 VERSION_AGE_FACTOR = 2.0
@@ -53,8 +57,12 @@
         """A target's registration was removed."""
         ...
 
-    def on_registry_read(self, registrations: list[Registration]) -> None:
-        """The whole registry was read."""
+    def on_registry_read(self, registrations: list[Registration], is_restored: bool) -> None:
+        """The whole registry was read; ``is_restored``: it came back from an older copy."""
+        ...
+
+    def on_carried_records_known(self) -> None:
+        """A peer has told what a restored store has lost."""
         ...
 
     def on_evacuations_read(self, data_centres: set[DataCentre]) -> None:
@@ -127,14 +135,45 @@
         # Whether the list of the live instances has been read.
         self.has_peer_list = False
         self._has_registry = False
+        # Boot time since which a configuration and the registry have been known.
+        self._records_known_at: float | None = None
+        self._has_peer_news = False
+        self._peers_carry = False
+        # Whether the follower of the store knows records that a restored store has lost.
+        self.is_carrying: Callable[[], bool] | None = None
         self._is_store_reachable: bool | None = None
         # Boot time at which the operators' records were last found to be the newest.
         self._operator_records_checked_at: float | None = None
 
     @property
     def is_ready(self) -> bool:
-        """Whether calls can be routed."""
-        return self.route_table is not None and self._has_registry
+        """Whether calls can be routed by what is known.
+
+        If the store has just come back from an older copy, a starting instance waits for what its
+        peers know of the time since: a key may have been withdrawn, or a target may have left.
+        """
+        if self._records_known_at is None:
+            return False
+        timeout_s = CARRIED_RECORDS_TIMEOUT_S if self._peers_carry else PEER_NEWS_TIMEOUT_S
+        return self._has_peer_news or self._loop.boottime() - self._records_known_at >= timeout_s
+
+    def on_peer_report(self, carries_records: bool) -> None:
+        """A peer reported, and whether it knows records that the restored store has lost."""
+        self._peers_carry = self._peers_carry or carries_records
+        self._has_peer_news = self._has_peer_news or not self._peers_carry
+
+    def on_carried_records_known(self) -> None:
+        """Records that the start of serving, if it waited for this, has no more reason to wait."""
+        self._has_peer_news = True
+
+    @property
+    def carries_records(self) -> bool:
+        """Whether this instance knows records that the restored store has lost."""
+        return self.is_carrying is not None and self.is_carrying()
+
+    def _check_records_known(self) -> None:
+        if self._records_known_at is None and self.route_table is not None and self._has_registry:
+            self._records_known_at = self._loop.boottime()
 
     def on_configuration(self, table: RouteTable) -> None:
         """Applies a configuration unless that version or a later one is in use already.
@@ -145,6 +184,7 @@
             return
         previous = self.route_table.version if self.route_table is not None else None
         self.route_table = table
+        self._check_records_known()
         log_event(
             _LOGGER,
             logging.INFO,
@@ -184,10 +224,12 @@
             state = "removed" if self.targets.get(target) is None else "lapsed"
             self._log_target(target, state, current.registration.address)
 
-    def on_registry_read(self, registrations: list[Registration]) -> None:
-        """Replaces the list of targets."""
-        self.targets.replace_all(registrations, self._loop.now())
+    def on_registry_read(self, registrations: list[Registration], is_restored: bool) -> None:
+        """Replaces the list of targets, or brings it up to date with an older copy."""
+        apply = self.targets.restore_all if is_restored else self.targets.replace_all
+        apply(registrations, self._loop.now())
         self._has_registry = True
+        self._check_records_known()
         log_event(
             _LOGGER,
             logging.INFO,
@@ -281,6 +323,8 @@
     def on_peers(self, peers: list[Peer]) -> None:
         """Divides limits among the live instances and connects to them."""
         self.has_peer_list = True
+        if all(peer.instance == self._instance for peer in peers):
+            self._has_peer_news = True
         self.instances = tuple(sorted({*(peer.instance for peer in peers), self._instance}))
         self.cold_pacer.set_instances(self.instances)
         data_centres = {peer.instance: peer.data_centre for peer in peers}
--- a/src/mulberryrill/internal/entry/topicfollower.py
+++ b/src/mulberryrill/internal/entry/topicfollower.py
@@ -8,7 +8,7 @@
 import logging
 import math
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from functools import partial
@@ -18,6 +18,7 @@
 from ...errors import StoreCallError
 from ..core.serving.keyedrecords import KeyedRecord, RecordPage
 from ..core.serving.readtiming import ReadTiming
+from ..core.serving.topicmemory import TopicMemory
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import InstanceId, Offset, StoreEra
@@ -29,6 +30,9 @@
 FEED_CHECK_INTERVAL_S = 0.5
 INITIAL_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
+# Interval at which starting peers are told of what a restored store has lost.
+CARRY_INTERVAL_S = 0.5
+MAX_LOGGED_KEYS = 20
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -70,6 +74,38 @@
     # Boot time.
     started_at: float
     wait_s: float
+    # The era in which ``start`` counts.
+    era: StoreEra | None = None
+
+
+class TopicHandler(Protocol):
+    """Uses the records of a topic."""
+
+    def on_newest(self, records: tuple[KeyedRecord, ...]) -> None:
+        """The newest record of each key was read; there are no others."""
+        ...
+
+    def on_record(self, record: KeyedRecord) -> None:
+        """A record was written after those that are known."""
+        ...
+
+    def on_restored(
+        self, records: tuple[KeyedRecord, ...], carried: tuple[KeyedRecord, ...]
+    ) -> None:
+        """The store came back from an older copy with the given newest records.
+
+        ``carried`` are records and deletions that this instance knows, and that differ from them.
+        Such a key is reported again when it is written again.
+        """
+        ...
+
+    def on_carried(self, records: tuple[KeyedRecord, ...]) -> None:
+        """A peer knows records and deletions that the restored store has lost."""
+        ...
+
+    def on_settled(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Some of these were not written again; from now on the store's newest records count."""
+        ...
 
 
 class TopicFollower:
@@ -81,16 +117,17 @@
         store: RecordStore,
         topic: str,
         get_timing: Callable[[], ReadTiming],
-        on_newest: Callable[[tuple[KeyedRecord, ...]], None],
-        on_record: Callable[[KeyedRecord], None],
+        handler: TopicHandler,
         on_reachability: Callable[[bool, str], None],
-        sharing: "FeedSharing | None" = None,
+        sharing: FeedSharing | None = None,
         *,
         logs_records: bool = False,
+        carries_missing: bool = True,
     ) -> None:
         """``get_timing`` is called before each read, so that new bounds take effect.
 
         ``logs_records``: each applied record is logged, for topics that change rarely.
+        ``carries_missing``: records that a restored store lacks hold until they are written again.
         """
         self._loop = loop
         self._logs_records = logs_records
@@ -102,17 +139,19 @@
         self._get_timing = get_timing
         # Boot time up to which this instance knew all records, from the store or from peers.
         self._complete_at = float("-inf")
-        self._on_newest = on_newest
-        self._on_record = on_record
+        # The same from the store alone: only such records are sent to peers that request them.
+        self._read_complete_at = float("-inf")
+        self._handler = handler
         self._on_reachability = on_reachability
         self._next_offset: Offset | None = None
         self._highest_end = Offset(0)
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._is_closed = False
-        # The newest record of each key, to send to peers that missed records.
-        self._newest: dict[str, KeyedRecord] = {}
-        # The same from the store alone: only such records are sent to peers that request them.
-        self._read_complete_at = float("-inf")
+        # The era of the store in which the offsets count; None: unknown.
+        self._era: StoreEra | None = None
+        self._memory = TopicMemory(carries_missing=carries_missing)
+        self._is_carrying = False
+        self._restarted_at = float("-inf")
         # Records wait in the store as far as known, so that the next read returns at once.
         self._has_more = False
         self._last_request_at = float("-inf")
@@ -144,7 +183,7 @@
             self._store.read_newest(self._topic, on_newest)
         else:
             wait_s = 0.0 if self._has_more else self._get_timing().wait_s
-            read = PendingRead(self._next_offset, self._loop.boottime(), wait_s)
+            read = PendingRead(self._next_offset, self._loop.boottime(), wait_s, self._era)
             on_page = partial(self.on_records_read, read)
             self._store.read_keyed(self._topic, read.start, wait_s, on_page)
 
@@ -183,13 +222,20 @@
         return self._complete_at + takeover_age_s - self._loop.boottime()
 
     def apply_feed(
-        self, start: Offset, records: tuple[KeyedRecord, ...], complete_at: float
+        self,
+        start: Offset,
+        records: tuple[KeyedRecord, ...],
+        complete_at: float,
+        era: StoreEra | None = None,
     ) -> None:
         """Applies a peer's records, or requests the missing ones if there is a gap before them.
 
         With them, all records up to boot time ``complete_at`` are known.
         """
-        if self._next_offset is None or start > self._next_offset:
+        if _is_older(era, self._era):
+            return
+        is_gap = self._next_offset is None or start > self._next_offset
+        if self._next_offset is None or is_gap or _is_older(self._era, era):
             self._request_from_peers()
             return
         if start + len(records) < self._next_offset:
@@ -204,12 +250,17 @@
             self._apply_record(record, RecordSource.FEED)
 
     def apply_newest_feed(
-        self, end: Offset, records: tuple[KeyedRecord, ...], complete_at: float
+        self,
+        end: Offset,
+        records: tuple[KeyedRecord, ...],
+        complete_at: float,
+        era: StoreEra | None = None,
     ) -> None:
         """Applies the newest record of each key from a peer, unless this instance is up to date."""
-        if self._next_offset is not None and end <= self._next_offset:
+        is_restored = _is_older(self._era, era)
+        is_known = self._next_offset is not None and end <= self._next_offset
+        if _is_older(era, self._era) or (is_known and not is_restored):
             return
-        self._complete_at = max(self._complete_at, complete_at)
         log_event(
             _LOGGER,
             logging.INFO,
@@ -218,11 +269,26 @@
             topic=self._topic,
             offset=self._next_offset,
             end=end,
+            era=era,
         )
+        self._begin_era(era)
+        self._complete_at = max(self._complete_at, complete_at)
         self._on_success(end)
-        self._apply_newest(records)
+        self._apply_newest(records, is_restored)
 
-    def serve_request(self, instance: InstanceId, next_offset: Offset) -> None:
+    def apply_carried_feed(self, records: tuple[KeyedRecord, ...], era: StoreEra | None) -> None:
+        """Applies records that a peer knows of, and that the restored store has lost."""
+        if self._era is None or era != self._era:
+            return
+        added = self._memory.add_carried(records, self._loop.boottime())
+        if added:
+            self._log_carried("a peer knows records that the store has lost", added)
+            self._handler.on_carried(tuple(added))
+            self._start_carrying()
+
+    def serve_request(
+        self, instance: InstanceId, next_offset: Offset, era: StoreEra | None = None
+    ) -> None:
         """Sends the newest record of each key to a peer that misses records from an offset on."""
         now = self._loop.now()
         age_s = self._loop.boottime() - self._read_complete_at
@@ -230,10 +296,13 @@
         if self._sharing is None or self._next_offset is None or not is_current:
             return
         last_reply_at = self._last_reply_at.get(instance, float("-inf"))
-        if next_offset >= self._next_offset or now - last_reply_at < CATCH_UP_INTERVAL_S:
+        is_known = next_offset >= self._next_offset and not _is_older(era, self._era)
+        if is_known or now - last_reply_at < CATCH_UP_INTERVAL_S or _is_older(self._era, era):
             return
         self._last_reply_at[instance] = now
-        self._sharing.send_newest(instance, self._next_offset, tuple(self._newest.values()), age_s)
+        self._sharing.send_newest(
+            instance, self._next_offset, self._memory.newest, age_s, self._era
+        )
 
     def on_newest_read(self, started_at: float, page: RecordPage | StoreCallError) -> None:
         """Applies the newest record of each key and schedules the next read.
@@ -243,51 +312,82 @@
         if isinstance(page, StoreCallError):
             self._on_failure(page)
             return
+        era = self._store.era
+        is_restored = _is_older(self._era, era)
+        # A stale copy of the topic must not bring back replaced records.
+        is_stale = not is_restored and page.end < self._highest_end or _is_older(era, self._era)
         log_event(
             _LOGGER,
             logging.INFO,
             Event.LOG_NEWEST_READ,
             "newest records read",
             topic=self._topic,
-            era=self._store.era,
+            era=era,
             end=page.end,
             known_end=self._highest_end,
             keys=[f"{r.key}@{r.offset}" for r in page.records] if self._logs_records else None,
-            is_used=page.end >= self._highest_end,
+            is_used=not is_stale,
         )
-        if page.end < self._highest_end:
-            # A stale copy of the topic must not bring back replaced records.
+        if is_stale:
             self._loop.call_later(self._retry_delay_s, self._read)
             return
-        self._record_read(started_at)
         has_followed = self._highest_end > 0
+        self._begin_era(era)
+        self._record_read(started_at)
         self._on_success(page.end)
         if has_followed and self._sharing is not None and self._sharing.is_reader():
-            # Records expired unread. Peers that lack them, too, see the gap and request them.
-            self._sharing.send_records(page.end, (), self._loop.boottime() - started_at)
+            age_s = self._loop.boottime() - started_at
+            if is_restored:
+                self._sharing.send_newest(None, page.end, page.records, age_s, era)
+            else:
+                # Records expired unread. Peers that lack them, too, see the gap and request them.
+                self._sharing.send_records(page.end, (), age_s, era)
         try:
-            self._apply_newest(page.records)
+            self._apply_newest(page.records, is_restored)
         finally:
             self._schedule_read()
 
+    def _begin_era(self, era: StoreEra | None) -> None:
+        """Discards the offsets of an earlier era: the store gives them out again."""
+        if _is_older(self._era, era):
+            self._next_offset = None
+            self._highest_end = Offset(0)
+            self._has_more = False
+            self._complete_at = self._read_complete_at = float("-inf")
+        self._era = era if era is not None else self._era
+
+    def _restart(self) -> None:
+        """Reads the newest record of each key, at once unless that has just been done."""
+        now = self._loop.now()
+        delay_s = self._retry_delay_s if now - self._restarted_at < MAX_RETRY_DELAY_S else 0.0
+        self._restarted_at = now
+        self._next_offset = None
+        self._loop.call_later(delay_s, self._read)
+
     def on_records_read(self, read: "PendingRead", page: RecordPage | StoreCallError) -> None:
         """Applies the records that a read returned and forwards them to the peers.
 
         Peers may have sent some of these records while the read was under way.
         """
+        if isinstance(page, StoreCallError) and page.status == HTTPStatus.GONE:
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.LOG_OFFSET_EXPIRED,
+                "records are gone from the store; reading the newest record of each key",
+                topic=self._topic,
+                offset=self._next_offset,
+            )
+            self._restart()
+            return
         if isinstance(page, StoreCallError):
-            if page.status == HTTPStatus.GONE:
-                log_event(
-                    _LOGGER,
-                    logging.INFO,
-                    Event.LOG_OFFSET_EXPIRED,
-                    "records are gone from the store; reading the newest record of each key",
-                    topic=self._topic,
-                    offset=self._next_offset,
-                )
-                self._next_offset = None
             self._on_failure(page)
             return
+        if read.era != self._store.era or self._era != read.era:
+            # The offsets count in another era: what follows the last one read is not what follows
+            # the records that this instance knows.
+            self._restart()
+            return
         now = self._loop.boottime()
         # Records that arrived during a wait say nothing about later ones: the next read tells.
         self._has_more = bool(page.records)
@@ -295,7 +395,7 @@
         self._record_read(complete_at)
         end = Offset(page.records[-1].offset + 1) if page.records else read.start
         if self._sharing is not None:
-            self._sharing.send_records(read.start, page.records, now - complete_at)
+            self._sharing.send_records(read.start, page.records, now - complete_at, self._era)
         next_offset = self._next_offset if self._next_offset is not None else read.start
         for record in page.records:
             if record.offset >= next_offset:
@@ -308,10 +408,7 @@
         self._complete_at = max(self._complete_at, complete_at)
 
     def _apply_record(self, record: KeyedRecord, source: RecordSource) -> None:
-        if record.value is None:
-            self._newest.pop(record.key, None)
-        else:
-            self._newest[record.key] = record
+        self._memory.apply(record, self._loop.boottime())
         if self._logs_records:
             log_event(
                 _LOGGER,
@@ -324,13 +421,54 @@
                 source=source.value,
             )
         try:
-            self._on_record(record)
+            self._handler.on_record(record)
         except Exception as error:  # One record must not keep the later ones from being read.
             log_failed_record(record, error)
 
-    def _apply_newest(self, records: tuple[KeyedRecord, ...]) -> None:
-        self._newest = {record.key: record for record in records if record.value is not None}
-        self._on_newest(records)
+    def _apply_newest(self, records: tuple[KeyedRecord, ...], is_restored: bool) -> None:
+        now = self._loop.boottime()
+        if not is_restored:
+            self._memory.replace(records, now)
+            self._handler.on_newest(records)
+            return
+        self._memory.restore(records, now)
+        carried = self._memory.carried
+        self._log_carried("the restored store lacks records that this instance knows", carried)
+        self._handler.on_restored(records, carried)
+        self._start_carrying()
+
+    def _log_carried(self, message: str, records: Sequence[KeyedRecord]) -> None:
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.LOG_RECORDS_CARRIED,
+            message,
+            topic=self._topic,
+            era=self._era,
+            keys=[record.key for record in records][:MAX_LOGGED_KEYS],
+        )
+
+    @property
+    def is_carrying(self) -> bool:
+        """Whether the store has not got back yet all that this instance knows."""
+        return bool(self._memory.carried)
+
+    def _start_carrying(self) -> None:
+        if not self._is_carrying:
+            self._is_carrying = True
+            self._loop.call_soon(self._carry)
+
+    def _carry(self) -> None:
+        """Tells peers that start what the store has lost, until it has got that back."""
+        if self._memory.settle(self._loop.boottime()):
+            self._log_carried("records were not written again in time; the store's count", ())
+            self._handler.on_settled(self._memory.newest)
+        self._is_carrying = self.is_carrying and not self._is_closed
+        if not self._is_carrying:
+            return
+        if self._sharing is not None and self._sharing.is_reader():
+            self._sharing.send_carried(self._memory.carried, self._era)
+        self._loop.call_later(CARRY_INTERVAL_S, self._carry)
 
     def _request_from_peers(self) -> None:
         """Requests missing records from the peers, unless it did so recently.
@@ -340,7 +478,7 @@
         now = self._loop.now()
         if self._sharing is not None and now - self._last_request_at >= CATCH_UP_INTERVAL_S:
             self._last_request_at = now
-            self._sharing.request_records(self._next_offset or Offset(0))
+            self._sharing.request_records(self._next_offset or Offset(0), self._era)
 
     def _on_success(self, next_offset: Offset) -> None:
         self._next_offset = next_offset
@@ -361,13 +499,17 @@
             self._loop.call_soon(self._read)
 
     def _on_failure(self, error: StoreCallError) -> None:
-        if error.status != HTTPStatus.GONE:
-            self._on_reachability(False, str(error))
-            self._request_from_peers()
+        self._on_reachability(False, str(error))
+        self._request_from_peers()
         self._loop.call_later(self._retry_delay_s, self._read)
         self._retry_delay_s = min(MAX_RETRY_DELAY_S, self._retry_delay_s * 2)
 
 
+def _is_older(era: StoreEra | None, other: StoreEra | None) -> bool:
+    """Returns whether an era is known to come before another one."""
+    return era is not None and other is not None and era < other
+
+
 def _round_age(age_s: float) -> float | None:
     """Returns an age for logs; None if there has been nothing."""
     return round(age_s, 3) if math.isfinite(age_s) else None
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -7,48 +7,31 @@
 import logging
 from functools import partial
 
-from ..errors import CorruptRecordError, StoreCallError
+from ..errors import StoreCallError
 from ..internal.core.serving.keyedrecords import KeyedRecord
 from ..internal.core.serving.readtiming import (
     TransitClock,
     plan_periodic_reads,
     plan_waiting_reads,
 )
-from ..internal.core.serving.targettable import Registration
 from ..internal.entry.feedsharing import FeedSharing, LogPeers
 from ..internal.entry.peers import Peer
 from ..internal.entry.state import StoreObserver
-from ..internal.entry.topicfollower import TopicFollower, log_failed_record
+from ..internal.entry.topicfollower import TopicFollower
 from ..internal.eventloop import EventLoop
 from ..internal.events import Event
-from ..internal.ids import DataCentre, InstanceId, Offset, TargetId
+from ..internal.ids import DataCentre, InstanceId, Offset, StoreEra
 from ..internal.logs import log_event
 from ..internal.schema.log_pb2 import QuarantineEntry
 from ..internal.schema.peers_pb2 import LogFeed, LogRequest
 from ..internal.schema.settings_pb2 import EntryBounds
-from .records import (
-    CONFIGURATION_KEY,
-    EVACUATION_PREFIX,
-    MODEL_VERSION_PREFIX,
-    parse_configuration,
-    parse_desired_version,
-    parse_quarantine_entry,
-    parse_registration,
-)
-from .store import (
-    OPERATOR_TOPIC,
-    QUARANTINE_TOPIC,
-    REGISTRY_TOPIC,
-    StoreClient,
-)
+from .store import OPERATOR_TOPIC, QUARANTINE_TOPIC, REGISTRY_TOPIC, StoreClient
+from .topichandlers import OperatorRecords, QuarantineRecords, RegistryRecords
 
 MS_PER_S = 1000
 # Calls that end targets are refused everywhere within this time, also if the instance that reads
 # for a data centre falls silent. Usually its waiting read returns at once.
 QUARANTINE_BOUND_S = 10.0
-# An entry of the quarantine is written again after a failure, so often and after this time.
-MAX_APPEND_ATTEMPTS = 60
-APPEND_RETRY_DELAY_S = 1.0
 # Entry instances form this group in the store. The store lists only members that own a partition,
 # so the group has topics that only provide more partitions than there are instances: the smallest
 # stores have 12 partitions per topic, which makes 192.
@@ -84,18 +67,22 @@
         }
         self._transit_clocks: dict[InstanceId, TransitClock] = {}
         self._group_generation = 0
+        # The era of the store in which the generation counts.
+        self._group_era: StoreEra | None = None
+        self._members: set[str] = set()
+        # Until then the list of a restored store may lack members, or has gone ones.
+        self._members_settle_at = float("-inf")
         self._is_closed = False
-        self._has_operator_records = False
-        # The last record of each target and its registration; None: it is not usable.
-        self._parsed_registrations: dict[str, tuple[bytes, Registration | None]] = {}
+        self._quarantine_records = QuarantineRecords(
+            loop, store, observer, self._sharing[QUARANTINE_TOPIC]
+        )
         self._unreachable_topics: set[str] = set()
         self._operator_follower = TopicFollower(
             loop,
             store,
             OPERATOR_TOPIC,
             lambda: plan_waiting_reads(bounds.configuration_ms / MS_PER_S),
-            self._on_newest_operator_records,
-            self._on_operator_record,
+            OperatorRecords(observer),
             partial(self._on_store_reachability, OPERATOR_TOPIC),
             self._sharing[OPERATOR_TOPIC],
             logs_records=True,
@@ -105,18 +92,17 @@
             store,
             REGISTRY_TOPIC,
             lambda: plan_periodic_reads(bounds.drain_ms / MS_PER_S),
-            self._on_newest_registrations,
-            self._on_registration_record,
+            RegistryRecords(observer),
             partial(self._on_store_reachability, REGISTRY_TOPIC),
             self._sharing[REGISTRY_TOPIC],
+            carries_missing=False,
         )
         self._quarantine_follower = TopicFollower(
             loop,
             store,
             QUARANTINE_TOPIC,
             lambda: plan_waiting_reads(QUARANTINE_BOUND_S),
-            self._on_newest_quarantine,
-            self._on_quarantine_record,
+            self._quarantine_records,
             lambda is_reachable, detail: None,
             self._sharing[QUARANTINE_TOPIC],
             logs_records=True,
@@ -136,9 +122,19 @@
     def close(self) -> None:
         """Stops reading."""
         self._is_closed = True
+        self._quarantine_records.close()
         for follower in self._followers:
             follower.close()
 
+    @property
+    def is_carrying(self) -> bool:
+        """Whether the restored store has not got back yet all that this instance knows."""
+        return any(follower.is_carrying for follower in self._followers)
+
+    def append_quarantine(self, entry: QuarantineEntry) -> None:
+        """Writes an entry of the quarantine for all instances."""
+        self._quarantine_records.append_entry(entry)
+
     def is_reader(self, topic: str) -> bool:
         """Whether this instance reads a topic for its data centre."""
         return self._sharing[topic].is_reader()
@@ -149,6 +145,7 @@
         clock = self._transit_clocks.setdefault(instance, TransitClock())
         transit_s = clock.measure(feed.sent_ms / MS_PER_S, now)
         complete_at = now - transit_s - feed.age_ms / MS_PER_S
+        era = StoreEra(feed.era) if feed.HasField("era") else None
         records = tuple(
             KeyedRecord(
                 record.key, None if record.is_deleted else record.value, Offset(feed.start + number)
@@ -158,10 +155,13 @@
         for follower in self._followers:
             if follower.topic != feed.topic:
                 continue
-            if feed.is_newest:
-                follower.apply_newest_feed(Offset(feed.start), records, complete_at)
+            if feed.is_carried:
+                follower.apply_carried_feed(records, era)
+                self._observer.on_carried_records_known()
+            elif feed.is_newest:
+                follower.apply_newest_feed(Offset(feed.start), records, complete_at, era)
             else:
-                follower.apply_feed(Offset(feed.start), records, complete_at)
+                follower.apply_feed(Offset(feed.start), records, complete_at, era)
 
     def on_log_request(self, instance: InstanceId, request: LogRequest) -> None:
         """Sends the newest records to a peer that misses some, if this instance has read recently.
@@ -171,7 +171,8 @@
         for follower in self._followers:
             if follower.topic == request.topic:
                 self._sharing[request.topic].mark_cut_off(instance)
-                follower.serve_request(instance, Offset(request.next))
+                era = StoreEra(request.era) if request.HasField("era") else None
+                follower.serve_request(instance, Offset(request.next), era)
 
     def _on_store_reachability(self, topic: str, is_reachable: bool, detail: str) -> None:
         if is_reachable:
@@ -182,89 +183,6 @@
         if is_reachable and topic == OPERATOR_TOPIC:
             self._observer.on_operator_records_checked(self._operator_follower.complete_at)
 
-    def _on_newest_operator_records(self, records: tuple[KeyedRecord, ...]) -> None:
-        evacuated = {
-            DataCentre(record.key.removeprefix(EVACUATION_PREFIX))
-            for record in records
-            if record.key.startswith(EVACUATION_PREFIX) and record.value is not None
-        }
-        self._observer.on_evacuations_read(evacuated)
-        is_initial, self._has_operator_records = not self._has_operator_records, True
-        for record in records:
-            try:
-                self._on_operator_record(record, is_initial)
-            except Exception as error:  # One record must not hide the others.
-                log_failed_record(record, error)
-
-    def _on_operator_record(self, record: KeyedRecord, is_initial: bool = False) -> None:
-        try:
-            if record.key == CONFIGURATION_KEY and record.value is not None:
-                self._observer.on_configuration(parse_configuration(record.value))
-            elif record.key.startswith(EVACUATION_PREFIX):
-                data_centre = DataCentre(record.key.removeprefix(EVACUATION_PREFIX))
-                self._observer.on_evacuation(data_centre, record.value is not None)
-            elif record.key.startswith(MODEL_VERSION_PREFIX) and record.value is not None:
-                desired = parse_desired_version(record.value)
-                self._observer.on_desired_version(desired.model, desired.version, is_initial)
-        except CorruptRecordError as error:
-            _log_corrupt(record, error)
-
-    def _on_newest_registrations(self, records: tuple[KeyedRecord, ...]) -> None:
-        self._parsed_registrations.clear()
-        registrations = [
-            registration
-            for record in records
-            if (registration := _try_parse_registration(record)) is not None
-        ]
-        self._observer.on_registry_read(registrations)
-
-    def _on_registration_record(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            self._parsed_registrations.pop(record.key, None)
-            self._observer.on_registration_removed(TargetId(record.key))
-            return
-        # Targets write the same record at each heartbeat.
-        value, registration = self._parsed_registrations.get(record.key, (None, None))
-        if value != record.value:
-            registration = _try_parse_registration(record)
-            self._parsed_registrations[record.key] = (record.value, registration)
-        if registration is not None:
-            self._observer.on_registration(registration)
-
-    def append_quarantine(self, entry: QuarantineEntry, attempt: int = 1) -> None:
-        """Writes an entry of the quarantine for all instances; repeats a write that fails."""
-
-        def on_result(result: Offset | StoreCallError) -> None:
-            if not isinstance(result, StoreCallError) or self._is_closed:
-                return
-            log_event(
-                _LOGGER,
-                logging.WARNING,
-                Event.LOG_APPEND_FAILED,
-                f"quarantine entry, attempt {attempt}: {result}",
-                key=entry.fingerprint,
-            )
-            if attempt < MAX_APPEND_ATTEMPTS:
-                self._loop.call_later(
-                    APPEND_RETRY_DELAY_S, partial(self.append_quarantine, entry, attempt + 1)
-                )
-
-        self._store.append_keyed(
-            QUARANTINE_TOPIC, entry.fingerprint, entry.SerializeToString(), None, on_result
-        )
-
-    def _on_newest_quarantine(self, records: tuple[KeyedRecord, ...]) -> None:
-        for record in records:
-            self._on_quarantine_record(record)
-
-    def _on_quarantine_record(self, record: KeyedRecord) -> None:
-        try:
-            entry = None if record.value is None else parse_quarantine_entry(record.value)
-        except CorruptRecordError as error:
-            _log_corrupt(record, error)
-            return
-        self._observer.on_quarantine(record.key, entry)
-
     def _join_group(self) -> None:
         if self._is_closed:
             return
@@ -273,16 +191,28 @@
             _format_member(self._local_peer),
             INSTANCE_TOPICS,
             MEMBER_TTL_S,
-            self._group_generation,
+            self._group_generation if self._store.era == self._group_era else 0,
             self._on_generation,
         )
         self._loop.call_later(JOIN_INTERVAL_S, self._join_group)
 
     def _on_generation(self, generation: int | StoreCallError) -> None:
-        if isinstance(generation, StoreCallError) or generation == self._group_generation:
+        if isinstance(generation, StoreCallError):
+            return
+        if self._store.era != self._group_era:
+            if self._group_era is not None:
+                # Generations are given out again. Members that the copy lacks join again in time.
+                self._members_settle_at = self._loop.boottime() + MEMBER_TTL_S
+                self._loop.call_later(MEMBER_TTL_S, self._list_members)
+            self._group_era = self._store.era
+        elif generation == self._group_generation:
             return
         self._group_generation = generation
-        self._store.list_members(INSTANCE_GROUP, self._on_members)
+        self._list_members()
+
+    def _list_members(self) -> None:
+        if not self._is_closed:
+            self._store.list_members(INSTANCE_GROUP, self._on_members)
 
     def _on_members(self, members: set[str] | StoreCallError) -> None:
         if isinstance(members, StoreCallError):
@@ -298,6 +228,9 @@
                 "this instance is not listed in its group; the group may have too few partitions",
                 members=len(members),
             )
+        if self._loop.boottime() < self._members_settle_at:
+            members = members | self._members
+        self._members = members
         peers = [peer for member in members if (peer := _parse_member(member))]
         local = {p.instance for p in peers if p.data_centre == self._local_peer.data_centre}
         for instance in self._transit_clocks.keys() - local:
@@ -319,24 +252,3 @@
         )
         return None
     return Peer(InstanceId(fields[0]), DataCentre(fields[1]), fields[2])
-
-
-def _try_parse_registration(record: KeyedRecord) -> Registration | None:
-    if record.value is None:
-        return None
-    try:
-        return parse_registration(record.key, record.value)
-    except CorruptRecordError as error:
-        _log_corrupt(record, error)
-        return None
-
-
-def _log_corrupt(record: KeyedRecord, error: CorruptRecordError) -> None:
-    log_event(
-        _LOGGER,
-        logging.WARNING,
-        Event.RECORD_CORRUPT,
-        f"record skipped: {error}",
-        key=record.key,
-        offset=record.offset,
-    )
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -175,11 +175,15 @@
         query: dict[str, object] = {"topic": topic, "part": PARTITION}
         if after is not None:
             query["after"] = after
+        era = self.era
 
         def collect(page: _NewestPage | StoreCallError) -> None:
             if isinstance(page, StoreCallError):
                 done(page)
                 return
+            if after is not None and self.era != era:
+                done(StoreCallError("store: restored between two pages", 0, in_doubt=False))
+                return
             records.extend(page.records)
             # The pages are not one consistent snapshot: changes made while they are read come after
             # the end that the first page states.
@@ -226,12 +230,13 @@
         timeout_s: float,
     ) -> None:
         def on_result(result: ExchangeResponse | ExchangeFailure) -> None:
-            if isinstance(result, ExchangeResponse):
-                self._record_era(result)
             if isinstance(result, ExchangeFailure):
                 # Without a connection, nothing was written.
                 in_doubt = is_write and result.kind is not FailureKind.CONNECT
                 done(StoreCallError(f"store: {result.message}", 0, in_doubt))
+            elif not self._record_era(result):
+                # It may have been on its way since before the store was restored.
+                done(StoreCallError("store: response of an earlier era", 0, is_write))
             elif result.status != HTTPStatus.OK:
                 # Any status but 200 means that nothing was written.
                 detail = result.body[:MAX_DETAIL_BYTES].decode("latin-1")
@@ -250,10 +255,11 @@
 
         send_request(self._loop, self._pool, request, timeout_s, on_result, MAX_STORE_BODY_BYTES)
 
-    def _record_era(self, response: ExchangeResponse) -> None:
+    def _record_era(self, response: ExchangeResponse) -> bool:
+        """Records a response's era; returns False if it is older than that of another response."""
         value = response.response.get(ERA_HEADER)
         if value is None or not value.isdigit():
-            return
+            return True
         era = StoreEra(int(value))
         if self.era is not None and era > self.era:
             log_event(
@@ -265,6 +271,7 @@
                 previous=self.era,
             )
         self.era = era if self.era is None else max(self.era, era)
+        return era == self.era
 
 
 def _build_read_query(topic: str, start: Offset, wait_s: float) -> dict[str, object]:
--- /dev/null
+++ b/src/mulberryrill/platform/topichandlers.py
@@ -0,0 +1,222 @@
+"""Reports the records of each topic of the platform's store as the product's own types."""
+
+import logging
+from collections.abc import Iterable
+from functools import partial
+
+from ..errors import CorruptRecordError, StoreCallError
+from ..internal.core.serving.keyedrecords import KeyedRecord
+from ..internal.core.serving.targettable import Registration
+from ..internal.entry.feedsharing import FeedSharing
+from ..internal.entry.state import StoreObserver
+from ..internal.entry.topicfollower import log_failed_record
+from ..internal.eventloop import EventLoop
+from ..internal.events import Event
+from ..internal.ids import DataCentre, Offset, TargetId
+from ..internal.logs import log_event
+from ..internal.schema.log_pb2 import QuarantineEntry
+from .records import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    MODEL_VERSION_PREFIX,
+    parse_configuration,
+    parse_desired_version,
+    parse_quarantine_entry,
+    parse_registration,
+)
+from .store import QUARANTINE_TOPIC, StoreClient
+
+# An entry of the quarantine is written again after a failure, so often and after this time.
+MAX_APPEND_ATTEMPTS = 60
+APPEND_RETRY_DELAY_S = 1.0
+_LOGGER = logging.getLogger(__name__)
+
+
+class OperatorRecords:
+    """Implements ``TopicHandler``: configurations, evacuations and desired model versions."""
+
+    def __init__(self, observer: StoreObserver) -> None:
+        self._observer = observer
+        self._has_records = False
+
+    def on_newest(self, records: tuple[KeyedRecord, ...]) -> None:
+        evacuated = {
+            DataCentre(record.key.removeprefix(EVACUATION_PREFIX))
+            for record in records
+            if record.key.startswith(EVACUATION_PREFIX) and record.value is not None
+        }
+        self._observer.on_evacuations_read(evacuated)
+        is_initial, self._has_records = not self._has_records, True
+        self._apply(records, is_initial)
+
+    def on_record(self, record: KeyedRecord, is_initial: bool = False) -> None:
+        try:
+            if record.key == CONFIGURATION_KEY and record.value is not None:
+                self._observer.on_configuration(parse_configuration(record.value))
+            elif record.key.startswith(EVACUATION_PREFIX):
+                data_centre = DataCentre(record.key.removeprefix(EVACUATION_PREFIX))
+                self._observer.on_evacuation(data_centre, record.value is not None)
+            elif record.key.startswith(MODEL_VERSION_PREFIX) and record.value is not None:
+                desired = parse_desired_version(record.value)
+                self._observer.on_desired_version(desired.model, desired.version, is_initial)
+        except CorruptRecordError as error:
+            _log_corrupt(record, error)
+
+    def on_restored(
+        self, records: tuple[KeyedRecord, ...], carried: tuple[KeyedRecord, ...]
+    ) -> None:
+        """The newer one of two configurations or versions counts, by its number.
+
+        Evacuations have none: a data centre gets no calls while the store or this instance knows of
+        one.
+        """
+        self.on_newest((*records, *(record for record in carried if record.value is not None)))
+
+    def on_carried(self, records: tuple[KeyedRecord, ...]) -> None:
+        self._apply(record for record in records if record.value is not None)
+
+    def on_settled(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.on_newest(records)
+
+    def _apply(self, records: Iterable[KeyedRecord], is_initial: bool = False) -> None:
+        for record in records:
+            try:
+                self.on_record(record, is_initial)
+            except Exception as error:  # One record must not hide the others.
+                log_failed_record(record, error)
+
+
+class RegistryRecords:
+    """Implements ``TopicHandler``: registrations of targets."""
+
+    def __init__(self, observer: StoreObserver) -> None:
+        self._observer = observer
+        # The last record of each target and its registration; None: it is not usable.
+        self._parsed: dict[str, tuple[bytes, Registration | None]] = {}
+
+    def on_newest(self, records: tuple[KeyedRecord, ...]) -> None:
+        self._observer.on_registry_read(self._parse_all(records), False)
+
+    def on_record(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._parsed.pop(record.key, None)
+            self._observer.on_registration_removed(TargetId(record.key))
+            return
+        # Targets write the same record at each heartbeat.
+        value, registration = self._parsed.get(record.key, (None, None))
+        if value != record.value:
+            registration = _try_parse_registration(record)
+            self._parsed[record.key] = (record.value, registration)
+        if registration is not None:
+            self._observer.on_registration(registration)
+
+    def on_restored(
+        self, records: tuple[KeyedRecord, ...], carried: tuple[KeyedRecord, ...]
+    ) -> None:
+        """The table of targets knows which of them are draining or gone."""
+        self._observer.on_registry_read(self._parse_all(records), True)
+
+    def on_carried(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self.on_record(record)
+
+    def on_settled(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Nothing to do: targets register again within seconds, or are removed."""
+
+    def _parse_all(self, records: tuple[KeyedRecord, ...]) -> list[Registration]:
+        self._parsed.clear()
+        parsed = (_try_parse_registration(record) for record in records)
+        return [registration for registration in parsed if registration is not None]
+
+
+class QuarantineRecords:
+    """Implements ``TopicHandler``: calls that are refused because targets end under them.
+
+    Only entry instances write this topic, so they also write again what a restored store has lost.
+    """
+
+    def __init__(
+        self, loop: EventLoop, store: StoreClient, observer: StoreObserver, sharing: FeedSharing
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self._observer = observer
+        self._sharing = sharing
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Stops repeating writes that failed."""
+        self._is_closed = True
+
+    def append(self, key: str, value: bytes, attempt: int = 1) -> None:
+        """Writes an entry for all instances, or nothing to delete it; repeats a failed write."""
+
+        def on_result(result: Offset | StoreCallError) -> None:
+            if not isinstance(result, StoreCallError) or self._is_closed:
+                return
+            log_event(
+                _LOGGER,
+                logging.WARNING,
+                Event.LOG_APPEND_FAILED,
+                f"quarantine entry, attempt {attempt}: {result}",
+                key=key,
+            )
+            if attempt < MAX_APPEND_ATTEMPTS:
+                self._loop.call_later(
+                    APPEND_RETRY_DELAY_S, partial(self.append, key, value, attempt + 1)
+                )
+
+        self._store.append_keyed(QUARANTINE_TOPIC, key, value, None, on_result)
+
+    def append_entry(self, entry: QuarantineEntry) -> None:
+        """Writes an entry for all instances; repeats a failed write."""
+        self.append(entry.fingerprint, entry.SerializeToString())
+
+    def on_newest(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self.on_record(record)
+
+    def on_record(self, record: KeyedRecord) -> None:
+        try:
+            entry = None if record.value is None else parse_quarantine_entry(record.value)
+        except CorruptRecordError as error:
+            _log_corrupt(record, error)
+            return
+        self._observer.on_quarantine(record.key, entry)
+
+    def on_restored(
+        self, records: tuple[KeyedRecord, ...], carried: tuple[KeyedRecord, ...]
+    ) -> None:
+        """Entries of the copy that were lifted since stay so; what was lost is written again."""
+        carried_keys = {record.key for record in carried}
+        self.on_newest(tuple(record for record in records if record.key not in carried_keys))
+        if self._sharing.is_reader():
+            for record in carried:
+                self.append(record.key, record.value or b"")
+
+    def on_carried(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.on_newest(records)
+
+    def on_settled(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Nothing to do: failed writes are repeated."""
+
+
+def _try_parse_registration(record: KeyedRecord) -> Registration | None:
+    if record.value is None:
+        return None
+    try:
+        return parse_registration(record.key, record.value)
+    except CorruptRecordError as error:
+        _log_corrupt(record, error)
+        return None
+
+
+def _log_corrupt(record: KeyedRecord, error: CorruptRecordError) -> None:
+    log_event(
+        _LOGGER,
+        logging.WARNING,
+        Event.RECORD_CORRUPT,
+        f"record skipped: {error}",
+        key=record.key,
+        offset=record.offset,
+    )
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -73,15 +73,22 @@
         if registration.state is RegistrationState.DRAINING:
             self.draining_since.setdefault(registration.target, self._clock.monotonic())
 
+    def on_registry_read(
+        self, registrations: list[Registration], is_restored: bool = False
+    ) -> None:
+        for registration in registrations:
+            self.on_registration(registration)
+
     def on_peers(self, peers: list[Peer]) -> None:
         self.peers = peers
 
     def _ignore(self, *args: object) -> None:
         return
 
-    on_registration_removed = on_registry_read = _ignore
+    on_registration_removed = _ignore
     on_evacuations_read = on_evacuation = on_desired_version = _ignore
     on_store_reachability = on_operator_records_checked = on_quarantine = _ignore
+    on_carried_records_known = _ignore
 
 
 @dataclass
@@ -180,11 +187,12 @@
         generation: int,
         done: Callable,
     ) -> None:
-        """The list of instances never changes."""
-        self._simulation.members.add(member)
-        self._respond(
-            STORE_LATENCY_S, lambda: done(len(self._simulation.members)), CALL_TIMEOUT_S, done
-        )
+        """Members never leave; a restored store may have lost some."""
+        simulation = self._simulation
+        simulation.generation += member not in simulation.members
+        simulation.members.add(member)
+        joined = simulation.generation
+        self._respond(STORE_LATENCY_S, lambda: done(joined), CALL_TIMEOUT_S, done)
 
     def list_members(self, group: str, done: Callable) -> None:
         members = set(self._simulation.members)
@@ -239,6 +247,7 @@
         # Older records of the operators' topic have expired.
         self.first_offset = 0
         self.members: set[str] = set()
+        self.generation = 0
         self.written_at: dict[int, float] = {}
         self.write_configuration()
         self.instances = [self._create_instance(n) for n in range(count)]
@@ -336,6 +345,12 @@
                 respond_once()
         return gone
 
+    def lose_members(self, count: int) -> None:
+        """Lets the restored store have fewer members of the group, and an earlier generation."""
+        for member in sorted(self.members)[:count]:
+            self.members.discard(member)
+            self.generation -= 1
+
     def write_again(self, topic: str, records: list[KeyedRecord]) -> None:
         """Writes lost records again, at the offsets that come next."""
         for record in records:
--- a/tests/regressions/test_restored_store_hides_changes.py
+++ b/tests/regressions/test_restored_store_hides_changes.py
@@ -3,6 +3,8 @@
 import unittest
 from contextlib import closing
 
+from mulberryrill.internal.core.serving.keyedrecords import KeyedRecord
+from mulberryrill.internal.ids import Offset
 from mulberryrill.platform.store import OPERATOR_TOPIC, REGISTRY_TOPIC
 from tests.common.followersimulation import FollowerSimulation
 from tests.common.promises import CONFIGURATION_BOUND_S
@@ -49,7 +51,8 @@
                 simulation.run_for(0.3)
             simulation.restore_store({OPERATOR_TOPIC: 2})
             version = simulation.write_configuration()
-            simulation.write_again(OPERATOR_TOPIC, simulation.topics[OPERATOR_TOPIC][:1])
+            other = KeyedRecord("version/m0", b'{"model": "m0", "version": 1}', Offset(0))
+            simulation.write_again(OPERATOR_TOPIC, [other])
             simulation.run_for(CONFIGURATION_BOUND_S)
             for instance in simulation.instances:
                 self.assertIn(version, instance.observer.applied_at, instance.name)
@@ -74,3 +77,18 @@
             for instance in simulation.instances:
                 noticed_at = instance.observer.draining_since.get(target, float("inf"))
                 self.assertLessEqual(noticed_at - written_at, CONTACT_S + DRAIN_BOUND_S)
+
+    def test_instances_that_the_copy_lacks_still_count(self) -> None:
+        """Guards against limits divided among too few instances while others join again."""
+        for lost in (1, 3):
+            with (
+                self.subTest(lost=lost),
+                closing(FollowerSimulation(INSTANCE_COUNT)) as simulation,
+            ):
+                simulation.start()
+                simulation.restore_store({OPERATOR_TOPIC: 0})
+                simulation.lose_members(lost)
+                for _ in range(60):
+                    simulation.run_for(0.2)
+                    for instance in simulation.instances:
+                        self.assertEqual(len(instance.observer.peers), INSTANCE_COUNT)
--- a/tests/regressions/test_stale_outage_delays_drain.py
+++ b/tests/regressions/test_stale_outage_delays_drain.py
@@ -7,6 +7,7 @@
 """
 
 import unittest
+from unittest.mock import Mock
 
 from mulberryrill.errors import StoreCallError
 from mulberryrill.internal.clock import ManualClock
@@ -27,8 +28,7 @@
             StoreClient(loop, "127.0.0.1:1"),
             "keyed.servers",
             lambda: plan_periodic_reads(3.0),
-            lambda records: None,
-            self.events.append,
+            Mock(on_record=self.events.append),
             lambda is_reachable, detail: self.events.append(is_reachable),
         )
         self.follower.on_newest_read(0.0, RecordPage((), Offset(5)))
--- /dev/null
+++ b/tests/unit/test_entry_readiness.py
@@ -0,0 +1,73 @@
+"""When a starting instance serves by what it has read from the store."""
+
+import unittest
+
+from mulberryrill.internal.clock import ManualClock
+from mulberryrill.internal.core.serving.routetable import RouteTable
+from mulberryrill.internal.entry.peers import Peer
+from mulberryrill.internal.entry.state import (
+    CARRIED_RECORDS_TIMEOUT_S,
+    PEER_NEWS_TIMEOUT_S,
+    EntryState,
+)
+from mulberryrill.internal.eventloop import EventLoop
+from mulberryrill.internal.ids import DataCentre, InstanceId
+from mulberryrill.internal.schema.settings_pb2 import EntryBounds
+
+HOME = DataCentre("z1")
+PEERS = [Peer(InstanceId(name), HOME, "127.0.0.1:1") for name in ("i1", "i2")]
+
+
+class ReadinessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        loop = EventLoop(self.clock, "test")
+        self.state = EntryState(loop, InstanceId("i1"), HOME, EntryBounds())
+
+    def read_store(self) -> None:
+        self.state.on_configuration(RouteTable(1, (), {}, {}, False))
+        self.state.on_registry_read([], False)
+
+    def test_instance_without_peers_is_ready_once_it_has_read_the_store(self) -> None:
+        self.state.on_peers(PEERS[:1])
+        self.assertFalse(self.state.is_ready)
+        self.read_store()
+        self.assertTrue(self.state.is_ready)
+
+    def test_instance_waits_for_a_peer_and_not_for_long(self) -> None:
+        self.state.on_peers(PEERS)
+        self.read_store()
+        self.assertFalse(self.state.is_ready)
+        self.clock.advance(PEER_NEWS_TIMEOUT_S)
+        self.assertTrue(self.state.is_ready)
+
+    def test_peer_that_carries_nothing_makes_it_ready(self) -> None:
+        self.state.on_peers(PEERS)
+        self.read_store()
+        self.state.on_peer_report(carries_records=False)
+        self.assertTrue(self.state.is_ready)
+
+    def test_instance_waits_for_the_records_that_a_peer_carries(self) -> None:
+        """Guards against a withdrawn key that is valid again after a restart."""
+        self.state.on_peers(PEERS)
+        self.read_store()
+        self.state.on_peer_report(carries_records=True)
+        self.state.on_peer_report(carries_records=False)
+        self.clock.advance(PEER_NEWS_TIMEOUT_S)
+        self.assertFalse(self.state.is_ready)
+        self.state.on_carried_records_known()
+        self.assertTrue(self.state.is_ready)
+
+    def test_records_that_never_come_do_not_keep_it_from_serving(self) -> None:
+        self.state.on_peers(PEERS)
+        self.read_store()
+        self.state.on_peer_report(carries_records=True)
+        self.clock.advance(CARRIED_RECORDS_TIMEOUT_S)
+        self.assertTrue(self.state.is_ready)
+
+    def test_serving_instance_stays_ready(self) -> None:
+        self.state.on_peers(PEERS[:1])
+        self.read_store()
+        self.state.on_peers(PEERS)
+        self.state.on_peer_report(carries_records=True)
+        self.assertTrue(self.state.is_ready)
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -31,7 +31,7 @@
 
 
 class Node:
-    """A follower on one instance; implements ``LogPeers`` by direct calls to the other nodes."""
+    """A follower on one instance, its ``TopicHandler``, and ``LogPeers`` by direct calls."""
 
     def __init__(self, name: str, clock: ManualClock, nodes: dict[InstanceId, "Node"]) -> None:
         self.name = InstanceId(name)
@@ -47,15 +47,27 @@
             UnresponsiveStore(loop, "127.0.0.1:1"),
             TOPIC,
             lambda: plan_periodic_reads(DRAIN_BOUND_S),
-            self.apply_newest,
-            lambda record: self.records.update({record.key: record.value}),
+            self,
             lambda is_reachable, detail: None,
             self.sharing,
         )
 
-    def apply_newest(self, records: tuple[KeyedRecord, ...]) -> None:
+    def on_newest(self, records: tuple[KeyedRecord, ...]) -> None:
         self.records = {record.key: record.value for record in records}
 
+    def on_record(self, record: KeyedRecord) -> None:
+        self.records[record.key] = record.value
+
+    def on_restored(
+        self, records: tuple[KeyedRecord, ...], carried: tuple[KeyedRecord, ...]
+    ) -> None:
+        self.on_newest((*records, *carried))
+
+    def on_carried(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.records |= {record.key: record.value for record in records}
+
+    on_settled = on_newest
+
     def send_log_feed(self, feed: LogFeed, instance: InstanceId | None) -> None:
         self.newest_feed_count += feed.is_newest
         records = tuple(
--- a/tests/unit/test_serving_targettable.py
+++ b/tests/unit/test_serving_targettable.py
@@ -81,6 +81,37 @@
         self.assertEqual(self.table.expire(5.0 + EXPIRY_GRACE_S), ["t1"])
         self.assertEqual(self.list_ids(), ["t2"])
 
+    def test_older_copy_of_the_registry_brings_back_no_target(self) -> None:
+        """Guards against work for targets that left before the store was restored."""
+        names = ("crashed", "drained", "live")
+        for name in names:
+            self.table.apply(create_registration(name), 0.0)
+        draining = create_registration("drained", state=RegistrationState.DRAINING)
+        self.table.apply(draining, 1.0)
+        self.table.remove(TargetId("drained"), 2.0)
+        self.table.remove(TargetId("crashed"), 2.0)
+        self.table.restore_all([create_registration(name) for name in names], 5.0)
+        self.assertEqual(self.list_ids(), ["live"])
+        self.table.apply(create_registration("drained"), 5.5)
+        self.assertEqual(self.list_ids(), ["live"], "a target that announced its end stays away")
+        self.table.apply(create_registration("crashed"), 5.6)
+        self.assertEqual(self.list_ids(), ["live", "crashed"], "it registered again, so it lives")
+
+    def test_target_that_an_older_copy_lacks_has_time_to_register_again(self) -> None:
+        for name in ("t1", "t2", "t3"):
+            self.table.apply(create_registration(name), 0.0)
+        self.table.restore_all([create_registration("t1")], 5.0)
+        self.assertEqual(self.list_ids(), ["t1", "t2", "t3"])
+        self.table.apply(create_registration("t2"), 6.0)
+        self.assertEqual(self.table.expire(5.0 + EXPIRY_GRACE_S), ["t3"])
+        self.assertEqual(self.list_ids(), ["t1", "t2"])
+
+    def test_new_start_of_a_gone_target_is_used_from_a_copy(self) -> None:
+        self.table.apply(create_registration(state=RegistrationState.DRAINING), 0.0)
+        self.table.remove(TargetId("t1"), 1.0)
+        self.table.restore_all([create_registration(incarnation=Incarnation("2"))], 5.0)
+        self.assertEqual(self.list_ids(), ["t1"])
+
     def test_evacuated_data_centre_gets_no_calls_until_it_is_back(self) -> None:
         self.table.apply(create_registration(), 0.0)
         self.table.set_evacuation(DataCentre("msasani"), True)
