Give up the order lease when the store is restored; begin fencing tokens with the era

Cause: the lease's record, the end of its log and the fencing tokens are offsets of the store. When it comes back from an older copy, the record of a holder may be lost, another instance may find the lease free at once, and tokens are given out again.

Now the lease is given up when the era rises, and free after the time of a takeover, 4.8 s, counted from when the era was first seen, also at a starting instance that finds no record. An own record counts only in its era, which is written into it. A token is made of era and offset.

--- a/src/mulberryrill/internal/core/serving/orders.py
+++ b/src/mulberryrill/internal/core/serving/orders.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ...ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
+from ...ids import FencingToken, InstanceId, ModelName, Offset, StoreEra, TargetId, WeightVersion
 from .namedversions import NamedVersions
 from .targettable import RegistrationState, Target
 
@@ -18,6 +18,8 @@
 RENEWAL_INTERVAL_S = 0.5
 # Maximum time from sending an order to its arrival at the target.
 ORDER_FLIGHT_S = 0.3
+# Fencing tokens of one era of the store; more than lease records in any era.
+FENCES_PER_ERA = 2**32
 # Loading takes about a second. A target that has not reported the version after this time gets
 # another order.
 LOADING_TIMEOUT_S = 2.0
@@ -55,6 +57,8 @@
 
     holder: InstanceId
     offset: Offset
+    # The era of the store in which it was written; None: unknown.
+    era: StoreEra | None = None
 
 
 class OrderLease:
@@ -69,14 +73,33 @@
         self._record_seen_at = 0.0
         self._log_end: Offset | None = None
         self._held_until = float("-inf")
-        self._fence: Offset | None = None
+        self._fence: FencingToken | None = None
+        # The era of the store in which offsets count, and since when it is known.
+        self._era: StoreEra | None = None
+        self._era_seen_at: float | None = None
 
     @property
-    def fence(self) -> Offset:
-        """Fencing token: the offset of the held lease's first record. It grows with each holder."""
+    def fence(self) -> FencingToken:
+        """Fencing token of the held lease. It grows with each holder.
+
+        It is made of the era and the offset of the lease's first record: a store that comes back
+        from an older copy gives out offsets again.
+        """
         assert self._fence is not None
         return self._fence
 
+    def observe_era(self, era: StoreEra | None, now: float) -> None:
+        """Processes the store's era; ``now`` includes time spent suspended.
+
+        When it rises, lease records may be lost, also those of another holder whose lease has not
+        ended. Everything that is known counts for nothing, and nobody acquires the lease until the
+        last possible holder's orders are over.
+        """
+        if self._era_seen_at is None or era != self._era:
+            self._era, self._era_seen_at = era, now
+            self._record, self._log_end = None, None
+            self._held_until = float("-inf")
+
     @property
     def log_end(self) -> Offset | None:
         """End of the lease log, on which the next append is conditional; None: unknown."""
@@ -90,7 +113,7 @@
             return
         if self._record is None or record.offset != self._record.offset:
             self._record, self._record_seen_at = record, now
-        if record.holder != self._instance:
+        if record.holder != self._instance or record.era != self._era:
             self._held_until = float("-inf")
 
     def get_state(self, now: float) -> LeaseState:
@@ -99,11 +122,18 @@
             return LeaseState.HELD
         if self._log_end is None:
             return LeaseState.UNKNOWN
-        if self._record is None or self._record.holder == self._instance:
+        if self._is_own_record():
             return LeaseState.FREE
-        is_expired = now - self._record_seen_at >= self._takeover_delay_s
+        # Without a record a lost one may have been written just before the era was seen.
+        seen_at = self._record_seen_at if self._record is not None else self._era_seen_at
+        is_expired = seen_at is None or now - seen_at >= self._takeover_delay_s
         return LeaseState.FREE if is_expired else LeaseState.HELD_BY_OTHER
 
+    def _is_own_record(self) -> bool:
+        """Whether this instance wrote the newest record, and none after it can have been lost."""
+        record = self._record
+        return record is not None and record.holder == self._instance and record.era == self._era
+
     def can_order(self, now: float) -> bool:
         """Returns whether an order sent now arrives before the lease ends."""
         return now + ORDER_FLIGHT_S < self._held_until
@@ -115,8 +145,8 @@
     def on_appended(self, offset: Offset, sent_at: float, now: float) -> None:
         """Handles the log's acceptance of this instance's record, sent at ``sent_at``."""
         if now >= self._held_until or self._fence is None:
-            self._fence = offset
-        self._record = LeaseRecord(self._instance, offset)
+            self._fence = FencingToken((self._era or 0) * FENCES_PER_ERA + offset)
+        self._record = LeaseRecord(self._instance, offset, self._era)
         self._record_seen_at = now
         self._log_end = Offset(offset + 1)
         self._held_until = sent_at + LEASE_S
--- a/src/mulberryrill/internal/entry/ordering.py
+++ b/src/mulberryrill/internal/entry/ordering.py
@@ -17,7 +17,7 @@
 )
 from ..eventloop import EventLoop
 from ..events import Event
-from ..ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
+from ..ids import FencingToken, InstanceId, ModelName, Offset, StoreEra, TargetId, WeightVersion
 from ..logs import log_event
 from .state import EntryState
 
@@ -60,6 +60,11 @@
     Callbacks receive None if there was no valid response.
     """
 
+    @property
+    def era(self) -> StoreEra | None:
+        """The era of the store as of its last response; None: unknown."""
+        ...
+
     def read_lease(self, done: Callable[[LeaseSnapshot | None], None]) -> None:
         """Reads the newest lease record."""
         ...
@@ -77,7 +82,7 @@
     def send_order(
         self,
         order: VersionOrder,
-        fence: Offset,
+        fence: FencingToken,
         expected_orders: int,
         done: Callable[[OrderResult, str], None],
     ) -> None:
@@ -114,6 +119,7 @@
         self._run_tick()
 
     def _run_tick(self) -> None:
+        self._observe_era()
         has_work = self._state.rollout.has_work(self._state.targets.targets)
         interval_s = TICK_INTERVAL_S if has_work else IDLE_TICK_INTERVAL_S
         self._loop.call_later(interval_s, self._run_tick)
@@ -123,6 +129,10 @@
             self._has_work_since = None
             self._set_lease_held(False)
 
+    def _observe_era(self) -> None:
+        if self._client.era is not None:
+            self._lease.observe_era(self._client.era, self._clock.boottime())
+
     def _tick(self) -> None:
         """Sends due orders, or tries to acquire the lease for them."""
         now = self._loop.now()
@@ -156,6 +166,7 @@
 
     def _on_lease_read(self, snapshot: LeaseSnapshot | None) -> None:
         self._is_lease_call_pending = False
+        self._observe_era()
         if snapshot is None:
             self._next_lease_check_at = self._loop.now() + LEASE_RECHECK_INTERVAL_S
             return
@@ -163,12 +174,14 @@
 
     def _append_lease(self) -> None:
         sent_at = self._clock.boottime()
-        end = self._lease.log_end
+        end, era = self._lease.log_end, self._client.era
         assert end is not None
 
         def on_appended(offset: Offset | None) -> None:
             self._is_lease_call_pending = False
-            if offset is None:
+            self._observe_era()
+            if offset is None or self._client.era != era:
+                # In another era the end is not the one on which this instance decided to append.
                 self._lease.on_append_failed()
                 self._next_lease_check_at = self._loop.now() + TICK_INTERVAL_S
             else:
--- a/src/mulberryrill/internal/ids.py
+++ b/src/mulberryrill/internal/ids.py
@@ -18,6 +18,8 @@
 Offset = NewType("Offset", int)
 # Number of times that the platform's store has come back from an older copy.
 StoreEra = NewType("StoreEra", int)
+# Grows with each holder of the order lease.
+FencingToken = NewType("FencingToken", int)
 ModelName = NewType("ModelName", str)
 WeightVersion = NewType("WeightVersion", int)
 PartId = NewType("PartId", str)
--- a/src/mulberryrill/platform/targetorders.py
+++ b/src/mulberryrill/platform/targetorders.py
@@ -12,12 +12,21 @@
 from ..internal.entry.pool import AddressPools
 from ..internal.eventloop import EventLoop
 from ..internal.http.messages import encode_request
-from ..internal.ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
+from ..internal.ids import (
+    FencingToken,
+    InstanceId,
+    ModelName,
+    Offset,
+    StoreEra,
+    TargetId,
+    WeightVersion,
+)
 from .records import DECODE_ERRORS
 from .store import RecordPage, StoreClient
 
 LEASE_TOPIC = "keyed.order-lease"
 LEASE_KEY = "lease"
+ERA_SEPARATOR = "|"
 # Targets answer orders at once. An order without a response within this time counts as lost; it may
 # still be carried out.
 ORDER_REQUEST_TIMEOUT_S = 0.4
@@ -43,6 +52,11 @@
         """Closes the connections to targets."""
         self._pools.close()
 
+    @property
+    def era(self) -> StoreEra | None:
+        """The era of the store as of its last response; None: unknown."""
+        return self._store.era
+
     def read_lease(self, done: Callable[[LeaseSnapshot | None], None]) -> None:
         """Reports the newest lease record; None if the store did not respond."""
 
@@ -53,7 +67,7 @@
             record = None
             for item in page.records:
                 if item.key == LEASE_KEY and item.value is not None:
-                    record = LeaseRecord(InstanceId(item.value.decode()), item.offset)
+                    record = _parse_lease_record(item.value, item.offset)
             done(LeaseSnapshot(record, page.end))
 
         self._store.read_newest(LEASE_TOPIC, on_page)
@@ -63,7 +77,7 @@
         self._store.append_keyed(
             LEASE_TOPIC,
             LEASE_KEY,
-            self._instance.encode(),
+            f"{self._instance}{ERA_SEPARATOR}{self._store.era or 0}".encode(),
             expected_end,
             lambda result: done(None if isinstance(result, StoreCallError) else result),
         )
@@ -90,7 +104,7 @@
     def send_order(
         self,
         order: VersionOrder,
-        fence: Offset,
+        fence: FencingToken,
         expected_orders: int,
         done: Callable[[OrderResult, str], None],
     ) -> None:
@@ -130,6 +144,13 @@
         )
 
 
+def _parse_lease_record(value: bytes, offset: Offset) -> LeaseRecord:
+    """Parses ``HOLDER|ERA``; earlier releases wrote the holder alone."""
+    holder, _, era = value.decode("utf-8", "replace").partition(ERA_SEPARATOR)
+    is_known = era.isdigit() and int(era) > 0
+    return LeaseRecord(InstanceId(holder), offset, StoreEra(int(era)) if is_known else None)
+
+
 def _parse_report(body: bytes) -> TargetReport | None:
     try:
         value = json.loads(body)
--- a/tests/unit/test_serving_orders.py
+++ b/tests/unit/test_serving_orders.py
@@ -1,5 +1,6 @@
 """The order lease and the rollout of model versions."""
 
+import itertools
 import random
 import unittest
 
@@ -17,7 +18,14 @@
     VersionRollout,
 )
 from mulberryrill.internal.core.serving.targettable import Target
-from mulberryrill.internal.ids import InstanceId, ModelName, Offset, TargetId, WeightVersion
+from mulberryrill.internal.ids import (
+    InstanceId,
+    ModelName,
+    Offset,
+    StoreEra,
+    TargetId,
+    WeightVersion,
+)
 from tests.unit.test_serving_targettable import create_registration
 
 SPACING_S = 3.0
@@ -78,6 +86,104 @@
         self.assertIs(self.lease.get_state(0.0), LeaseState.UNKNOWN)
 
 
+class RestoredLeaseTest(unittest.TestCase):
+    """Guards against two holders after the store has lost the record of one of them."""
+
+    WAIT_S = LEASE_S + ORDER_FLIGHT_S + SPACING_S
+
+    def setUp(self) -> None:
+        self.lease = OrderLease(MINE, SPACING_S)
+        self.lease.observe_era(StoreEra(1), 0.0)
+
+    def acquire(self, offset: int, now: float) -> None:
+        self.lease.observe(None, Offset(offset), now)
+        self.assertIs(self.lease.get_state(now), LeaseState.FREE)
+        self.lease.on_appended(Offset(offset), sent_at=now, now=now)
+
+    def test_holder_gives_the_lease_up(self) -> None:
+        self.acquire(7, 20.0)
+        self.lease.observe_era(StoreEra(2), 20.5)
+        self.assertIs(self.lease.get_state(20.5), LeaseState.UNKNOWN)
+        self.assertFalse(self.lease.can_order(20.5))
+        self.assertIsNone(self.lease.log_end)
+
+    def test_nobody_acquires_it_until_the_last_orders_are_over(self) -> None:
+        self.lease.observe_era(StoreEra(2), 30.0)
+        for record in (
+            None,
+            LeaseRecord(MINE, Offset(3), StoreEra(1)),
+            LeaseRecord(OTHER, Offset(3), StoreEra(1)),
+        ):
+            with self.subTest(record=record):
+                self.lease.observe(record, Offset(4), 30.0)
+                self.assertIsNot(self.lease.get_state(30.0 + self.WAIT_S - 0.1), LeaseState.FREE)
+                self.assertIs(self.lease.get_state(30.1 + self.WAIT_S), LeaseState.FREE)
+
+    def test_fencing_tokens_grow_although_offsets_are_given_out_again(self) -> None:
+        self.acquire(900, 20.0)
+        before = self.lease.fence
+        self.lease.observe_era(StoreEra(2), 30.0)
+        self.acquire(3, 40.0)
+        self.assertGreater(self.lease.fence, before)
+
+    def test_own_record_of_this_era_frees_it_at_once(self) -> None:
+        """A process that starts again goes on with its orders."""
+        self.lease.observe(LeaseRecord(MINE, Offset(3), StoreEra(1)), Offset(4), 0.5)
+        self.assertIs(self.lease.get_state(0.5), LeaseState.FREE)
+
+    def test_process_that_starts_after_the_restore_waits_too(self) -> None:
+        """It cannot know that the store has just lost another holder's record."""
+        self.lease.observe(None, Offset(0), 1.0)
+        self.assertIs(self.lease.get_state(1.0), LeaseState.HELD_BY_OTHER)
+        self.assertIs(self.lease.get_state(self.WAIT_S), LeaseState.FREE)
+
+    def test_random_restores_leave_one_holder_at_a_time(self) -> None:
+        """Replays a log that loses its last records, with instances that stop and start."""
+        generator = random.Random(7)
+        for _ in range(60):
+            self.check_random_restores(generator)
+
+    def check_random_restores(self, generator: random.Random) -> None:
+        names = [InstanceId(f"i{number}") for number in range(3)]
+        leases = {name: OrderLease(name, SPACING_S) for name in names}
+        log: list[LeaseRecord] = []
+        era = StoreEra(1)
+        orders: list[tuple[float, InstanceId, int]] = []
+        known_eras = dict.fromkeys(names, StoreEra(0))
+        for step in range(600):
+            now = step * 0.1
+            if generator.random() < 0.02:
+                del log[max(0, len(log) - generator.randint(0, 6)) :]
+                era = StoreEra(era + 1)
+            for name in names:
+                lease = leases[name]
+                if generator.random() < 0.01:
+                    lease = leases[name] = OrderLease(name, SPACING_S)
+                    known_eras[name] = StoreEra(0)
+                if generator.random() < 0.3:
+                    continue
+                if generator.random() < 0.5:
+                    known_eras[name] = era
+                    lease.observe_era(era, now)
+                state = lease.get_state(now)
+                if lease.can_order(now):
+                    orders.append((now, name, lease.fence))
+                if known_eras[name] != era:
+                    continue
+                if state is LeaseState.FREE or state is LeaseState.HELD:
+                    if lease.log_end == len(log):
+                        log.append(LeaseRecord(name, Offset(len(log)), era))
+                        lease.on_appended(log[-1].offset, sent_at=now, now=now)
+                    else:
+                        lease.on_append_failed()
+                else:
+                    lease.observe(log[-1] if log else None, Offset(len(log)), now)
+        for (at, name, fence), (later_at, later_name, later_fence) in itertools.pairwise(orders):
+            if name != later_name:
+                self.assertGreaterEqual(later_at - at, SPACING_S)
+            self.assertGreaterEqual(later_fence, fence)
+
+
 class VersionRolloutTest(unittest.TestCase):
     def setUp(self) -> None:
         self.named = NamedVersions()
