Divide the retry reserve and cold targets' rate among known instances only

The share of the retry reserve was computed with a service's first call and never again, so an instance that had no list of instances by then, or that others joined later, kept too much: 26 retries instead of 3 of 26 with eight instances. An instance without the list also sent cold targets calls as if it were alone.

--- a/src/mulberryrill/internal/core/retries.py
+++ b/src/mulberryrill/internal/core/retries.py
@@ -16,9 +16,17 @@
     def __init__(self, ratio: float = RETRY_RATIO, reserve: float = RETRY_RESERVE) -> None:
         # Credit is an integer, 1 per request: adding 0.1 repeatedly would accumulate an error.
         self._credit_per_retry = round(1 / ratio)
-        self._max_credit = max(self._credit_per_retry, round(reserve / ratio))
+        self._max_credit = self._compute_max_credit(reserve)
         self._credit = self._max_credit
 
+    def _compute_max_credit(self, reserve: float) -> int:
+        return max(self._credit_per_retry, round(reserve * self._credit_per_retry))
+
+    def set_reserve(self, reserve: float) -> None:
+        """Changes the most retries that can be saved up; more of them are not given at once."""
+        self._max_credit = self._compute_max_credit(reserve)
+        self._credit = min(self._credit, self._max_credit)
+
     def record_request(self) -> None:
         """Adds the credit of one received request."""
         self._credit = min(self._credit + 1, self._max_credit)
--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -51,7 +51,8 @@
         # All instances together may send rate x factor + reserve calls within a second.
         self._factor = factor
         self._reserve = reserve
-        self._instances: tuple[InstanceId, ...] = (instance,)
+        # Empty until the instances are known: then this one may not be the only one.
+        self._instances: tuple[InstanceId, ...] = ()
         self._last_sent_at: dict[TargetId, float] = {}
 
     def set_instances(self, instances: Collection[InstanceId]) -> None:
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -521,12 +521,15 @@
         )
 
     def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
+        bounds = self._settings.bounds
+        # The share is not known until the instances are.
+        share = 1 / len(self._state.instances) if self._state.has_peer_list else 0.0
+        reserve = RETRY_BUDGET_SHARE * bounds.retry_reserve * share
         budget = self._retry_budgets.get(service)
         if budget is None:
-            bounds = self._settings.bounds
-            reserve = RETRY_BUDGET_SHARE * bounds.retry_reserve / max(1, len(self._state.instances))
             budget = RetryBudget(ratio=RETRY_BUDGET_SHARE * bounds.retry_ratio, reserve=reserve)
             self._retry_budgets[service] = budget
+        budget.set_reserve(reserve)
         return budget
 
     def _get_pool(self, target: Target) -> ConnectionPool:
