Give gateway tests closed ports that no other socket can take

It took a port from the kernel's ephemeral range and closed it; the servers and connections that the test opens next, or any other process, can get that port before the gateway connects to it. Both tests that did so now use find_port.

--- a/tests/process/test_gateway_faults.py
+++ b/tests/process/test_gateway_faults.py
@@ -13,6 +13,7 @@
 from mulberryrill.internal.schema.settings_pb2 import Listen
 from mulberryrill.internal.schema.wire_pb2 import UNREACHABLE
 from tests.common.gateway import LOCAL, GatewayTestCase, read_executed, read_stream, wait_until
+from tests.common.ports import find_port
 from tests.process.test_gateway_calls import expect_text
 
 
@@ -64,8 +65,7 @@
         self.assertIn("not complete", others[-1]["error"]["message"])
 
     def test_refused_connection_is_not_run(self) -> None:
-        with socket.create_server((LOCAL, 0)) as closed:
-            port = closed.getsockname()[1]
+        port = find_port()
         standin = self.start_engine()
         self.control.snapshot.members[0].address = f"http://{LOCAL}:{port}"
         self.start_gateway()
--- a/tests/process/test_gateway_forwarding.py
+++ b/tests/process/test_gateway_forwarding.py
@@ -1,6 +1,5 @@
 """Calls run in another data centre while their own is drained or has no target (I5)."""
 
-import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -16,6 +15,7 @@
     wait_until,
 )
 from tests.common.links import Link, LinkState
+from tests.common.ports import find_port
 from tests.process.test_gateway_calls import expect_text
 from tests.process.test_gateway_claims import PAY
 
@@ -130,8 +130,7 @@
         self.assertEqual(read_executed(self.complete()), (503, "no"))
 
     def test_unreachable_gateway_is_not_run(self) -> None:
-        with socket.create_server((LOCAL, 0)) as closed:
-            port = closed.getsockname()[1]
+        port = find_port()
         self.add_remote_gateway("msasani-1", "msasani", f"http://{LOCAL}:{port}")
         self.add_drain_order(self.control)
         self.start_gateway()
