Read rate limits of targets in any notation of a decimal number

More than nine digits behind the point counted as unreadable, so the limit was ignored. Digits up to 40 behind the point, none before or behind it, and exponents are read now; values that are not finite numbers are not.

--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -107,7 +107,7 @@
     RequestErrorReason.BODY_TOO_LARGE: RefusalReason.BODY_TOO_LARGE,
     RequestErrorReason.HEAD_TOO_LARGE: RefusalReason.HEAD_TOO_LARGE,
 }
-_DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+_DECIMAL_PATTERN = re.compile(rb"([0-9]{1,9}(\.[0-9]{0,40})?|\.[0-9]{1,40})([eE][+-]?[0-9]{1,2})?")
 # Longest part of an unreadable header that is logged.
 MAX_LOGGED_BYTES = 40
 _PROMPT_PART_PATTERN = re.compile(r"([0-9a-fA-F]{1,64}):([0-9]{1,9})")
