Draw limited targets and restored stores in the fault runs

Targets name random limits for seconds, counted as the users' rule does; the store comes back from copies of up to 6 s ago, at random with an outage, and gets back later what operators and targets had written. All other checks go on meanwhile.

--- a/benches/entryfaults.py
+++ b/benches/entryfaults.py
@@ -1,8 +1,8 @@
 """Injects random faults into entry processes while ``tests.common.promises`` checks them.
 
 All faults come from outside the processes: signals; links that are delayed, paused, cut or reset; a
-store that is unavailable, compacts its topics or drops responses; and targets that crash, reject,
-hang, break or are replaced.
+store that is unavailable, compacts its topics, drops responses or comes back from an older copy;
+and targets that crash, reject, hang, break, name limits or are replaced.
 """
 
 import random
@@ -24,6 +24,9 @@
 CALLERS = 8
 KINDS = [CallKind.GET, CallKind.PAY, CallKind.PAY, CallKind.STREAM, CallKind.RESUMABLE]
 MAX_FAULT_S = 4.0
+MAX_LIMITED_S = 12.0
+# Age of the copy from which the store comes back.
+MAX_COPY_AGE_S = 6.0
 # A process must exit at most this long after its grace period.
 STOP_SLACK_S = 1.0
 # The load balancer removes an instance after two failed checks, one second apart.
@@ -63,6 +66,8 @@
             ("targets", self._disturb_target),
             ("more targets", self._disturb_target),
             ("replacements", self._replace_target),
+            ("limits", self._limit_target),
+            ("restores", self._restore_store),
         ]
 
     def check_recovery(self) -> None:
@@ -278,6 +283,36 @@
             self.pause(generator, 0.2, MAX_FAULT_S)
             target.link.set_state(LinkState.OPEN)
 
+    def _limit_target(self, generator: random.Random) -> None:
+        """Lets a target name a limit on the rate of its calls for some seconds."""
+        self.pause(generator, 0.5, 3.0)
+        target = generator.choice(self._fleet.targets)
+        name, rate = target.name, generator.uniform(0.5, 8.0)
+        self.count("target limited")
+        self._fleet.checker.record_limit(name, rate)
+        target.rate_limit = rate
+        self.pause(generator, 2.0, MAX_LIMITED_S)
+        target.rate_limit = None
+        self._fleet.checker.record_limit(name, None)
+
+    def _restore_store(self, generator: random.Random) -> None:
+        """Lets the store come back from an older copy; what it lost is written again later."""
+        self.pause(generator, 1.0, 5.0)
+        store = self._fleet.store
+        copy = store.take_copy()
+        self.pause(generator, 0.5, MAX_COPY_AGE_S)
+        self.count("store restored")
+        with self._disturb(STORE):
+            if generator.random() < 0.5:
+                self._fleet.set_store_state(LinkState.RESET)
+                self.pause(generator, 0.0, 2.0)
+                self._fleet.set_store_state(LinkState.OPEN)
+            lost = store.restore(copy)
+            self.pause(generator, 0.0, 2.0)
+            for topic in ("keyed.op", "keyed.servers"):
+                for key, value in lost.get(topic, []):
+                    store.put_raw(topic, key, value)
+
     def _replace_target(self, generator: random.Random) -> None:
         """Drains or cuts off a target, then starts another one at its address."""
         self.pause(generator, 1.0, 4.0)
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -151,15 +151,22 @@
             topics = {topic: list(records) for topic, records in self._topics.items()}
             return StoreCopy(topics, dict(self._members), self._generation)
 
-    def restore(self, copy: StoreCopy) -> None:
-        """Comes back from an older copy: offsets go back, and later records are gone."""
+    def restore(self, copy: StoreCopy) -> dict[str, list[tuple[str, bytes | None]]]:
+        """Comes back from an older copy: offsets go back. Returns the records that are lost."""
         with self._changed:
             self.era += 1
+            lost = {
+                topic: records[len(copy.topics.get(topic, [])) :]
+                for topic, records in self._topics.items()
+            }
             self._topics.clear()
             self._topics.update({topic: list(records) for topic, records in copy.topics.items()})
+            for topic, first in self._first_offsets.items():
+                self._first_offsets[topic] = min(first, len(self._topics[topic]))
             self._members = dict(copy.members)
             self._generation = copy.generation
             self._changed.notify_all()
+        return lost
 
     def get_values(self, topic: str) -> dict[str, bytes]:
         """Returns the newest value of each key of a topic."""
--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -109,6 +109,7 @@
             request.reply(421, b"", Not_Run="1", Request_Id=request_id)
             return
         self.on_call(call)
+        self._checker.record_arrival(request_id, self.name)
         if self.fault is TargetFault.REJECT:
             request.reply(503, b"", Not_Run="1", Request_Id=request_id)
             return
@@ -428,6 +429,9 @@
             headers |= {"Model": MODEL, "Token-Usage": "1000,16", "Prefix-Hash": "aa:500,bb:300"}
         self._connection.request(method, path, b"{}" if method == "POST" else None, headers)
         response = self._connection.getresponse()
+        if response.getheader("server-limit") is not None:
+            target = (response.getheader("server-stamp") or "").partition("/")[0]
+            self._fleet.checker.record_told_limit(record.request_id, target)
         body = response.read()
         stamp = response.getheader("server-stamp")
         matches_target = (
--- a/tests/common/promises.py
+++ b/tests/common/promises.py
@@ -20,6 +20,10 @@
 GRACE_S = 8.0
 ORDER_LEASE_S = 3.0
 COLD_PER_S, COLD_FACTOR, COLD_RESERVE = 10.0, 1.5, 5
+# Calls to a target that names a limit, from instances that were told so LIMIT_TOLD_S before: in any
+# window, from LIMIT_CONTACT_S after it was first named.
+LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_RESERVE = 4.0, 1.5, 5
+LIMIT_CONTACT_S, LIMIT_TOLD_S = 3.0, 0.5
 # For a call that is not repeatable, these mean that it has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Late responses are a violation only if they are more than half of the undisturbed calls that
@@ -75,6 +79,18 @@
     received_at: float
 
 
+@dataclass
+class TargetLimit:
+    """The rate that a target names, in calls per second over all instances."""
+
+    rate: float
+    named_at: float
+    # When each instance first passed on a response with the limit.
+    told_at: dict[str, float] = field(default_factory=dict)
+    # Calls of the last window from instances that had been told.
+    arrivals: deque[tuple[float, CallRecord]] = field(default_factory=deque)
+
+
 class Disturbances:
     """Records when faults or planned stops affect instances, targets and the store; thread-safe."""
 
@@ -133,6 +149,7 @@
         self._withdrawn_at: dict[str, float] = {}
         self._cold_until: dict[str, float] = {}
         self._orders: dict[str, LastOrder] = {}
+        self._limits: dict[str, TargetLimit] = {}
         self._lost_calls: list[str] = []
         self._recent_runs: dict[str, deque[float]] = defaultdict(deque)
         self._timed_call_count = 0
@@ -158,6 +175,40 @@
         with self._lock:
             self._cold_until[target] = until
 
+    def record_limit(self, target: str, rate: float | None) -> None:
+        """Records that a target names a limit in calls per second from now on, or none any more."""
+        with self._lock:
+            self._limits.pop(target, None)
+            if rate is not None:
+                self._limits[target] = TargetLimit(rate, time.monotonic())
+
+    def record_told_limit(self, request_id: str, target: str) -> None:
+        """Records that an instance has passed on a response in which a target names its limit."""
+        with self._lock:
+            limit = self._limits.get(target)
+            if limit is not None:
+                limit.told_at.setdefault(self._calls[request_id].instance, time.monotonic())
+
+    def record_arrival(self, request_id: str, target: str) -> None:
+        """Records and checks a call that a target gets, also if it rejects it."""
+        now = time.monotonic()
+        with self._lock:
+            limit, call = self._limits.get(target), self._calls.get(request_id)
+            if limit is None or call is None:
+                return
+            if limit.told_at.get(call.instance, now) + LIMIT_TOLD_S <= now:
+                limit.arrivals.append((now, call))
+            while limit.arrivals and now - limit.arrivals[0][0] >= LIMIT_WINDOW_S:
+                limit.arrivals.popleft()
+            if now < limit.named_at + LIMIT_CONTACT_S:
+                return
+            count = sum(
+                self._disturbances.is_undisturbed(other.instance, arrived_at, now)
+                for arrived_at, other in limit.arrivals
+            )
+            if count > LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S + LIMIT_RESERVE:
+                self._add_violation("LIMIT", f"{target} got {count} calls, limit {limit.rate:.1f}")
+
     def record_order(self, target: str, holder: str, fence: int) -> None:
         """Records and checks an order that a target received."""
         now = time.monotonic()
