Divide a target's rate again only when it or the instances change

Each piece of news of a peer made instances without a share rank all instances for the target, with 195 of them several times a second. tests.unit.test_serving_targetlimits passes.

--- a/src/mulberryrill/internal/core/serving/targetlimits.py
+++ b/src/mulberryrill/internal/core/serving/targetlimits.py
@@ -150,13 +150,13 @@
                 self._lifted[run] = news
             return limited is not None
         self._lifted.pop(run, None)
+        has_changed = limited is None or limited.news.rate != news.rate
         if limited is None:
             limited = self._limited[run.target] = _LimitedTarget(registration, news)
-        has_changed = limited.share is None or known is None or known.rate != news.rate
         limited.news = news
         if has_changed:
             self._update_share(limited, news.named_at)
-        return known is None or known.rate != news.rate
+        return has_changed
 
     def _update_share(self, limited: _LimitedTarget, now: float) -> None:
         """Divides a target's rate among as many instances as its tolerance of bursts admits."""
