Let a starting instance wait for each topic of which the store has lost records

It became ready with the first records that a peer carried over, of any topic; those of the operators could come half a second later.

--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -111,12 +111,12 @@
         ...
 
     @property
-    def carries_records(self) -> bool:
-        """Whether this instance knows records that the restored store has lost."""
+    def carried_topics(self) -> list[str]:
+        """Topics of which this instance knows records that the restored store has lost."""
         ...
 
-    def on_peer_report(self, carries_records: bool) -> None:
-        """A peer reported, and whether it knows records that the restored store has lost."""
+    def on_peer_report(self, instance: InstanceId, carried_topics: set[str]) -> None:
+        """A peer reported, with the topics of which it knows records that the store has lost."""
         ...
 
     def apply_peer_ends(self, ends: list[TargetEnd]) -> None:
@@ -199,7 +199,7 @@
         interval = compute_report_interval(peer_count, peer_count)
         self._loop.call_later(interval, self._publish_report)
         report = self._build_report()
-        report.carries_records = self._state.carries_records
+        report.carried_topics.extend(self._state.carried_topics)
         _encode_loads(build_report(self._state.loads.get_own_loads()), report.loads)
         now = self._loop.now()
         report.caches.extend(self._state.cache_sharing.pop_updates())
@@ -317,7 +317,7 @@
     def _apply_loads(self, report: PeerReport) -> None:
         """Applies a peer's loads and its observations of targets."""
         now = self._loop.now()
-        self._state.on_peer_report(report.carries_records)
+        self._state.on_peer_report(InstanceId(report.instance), set(report.carried_topics))
         loads = _decode_loads(report.loads)
         if loads is not None:
             self._state.loads.apply_report(InstanceId(report.instance), loads, now)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -61,8 +61,8 @@
         """The whole registry was read; ``is_restored``: it came back from an older copy."""
         ...
 
-    def on_carried_records_known(self) -> None:
-        """A peer has told what a restored store has lost."""
+    def on_carried_records(self, topic: str) -> None:
+        """A peer has told what a restored store has lost of a topic."""
         ...
 
     def on_evacuations_read(self, data_centres: set[DataCentre]) -> None:
@@ -138,9 +138,11 @@
         # Boot time since which a configuration and the registry have been known.
         self._records_known_at: float | None = None
         self._has_peer_news = False
-        self._peers_carry = False
-        # Whether the follower of the store knows records that a restored store has lost.
-        self.is_carrying: Callable[[], bool] | None = None
+        # Topics of which each peer knows records that the store has lost, and of which they came.
+        self._peer_topics: dict[InstanceId, set[str]] = {}
+        self._received_topics: set[str] = set()
+        # Topics of which the follower of the store knows records that a restored store has lost.
+        self.list_carried_topics: Callable[[], list[str]] | None = None
         self._is_store_reachable: bool | None = None
         # Boot time at which the operators' records were last found to be the newest.
         self._operator_records_checked_at: float | None = None
@@ -154,22 +156,30 @@
         """
         if self._records_known_at is None:
             return False
-        timeout_s = CARRIED_RECORDS_TIMEOUT_S if self._peers_carry else PEER_NEWS_TIMEOUT_S
+        timeout_s = CARRIED_RECORDS_TIMEOUT_S if self._lacks_records else PEER_NEWS_TIMEOUT_S
         return self._has_peer_news or self._loop.boottime() - self._records_known_at >= timeout_s
 
-    def on_peer_report(self, carries_records: bool) -> None:
-        """A peer reported, and whether it knows records that the restored store has lost."""
-        self._peers_carry = self._peers_carry or carries_records
-        self._has_peer_news = self._has_peer_news or not self._peers_carry
-
-    def on_carried_records_known(self) -> None:
-        """Records that the start of serving, if it waited for this, has no more reason to wait."""
-        self._has_peer_news = True
+    @property
+    def _lacks_records(self) -> bool:
+        """Whether a peer knows records that it has not told yet."""
+        return any(topics - self._received_topics for topics in self._peer_topics.values())
+
+    def on_peer_report(self, instance: InstanceId, carried_topics: set[str]) -> None:
+        """A peer reported, with the topics of which it knows records that the store has lost."""
+        if not self._has_peer_news:
+            self._peer_topics[instance] = carried_topics
+            self._has_peer_news = not self._lacks_records
+
+    def on_carried_records(self, topic: str) -> None:
+        """A peer has told what the store has lost of a topic."""
+        self._received_topics.add(topic)
+        if self._peer_topics and not self._lacks_records:
+            self._has_peer_news = True
 
     @property
-    def carries_records(self) -> bool:
-        """Whether this instance knows records that the restored store has lost."""
-        return self.is_carrying is not None and self.is_carrying()
+    def carried_topics(self) -> list[str]:
+        """Topics of which this instance knows records that the restored store has lost."""
+        return self.list_carried_topics() if self.list_carried_topics is not None else []
 
     def _check_records_known(self) -> None:
         if self._records_known_at is None and self.route_table is not None and self._has_registry:
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -126,10 +126,9 @@
         for follower in self._followers:
             follower.close()
 
-    @property
-    def is_carrying(self) -> bool:
-        """Whether the restored store has not got back yet all that this instance knows."""
-        return any(follower.is_carrying for follower in self._followers)
+    def list_carried_topics(self) -> list[str]:
+        """Returns the topics that the restored store has not got back yet as far as known."""
+        return [follower.topic for follower in self._followers if follower.is_carrying]
 
     def append_quarantine(self, entry: QuarantineEntry) -> None:
         """Writes an entry of the quarantine for all instances."""
@@ -157,7 +156,7 @@
                 continue
             if feed.is_carried:
                 follower.apply_carried_feed(records, era)
-                self._observer.on_carried_records_known()
+                self._observer.on_carried_records(feed.topic)
             elif feed.is_newest:
                 follower.apply_newest_feed(Offset(feed.start), records, complete_at, era)
             else:
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -38,7 +38,7 @@
             peers,
         )
         state.store_quarantine = self._follower.append_quarantine
-        state.is_carrying = lambda: self._follower.is_carrying
+        state.list_carried_topics = self._follower.list_carried_topics
         peers.on_log_feed = self._follower.on_log_feed
         peers.on_log_request = self._follower.on_log_request
         self._order_client = PlatformOrderClient(loop, self._store, instance)
--- a/tests/unit/test_entry_readiness.py
+++ b/tests/unit/test_entry_readiness.py
@@ -15,7 +15,8 @@
 from mulberryrill.internal.schema.settings_pb2 import EntryBounds
 
 HOME = DataCentre("z1")
-PEERS = [Peer(InstanceId(name), HOME, "127.0.0.1:1") for name in ("i1", "i2")]
+PEER = InstanceId("i2")
+PEERS = [Peer(InstanceId(name), HOME, "127.0.0.1:1") for name in ("i1", PEER)]
 
 
 class ReadinessTest(unittest.TestCase):
@@ -44,24 +45,34 @@
     def test_peer_that_carries_nothing_makes_it_ready(self) -> None:
         self.state.on_peers(PEERS)
         self.read_store()
-        self.state.on_peer_report(carries_records=False)
+        self.state.on_peer_report(PEER, set())
         self.assertTrue(self.state.is_ready)
 
     def test_instance_waits_for_the_records_that_a_peer_carries(self) -> None:
         """Guards against a withdrawn key that is valid again after a restart."""
         self.state.on_peers(PEERS)
         self.read_store()
-        self.state.on_peer_report(carries_records=True)
-        self.state.on_peer_report(carries_records=False)
+        self.state.on_peer_report(PEER, {"a", "b"})
+        self.state.on_peer_report(InstanceId("i3"), set())
         self.clock.advance(PEER_NEWS_TIMEOUT_S)
         self.assertFalse(self.state.is_ready)
-        self.state.on_carried_records_known()
+        self.state.on_carried_records("a")
+        self.assertFalse(self.state.is_ready)
+        self.state.on_carried_records("b")
+        self.assertTrue(self.state.is_ready)
+
+    def test_peer_that_no_longer_carries_anything_makes_it_ready(self) -> None:
+        self.state.on_peers(PEERS)
+        self.read_store()
+        self.state.on_peer_report(PEER, {"a"})
+        self.assertFalse(self.state.is_ready)
+        self.state.on_peer_report(PEER, set())
         self.assertTrue(self.state.is_ready)
 
     def test_records_that_never_come_do_not_keep_it_from_serving(self) -> None:
         self.state.on_peers(PEERS)
         self.read_store()
-        self.state.on_peer_report(carries_records=True)
+        self.state.on_peer_report(PEER, {"a", "b"})
         self.clock.advance(CARRIED_RECORDS_TIMEOUT_S)
         self.assertTrue(self.state.is_ready)
 
@@ -69,5 +80,5 @@
         self.state.on_peers(PEERS[:1])
         self.read_store()
         self.state.on_peers(PEERS)
-        self.state.on_peer_report(carries_records=True)
+        self.state.on_peer_report(PEER, {"a", "b"})
         self.assertTrue(self.state.is_ready)
