Begin a share of a rate empty when its news is old; ignore limits of ended targets

Read in the code: an instance that learned of a limit from a peer's older news could send at once, and a late response of a target's earlier incarnation replaced the limit of the present one. The new unit test of the first fails on the code before (its signature has no time of arrival).

--- a/src/mulberryrill/internal/core/serving/targetlimits.py
+++ b/src/mulberryrill/internal/core/serving/targetlimits.py
@@ -129,13 +129,13 @@
             current = self._limited.get(run.target)
             if current is None or (current.news.run == run and sent_at < current.news.named_at):
                 return False
-        return self._apply(registration, LimitNews(run, rate, now, is_own=True))
+        return self._apply(registration, LimitNews(run, rate, now, is_own=True), now)
 
-    def apply_news(self, registration: Registration, news: LimitNews) -> bool:
+    def apply_news(self, registration: Registration, news: LimitNews, now: float) -> bool:
         """Applies news of a peer on a registered target; returns whether it changes the limit."""
-        return news.run == registration.run and self._apply(registration, news)
+        return news.run == registration.run and self._apply(registration, news, now)
 
-    def _apply(self, registration: Registration, news: LimitNews) -> bool:
+    def _apply(self, registration: Registration, news: LimitNews, now: float) -> bool:
         run = news.run
         limited = self._limited.get(run.target)
         if limited is not None and limited.news.run != run:
@@ -155,7 +155,7 @@
             limited = self._limited[run.target] = _LimitedTarget(registration, news)
         limited.news = news
         if has_changed:
-            self._update_share(limited, news.named_at)
+            self._update_share(limited, now)
         return has_changed
 
     def _update_share(self, limited: _LimitedTarget, now: float) -> None:
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -354,13 +354,17 @@
 
         ``rate`` is in calls per second over all instances; ``sent_at`` is boot time.
         """
+        target = self.targets.get(registration.target)
+        if target is None or target.registration.run != registration.run:
+            return  # The target has ended since the call was sent.
         if self.target_limits.observe(registration, rate, sent_at, self._loop.boottime()):
             self._log_rate_limit(registration.target, rate, "response")
 
     def apply_peer_limit(self, news: LimitNews) -> None:
         """Applies a limit that a target named in a response to a peer."""
         target = self.targets.get(news.run.target)
-        if target is not None and self.target_limits.apply_news(target.registration, news):
+        now = self._loop.boottime()
+        if target is not None and self.target_limits.apply_news(target.registration, news, now):
             self._log_rate_limit(target.id, news.rate, "peer")
 
     def _log_rate_limit(self, target: TargetId, rate: float | None, source: str) -> None:
--- a/tests/unit/test_serving_targetlimits.py
+++ b/tests/unit/test_serving_targetlimits.py
@@ -56,7 +56,7 @@
 
     def tell(self, rate: float | None, named_at: float) -> bool:
         news = LimitNews(self.target.registration.run, rate, named_at, is_own=False)
-        return self.limits.apply_news(self.target.registration, news)
+        return self.limits.apply_news(self.target.registration, news, named_at)
 
     def test_limit_holds_until_a_later_call_is_answered_without_it(self) -> None:
         """Guards against a limit that is dropped because an older response arrives after it."""
@@ -98,6 +98,12 @@
         self.observe(None, 2.0, 2.5)
         self.assertEqual([news.rate for news in self.limits.list_own_news()], [None])
 
+    def test_share_begins_empty_although_the_news_is_old(self) -> None:
+        """Guards against a burst of instances that learn of a limit long after it was named."""
+        news = LimitNews(self.target.registration.run, 2.0, 1.0, is_own=False)
+        self.limits.apply_news(self.target.registration, news, 9.0)
+        self.assertEqual(self.limits.list_admitted([self.target], SERVICE, URGENT, 9.0), [])
+
     def test_instance_without_a_list_of_instances_sends_nothing(self) -> None:
         """Guards against an instance that takes itself for the only one after its start."""
         limits = TargetLimits(InstanceId("i0"))
@@ -193,7 +199,7 @@
         for name in instances:
             limits = create_limits(name, instances)
             news = LimitNews(target.registration.run, 0.5, 0.0, is_own=False)
-            limits.apply_news(target.registration, news)
+            limits.apply_news(target.registration, news, 0.0)
             if limits.list_admitted([target], SERVICE, URGENT, interval_s - 1):
                 early.append(instances[name])
             if limits.list_admitted([target], SERVICE, URGENT, interval_s):
