Keep what is carried over when the newest records are read again

Read in the code: while records are carried over, a gap in the messages, or expired records, led to another read of the newest records, which undid them, an evacuation for instance. And a target that returned under its id without a new start time stayed away for two minutes after a drain, also when nothing had been restored; only registrations written again within 10 s of a restore are doubted now. All three new tests failed before.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -22,6 +22,8 @@
 # Targets that are gone are remembered for this long, well beyond the age of a copy from which the
 # registry may come back, and up to this number.
 GONE_RETENTION_S = 120.0
+# What the registry lost when it came back from a copy is written again within this time.
+REWRITING_S = 10.0
 MAX_GONE_TARGETS = 5_000
 
 
@@ -160,6 +162,7 @@
         self._evacuated: set[DataCentre] = set()
         self._is_registry_down = False
         self._registry_returned_at = float("-inf")
+        self._restored_at = float("-inf")
         # Targets that are gone, with their last registered state and when they went, oldest first.
         self._gone: dict[TargetRun, tuple[RegistrationState, float]] = {}
 
@@ -176,7 +179,7 @@
         """Applies a registration; returns whether incarnation, state, models or address changed."""
         current = self._targets.get(registration.target)
         if current is None or current.registration.incarnation != registration.incarnation:
-            if self._has_left(registration.run):
+            if self._has_left(registration.run, now):
                 return False
             if current is not None:
                 self._add_gone(current, now)
@@ -227,13 +230,17 @@
         It lists targets that are gone, which stay so unless they register again, and lacks targets
         that have started since, which have some time to register again.
         """
-        self._registry_returned_at = now
+        self._registry_returned_at = self._restored_at = now
         self.replace_all([r for r in registrations if r.run not in self._gone], now)
 
-    def _has_left(self, run: TargetRun) -> bool:
-        """Returns whether a target announced its end and is gone: it does not come back."""
+    def _has_left(self, run: TargetRun, now: float) -> bool:
+        """Whether a registration may be an older one that was written again after a restore.
+
+        It is if the target had announced its end and is gone.
+        """
         state, _ = self._gone.get(run, (RegistrationState.READY, 0.0))
-        return state is RegistrationState.DRAINING
+        is_recent = now - self._restored_at < REWRITING_S
+        return is_recent and state is RegistrationState.DRAINING
 
     def _add_gone(self, target: Target, now: float) -> None:
         run = target.registration.run
--- a/src/mulberryrill/internal/core/serving/topicmemory.py
+++ b/src/mulberryrill/internal/core/serving/topicmemory.py
@@ -58,6 +58,7 @@
                 self._add_deletion(KeyedRecord(key, None, record.offset), now)
         for key in self._newest.keys() & self._deleted.keys():
             del self._deleted[key]
+        self._drop_satisfied()
 
     def restore(self, records: Iterable[KeyedRecord], now: float) -> None:
         """Replaces all by an older copy's records; what differs from them is carried over."""
@@ -67,10 +68,15 @@
             **self._carried,
         }
         self._newest = {record.key: record for record in records if record.value is not None}
+        self._carried = known
+        self._drop_satisfied()
+        self._carried_until = now + SETTLING_S
+
+    def _drop_satisfied(self) -> None:
+        """Stops carrying over what the store has."""
         self._carried = {
-            key: record for key, record in known.items() if self._must_carry(key, record)
+            key: record for key, record in self._carried.items() if self._must_carry(key, record)
         }
-        self._carried_until = now + SETTLING_S
 
     def _must_carry(self, key: str, known: KeyedRecord) -> bool:
         copied = self._newest.get(key)
--- a/src/mulberryrill/internal/entry/topicfollower.py
+++ b/src/mulberryrill/internal/entry/topicfollower.py
@@ -427,12 +427,14 @@
 
     def _apply_newest(self, records: tuple[KeyedRecord, ...], is_restored: bool) -> None:
         now = self._loop.boottime()
-        if not is_restored:
+        if is_restored:
+            self._memory.restore(records, now)
+        else:
             self._memory.replace(records, now)
+        carried = self._memory.carried
+        if not is_restored and not carried:
             self._handler.on_newest(records)
             return
-        self._memory.restore(records, now)
-        carried = self._memory.carried
         self._log_carried("the restored store lacks records that this instance knows", carried)
         self._handler.on_restored(records, carried)
         self._start_carrying()
--- a/tests/unit/test_platform_follower.py
+++ b/tests/unit/test_platform_follower.py
@@ -11,7 +11,7 @@
 from mulberryrill.internal.entry.topicfollower import PendingRead, TopicFollower
 from mulberryrill.internal.eventloop import EventLoop
 from mulberryrill.internal.events import Event
-from mulberryrill.internal.ids import InstanceId, Offset
+from mulberryrill.internal.ids import InstanceId, Offset, StoreEra
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
 from mulberryrill.platform.store import StoreClient
 
@@ -200,3 +200,16 @@
         late = Node("front-9", self.clock, self.nodes)
         late.read_newest(STORE_ERROR)
         self.assertEqual(late.records, {"t1": b"1"})
+
+    def test_newest_records_read_while_some_are_carried_do_not_undo_these(self) -> None:
+        """Guards against an evacuation that ends because a message was missed after a restore."""
+        node = self.nodes_by_rank[3]
+        now = self.clock.boottime()
+        copy = create_records(("t1", b"1"), start=0)
+        known = (*copy, *create_records(("evacuated", b"1"), start=2))
+        node.follower.apply_newest_feed(Offset(3), known, now, StoreEra(1))
+        node.follower.apply_newest_feed(Offset(1), copy, now, StoreEra(2))
+        self.assertIn("evacuated", node.records)
+        later = create_records(("t1", b"1"), ("t2", b"2"), start=1)
+        node.follower.apply_newest_feed(Offset(3), later, now, StoreEra(2))
+        self.assertEqual(set(node.records), {"t1", "t2", "evacuated"})
--- a/tests/unit/test_serving_targettable.py
+++ b/tests/unit/test_serving_targettable.py
@@ -97,6 +97,12 @@
         self.table.apply(create_registration("crashed"), 5.6)
         self.assertEqual(self.list_ids(), ["live", "crashed"], "it registered again, so it lives")
 
+    def test_target_may_return_under_its_id_when_nothing_was_restored(self) -> None:
+        self.table.apply(create_registration(state=RegistrationState.DRAINING), 0.0)
+        self.table.remove(TargetId("t1"), 1.0)
+        self.table.apply(create_registration(), 2.0)
+        self.assertEqual(self.list_ids(), ["t1"])
+
     def test_target_that_an_older_copy_lacks_has_time_to_register_again(self) -> None:
         for name in ("t1", "t2", "t3"):
             self.table.apply(create_registration(name), 0.0)
--- a/tests/unit/test_serving_topicmemory.py
+++ b/tests/unit/test_serving_topicmemory.py
@@ -39,6 +39,14 @@
         self.memory.apply(create_record("a", "2"), 6.0)
         self.assertEqual(self.memory.carried, ())
 
+    def test_key_is_no_longer_carried_once_it_is_read_as_it_was(self) -> None:
+        """The record that was written again may have expired before it was read."""
+        self.memory.apply(create_record("a", "2"), 1.0)
+        self.memory.apply(create_record("b", "2"), 1.0)
+        self.memory.restore(self.copy, 5.0)
+        self.memory.replace((create_record("a", "2"), create_record("b", "1")), 6.0)
+        self.assertEqual(describe(self.memory.carried), {"b": b"2"})
+
     def test_copy_that_lacks_nothing_is_not_doubted(self) -> None:
         self.memory.restore(self.copy, 5.0)
         self.assertEqual(self.memory.carried, ())
