--- a/tests/process/test_entry_crashes.py
+++ b/tests/process/test_entry_crashes.py
@@ -2,12 +2,12 @@
 
 import http.client
 import itertools
-import threading
 import time
 import unittest
 from collections import Counter
 from dataclasses import dataclass, field
 
+from tests.common.callerthreads import CallerThreads
 from tests.common.entry import HOST, LOCAL, MODEL, ReceivedCall
 from tests.common.entryfleet import EntryFleet, EntryProcess, FleetTarget
 
@@ -50,15 +50,14 @@
         self.record = CrashRecord()
         self.fleet = EntryFleet(instances=4, targets=8)
         self.addCleanup(self.fleet.close)
-        self.is_ended = threading.Event()
         self.numbers = itertools.count()
         self.statuses: list[tuple[str, float, int | None]] = []
         for target in self.fleet.targets:
             target.crashes_on = self.crashes
             target.on_crash = self.crash
         self.fleet.start()
-        self.threads: list[threading.Thread] = []
-        self.addCleanup(self.end_callers)
+        self.callers = CallerThreads(self.fleet.entries)
+        self.addCleanup(self.callers.close)
 
     def crashes(self, call: ReceivedCall) -> bool:
         is_crashing = CRASHING_PART in call.headers.get("prefix-hash", "") or call.path.endswith(
@@ -74,24 +73,8 @@
             self.fleet.crash_target(target)
 
     def start_caller(self, name: str, interval_s: float, path: str, parts: str = "") -> None:
-        """Starts a thread that makes calls at all instances in turn until the test ends."""
-
-        def run() -> None:
-            for entry in itertools.cycle(self.fleet.entries):
-                if self.is_ended.wait(interval_s):
-                    return
-                caller = threading.Thread(target=self.call, args=(name, entry, path, parts))
-                caller.daemon = True
-                caller.start()
-
-        thread = threading.Thread(target=run, daemon=True)
-        thread.start()
-        self.threads.append(thread)
-
-    def end_callers(self) -> None:
-        self.is_ended.set()
-        for thread in self.threads:
-            thread.join()
+        """Makes calls at all instances in turn until the test ends."""
+        self.callers.start(interval_s, lambda entry: self.call(name, entry, path, parts))
 
     def call(self, name: str, entry: EntryProcess, path: str, parts: str) -> None:
         number = next(self.numbers)
--- a/tests/process/test_entry_limits.py
+++ b/tests/process/test_entry_limits.py
@@ -3,7 +3,6 @@
 import http.client
 import itertools
 import signal
-import threading
 import time
 import unittest
 from collections import Counter
@@ -11,6 +10,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+from tests.common.callerthreads import CallerThreads
 from tests.common.entry import CUSTOMER, HOST, LOCAL, MODEL, ReceivedCall, create_configuration
 from tests.common.entryfleet import EntryFleet, EntryProcess, FleetTarget
 
@@ -44,7 +44,6 @@
     def setUp(self) -> None:
         self.fleet = EntryFleet(instances=4, targets=8)
         self.addCleanup(self.fleet.close)
-        self.is_ended = threading.Event()
         self.numbers = itertools.count()
         self.replies: list[Reply] = []
         # When each target got each call, by target and request id.
@@ -54,8 +53,8 @@
         self.instances: dict[str, str] = {}
         for target in self.fleet.targets:
             target.on_call = partial(self.record_arrival, target.name)
-        self.threads: list[threading.Thread] = []
-        self.addCleanup(self.end_callers)
+        self.callers = CallerThreads(self.fleet.entries)
+        self.addCleanup(self.callers.close)
 
     def record_arrival(self, target: str, call: ReceivedCall) -> None:
         self.arrivals[target].setdefault(call.headers["request-id"], time.monotonic())
@@ -64,22 +63,8 @@
         return [target for target in self.fleet.targets if target.service == service]
 
     def start_caller(self, name: str, interval_s: float, path: str) -> None:
-        """Starts a thread that makes calls at all instances in turn until the test ends."""
-
-        def run() -> None:
-            for entry in itertools.cycle(self.fleet.entries):
-                if self.is_ended.wait(interval_s):
-                    return
-                threading.Thread(target=self.call, args=(name, entry, path), daemon=True).start()
-
-        thread = threading.Thread(target=run, daemon=True)
-        thread.start()
-        self.threads.append(thread)
-
-    def end_callers(self) -> None:
-        self.is_ended.set()
-        for thread in self.threads:
-            thread.join()
+        """Makes calls at all instances in turn until the test ends."""
+        self.callers.start(interval_s, lambda entry: self.call(name, entry, path))
 
     def call(self, name: str, entry: EntryProcess, path: str) -> None:
         number = next(self.numbers)
