--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -261,6 +261,8 @@
         # Replace fields of each configuration that is published.
         self.configuration_changes: dict[str, object] = {}
         self.weight_version = 1
+        # Seconds until a target that has ended is back.
+        self.target_restart_s = TARGET_RESTART_S
         self.store = PlatformStore()
         self._folder = tempfile.TemporaryDirectory(prefix="mulberryrill-fleet-")
         folder = Path(self._folder.name)
@@ -323,7 +325,7 @@
                 return
             link, target.link = target.link, None
         link.close()
-        timer = threading.Timer(TARGET_RESTART_S, self._restart_target, (target,))
+        timer = threading.Timer(self.target_restart_s, self._restart_target, (target,))
         timer.daemon = True
         timer.start()
 
--- a/tests/process/test_entry_crashes.py
+++ b/tests/process/test_entry_crashes.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from tests.common.callerthreads import CallerThreads
@@ -46,9 +47,12 @@
 
 
 class CrashTest(unittest.TestCase):
+    instances = 4
+    targets = 8
+
     def setUp(self) -> None:
         self.record = CrashRecord()
-        self.fleet = EntryFleet(instances=4, targets=8)
+        self.fleet = EntryFleet(self.instances, self.targets)
         self.addCleanup(self.fleet.close)
         self.numbers = itertools.count()
         self.statuses: list[tuple[str, float, int | None]] = []
@@ -76,11 +80,20 @@
         """Makes calls at all instances in turn until the test ends."""
         self.callers.start(interval_s, lambda entry: self.call(name, entry, path, parts))
 
-    def call(self, name: str, entry: EntryProcess, path: str, parts: str) -> None:
+    def call(
+        self,
+        name: str,
+        entry: EntryProcess,
+        path: str,
+        parts: str = "",
+        host: str = HOST,
+        *,
+        is_chunked: bool = False,
+    ) -> None:
         number = next(self.numbers)
         request_id = f"{name}-{number}"
         headers = {
-            "Host": HOST,
+            "Host": host,
             "Request-Id": request_id,
             "X-Api-Key": self.fleet.keys[0],
             "Deadline-Ms": "2000",
@@ -90,10 +103,13 @@
             prefix = f"{parts},{number + 0x1000:x}:10"
             headers |= {"Model": MODEL, "Token-Usage": "1000,16", "Prefix-Hash": prefix}
         sent_at = self.record.sent_at[request_id] = time.monotonic()
+        if is_chunked:
+            headers["Transfer-Encoding"] = "chunked"
         connection = http.client.HTTPConnection(LOCAL, entry.callers_port, timeout=CALL_TIMEOUT_S)
         status: int | None = None
         try:
-            connection.request("POST", path, b"{}", headers)
+            body = iter([b"{", b"}"]) if is_chunked else b"{}"
+            connection.request("POST", path, body, headers, encode_chunked=is_chunked)
             response = connection.getresponse()
             response.read()
             status = response.status
@@ -164,3 +180,33 @@
         time.sleep(TROUBLE_S)
         self.check_late_calls(MAX_CRASHES_OF_ONE_REQUEST)
         self.check_sound_calls("sound", started_at + 2 * CONTACT_S + 2.0)
+
+
+class FewTargetsTest(CrashTest):
+    """All targets of the service can end before any instance has told another."""
+
+    instances = 8
+    # Three of them are of the service that gets the crashing request.
+    targets = 6
+    target_restart_s = 4.0
+    crashing_interval_s = 0.25
+    trouble_s = 22.0
+
+    def check_request(self, *crashing_callers: Callable[[EntryProcess], None]) -> None:
+        self.fleet.target_restart_s = self.target_restart_s
+        self.start_caller("sound", SOUND_INTERVAL_S, "/get/a")
+        time.sleep(1.0)
+        started_at = time.monotonic()
+        for caller in crashing_callers:
+            self.callers.start(self.crashing_interval_s, caller)
+        time.sleep(self.trouble_s)
+        self.check_late_calls(MAX_CRASHES_OF_ONE_REQUEST)
+        self.check_sound_calls("sound", started_at + 2 * CONTACT_S + 2.0)
+
+    def test_differently_spelled_request_ends_targets_beyond_the_bound(self) -> None:
+        """Guards against counting one request as several: the host's case, or a chunked body."""
+        path = f"/get/{CRASHING_PART}"
+        self.check_request(
+            lambda entry: self.call("crashing", entry, path),
+            lambda entry: self.call("crashing", entry, path, host=HOST.upper(), is_chunked=True),
+        )
