--- a/src/mulberryrill/internal/core/serving/crashcauses.py
+++ b/src/mulberryrill/internal/core/serving/crashcauses.py
@@ -7,8 +7,10 @@
 once several targets have ended under it and no call with it has been answered since.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections import Counter
+from collections.abc import Container, Iterable
+from dataclasses import dataclass, replace
+from itertools import pairwise
 from typing import NewType
 
 from ...ids import RequestId
@@ -16,14 +18,24 @@
 
 # What calls can have in common: a prompt part, or path, customer and body.
 Trait = NewType("Trait", str)
-# Calls may need this many targets to end before their trait counts as the cause, and more if a call
-# with the trait was answered in the time before the first end.
+# A call's fingerprint and the part of its prompt that belongs to it alone.
+CallIdentity = tuple[Trait, str]
+# A part counts as the cause once so many targets have ended under it. One call that comes again has
+# less in common with others by chance, so fewer ends are enough.
 CRASH_THRESHOLD = 4
+CALL_CRASH_THRESHOLD = 3
+# The same if a call with the trait was answered in the time before the first end.
 CRASH_THRESHOLD_AFTER_ANSWER = 5
+# Targets that lose power together end at once, with popular calls on all of them. Ends of a call
+# that was answered before must therefore lie in this many groups, with a pause between them.
+MIN_END_GROUPS = 3
+END_GROUP_PAUSE_S = 1.0
 ANSWER_MEMORY_S = 60.0
 # A cause must explain this share of the ends since its first one. Where targets end for other
 # reasons, a rare trait is now and then on several of them, but on few of all.
 MIN_EXPLAINED_SHARE = 0.6
+# A call under which so many targets have ended is the cause whatever share of the ends that is.
+CONCLUSIVE_CALL_ENDS = 5
 # Ends that nothing explains are forgotten after this time, and beyond this number.
 HISTORY_S = 600.0
 MAX_ENDS = 200
@@ -52,7 +64,7 @@
         return (*self.parts, self.fingerprint)
 
     @property
-    def identity(self) -> tuple[Trait, str]:
+    def identity(self) -> CallIdentity:
         """Equal for calls that are the same call again."""
         return self.fingerprint, self.own_part
 
@@ -67,6 +79,17 @@
     suspects: tuple[SuspectCall, ...]
 
 
+@dataclass(frozen=True)
+class Suspicion:
+    """Ends of targets under a call that has not been answered since."""
+
+    runs: frozenset[TargetRun]
+    # Boot time.
+    last_end_at: float
+    # Whether the call was answered shortly before the first end.
+    was_answered: bool
+
+
 @dataclass(frozen=True)
 class CrashCause:
     """A trait under which targets end."""
@@ -83,6 +106,8 @@
         self._ends: dict[TargetRun, TargetEnd] = {}
         # Least recently answered first.
         self._answered_at: dict[Trait, float] = {}
+        # Ends that are not proved yet, with the times until which they count.
+        self._unproven: dict[TargetRun, tuple[TargetEnd, float]] = {}
         # What this instance has seen itself and tells its peers.
         self._own_ends: dict[TargetRun, TargetEnd] = {}
         self._own_answered_at: dict[Trait, float] = {}
@@ -90,12 +115,63 @@
         self._suspected: set[Trait] = set()
         self._untold: set[Trait] = set()
         self._told_at: dict[Trait, float] = {}
+        # None: not computed since the last change.
+        self._has_repeated_suspect: bool | None = False
+
+    @property
+    def has_repeated_suspect(self) -> bool:
+        """Whether several targets have ended under one call, without an answer since."""
+        if self._has_repeated_suspect is None:
+            counts = Counter(
+                identity
+                for end in self._ends.values()
+                for identity in {suspect.identity for suspect in end.suspects}
+                if self._answered_at.get(identity[0], float("-inf")) < end.ended_at
+            )
+            self._has_repeated_suspect = any(count > 1 for count in counts.values())
+        return self._has_repeated_suspect
 
     @property
     def has_ends(self) -> bool:
         """Whether any targets have ended recently."""
         return bool(self._ends)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any target has ended recently, or may have."""
+        return bool(self._ends or self._unproven)
+
+    def add_unproven_end(self, end: TargetEnd, expires_at: float) -> None:
+        """Adds an end that may turn out to be a fault of the network."""
+        self._unproven[end.run] = (end, expires_at)
+        if len(self._unproven) > MAX_ENDS:
+            del self._unproven[next(iter(self._unproven))]
+
+    def remove_unproven_end(self, run: TargetRun) -> None:
+        """Forgets an unproven end: the target lives, or its end is proved."""
+        self._unproven.pop(run, None)
+
+    def list_ended_runs(self, now: float) -> set[TargetRun]:
+        """Returns the targets that have ended recently, or may have."""
+        unproven = {run for run, (_, expires_at) in self._unproven.items() if now < expires_at}
+        return unproven | self._ends.keys()
+
+    def find_suspicion(self, identity: CallIdentity, now: float) -> Suspicion | None:
+        """Returns the ends under a call since its last answer, also unproven ones."""
+        trait, _ = identity
+        ends = {run: end for run, (end, at) in self._unproven.items() if now < at}
+        if trait in self._suspected:
+            ends |= self._ends
+        candidate = _Candidate(trait, is_call=True)
+        for end in ends.values():
+            suspects = tuple(s for s in end.suspects if s.identity == identity)
+            if suspects:
+                self._count_end(replace(end, suspects=suspects), {trait: candidate}, {trait})
+        if not candidate.ends:
+            return None
+        last_end_at = max(end.ended_at for end in candidate.ends.values())
+        return Suspicion(frozenset(candidate.ends), last_end_at, self._was_answered(candidate))
+
     def record_answer(self, traits: Iterable[Trait], now: float) -> None:
         """Records that a target ran a call with these traits and did not end."""
         for trait in traits:
@@ -103,10 +179,12 @@
             _update_time(self._answered_at, trait, now)
             if trait in self._suspected:
                 self._untold.add(trait)
+                self._has_repeated_suspect = None
 
     def record_peer_answer(self, trait: Trait, answered_at: float) -> None:
         """Records an answer that a peer has seen."""
         _update_time(self._answered_at, trait, answered_at)
+        self._has_repeated_suspect = None
 
     def add_own_end(self, end: TargetEnd) -> bool:
         """Adds an end that this instance has seen; returns whether anything is new."""
@@ -118,6 +196,7 @@
         traits = {trait for suspect in end.suspects for trait in suspect.traits}
         self._untold |= (traits - self._suspected) & self._own_answered_at.keys()
         self._suspected |= traits
+        self._has_repeated_suspect = None
         return _merge_end(self._ends, end)
 
     def find_cause(self, known_causes: Iterable[Trait], now: float) -> CrashCause | None:
@@ -141,9 +220,17 @@
         best = max(eligible, key=lambda c: (len(c.ends), not self._was_answered(c), c.narrowness))
         return CrashCause(best.trait, tuple(best.ends))
 
-    def _count_end(self, end: TargetEnd, candidates: dict[Trait, "_Candidate"]) -> None:
+    def _count_end(
+        self,
+        end: TargetEnd,
+        candidates: dict[Trait, "_Candidate"],
+        traits: Container[Trait] | None = None,
+    ) -> None:
+        """Adds an end to the candidates for its cause; ``traits``: to these only."""
         for suspect in end.suspects:
             for position, trait in enumerate(suspect.traits):
+                if traits is not None and trait not in traits:
+                    continue
                 if self._answered_at.get(trait, float("-inf")) >= end.ended_at:
                     continue
                 is_call = trait == suspect.fingerprint
@@ -153,21 +240,31 @@
                 candidate.ends[end.run] = end
 
     def _is_cause(self, candidate: "_Candidate", ends: list[TargetEnd]) -> bool:
-        threshold = (
-            CRASH_THRESHOLD_AFTER_ANSWER if self._was_answered(candidate) else CRASH_THRESHOLD
-        )
         # One call that comes again is refused by itself, not by the parts that it shares.
         is_common = candidate.is_call or len(candidate.calls) > 1
-        if not is_common or len(candidate.ends) < threshold:
+        if not is_common or len(candidate.ends) < self._get_threshold(candidate):
             return False
+        if candidate.is_call and self._was_answered(candidate):
+            return candidate.count_end_groups() >= MIN_END_GROUPS
+        if candidate.is_single_call and len(candidate.ends) >= CONCLUSIVE_CALL_ENDS:
+            return True
         first_end_at = candidate.first_end_at
         count = sum(end.ended_at >= first_end_at for end in ends)
         return len(candidate.ends) >= MIN_EXPLAINED_SHARE * count
 
+    def _get_threshold(self, candidate: "_Candidate") -> int:
+        if self._was_answered(candidate):
+            return CRASH_THRESHOLD_AFTER_ANSWER
+        return CALL_CRASH_THRESHOLD if candidate.is_single_call else CRASH_THRESHOLD
+
     def _was_answered(self, candidate: "_Candidate") -> bool:
         answered_at = self._answered_at.get(candidate.trait, float("-inf"))
         return candidate.first_end_at - answered_at < ANSWER_MEMORY_S
 
+    def list_newest_ends(self, max_count: int) -> list[TargetEnd]:
+        """Returns the newest ends that this instance or a peer has seen."""
+        return sorted(self._ends.values(), key=lambda end: end.ended_at)[-max_count:]
+
     def list_own_ends(self, max_age_s: float, now: float) -> list[TargetEnd]:
         """Returns the ends of the last ``max_age_s`` that this instance has seen itself."""
         return [end for end in self._own_ends.values() if now - end.ended_at < max_age_s]
@@ -185,12 +282,15 @@
 
     def prune(self, now: float) -> None:
         """Forgets old ends."""
+        for run in [run for run, (_, expires_at) in self._unproven.items() if now >= expires_at]:
+            del self._unproven[run]
         count = len(self._ends)
         for ends in (self._ends, self._own_ends):
             for run in [run for run, end in ends.items() if now - end.ended_at > HISTORY_S]:
                 del ends[run]
         if len(self._ends) == count:
             return
+        self._has_repeated_suspect = None
         suspects = (suspect for end in self._ends.values() for suspect in end.suspects)
         self._suspected = {trait for suspect in suspects for trait in suspect.traits}
         self._untold &= self._suspected
@@ -204,7 +304,7 @@
         self.trait = trait
         self.is_call = is_call
         self.ends: dict[TargetRun, TargetEnd] = {}
-        self.calls: set[tuple[Trait, str]] = set()
+        self.calls: set[CallIdentity] = set()
         self.position = 0
 
     @property
@@ -212,6 +312,17 @@
         """Boot time of the first end."""
         return min(end.ended_at for end in self.ends.values())
 
+    @property
+    def is_single_call(self) -> bool:
+        """Whether all ends happened under one and the same call."""
+        return self.is_call and len(self.calls) == 1
+
+    def count_end_groups(self) -> int:
+        """Returns the number of groups of ends with a pause between them."""
+        times = sorted(end.ended_at for end in self.ends.values())
+        pauses = (later - time for time, later in pairwise(times))
+        return 1 + sum(pause >= END_GROUP_PAUSE_S for pause in pauses)
+
     @property
     def narrowness(self) -> int:
         """Orders traits by how few calls share them: one call, later parts, earlier parts.
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -83,6 +83,8 @@
         self.was_refused = False
         # Whether this instance ended the attempt because its response made no progress.
         self.was_stalled = False
+        # Whether this instance ended the attempt because nothing came in time.
+        self.was_unanswered = False
         # Whether this call's prompt still counts as pending prefill at the target.
         self.is_prefill_pending = False
         self._call = call
--- a/src/mulberryrill/internal/entry/crashwatch.py
+++ b/src/mulberryrill/internal/entry/crashwatch.py
@@ -16,12 +16,15 @@
 
 from ..core.quarantine import QUARANTINE_DURATION_MS, Quarantine
 from ..core.serving.crashcauses import (
+    CallIdentity,
     CrashCauses,
     SuspectCall,
+    Suspicion,
     TargetEnd,
     Trait,
 )
-from ..core.serving.targettable import Registration, TargetRun
+from ..core.serving.probation import ProbationRefusal, choose_trial_target
+from ..core.serving.targettable import Registration, Target, TargetRun
 from ..eventloop import EventLoop
 from ..events import Event
 from ..http.sockets import open_connection
@@ -66,10 +69,12 @@
 
 @dataclass
 class _BrokenRun:
-    """Calls that broke off at one incarnation of a target."""
+    """Calls that broke off at one incarnation of a target, or that it left unanswered."""
 
     broken_at: float
     suspects: list[SuspectCall] = field(default_factory=list)
+    # Whether a connection broke. A target that is only silent may be slow.
+    has_broken: bool = False
     has_ended: bool = False
 
 
@@ -85,6 +90,8 @@
         self._broken_runs: dict[TargetRun, _BrokenRun] = {}
         # Stores an entry where all instances find it, also after their restart.
         self.on_quarantined: Callable[[QuarantineEntry], None] | None = None
+        # Tells peers at once of an end that this instance has seen; False: it is not proved.
+        self.on_end: Callable[[TargetEnd, bool], None] | None = None
 
     def find_quarantined(self, call: CallRequest) -> Trait | None:
         """Returns the trait for which a call must be refused, or None."""
@@ -95,6 +102,37 @@
         traits = (*list_parts(call), compute_fingerprint(call))
         return next((t for t in traits if quarantine.is_quarantined(t, now_unix_ms)), None)
 
+    def choose_trial_target(
+        self, call: CallRequest, usable: list[Target]
+    ) -> Target | ProbationRefusal | None:
+        """Returns the only target on which a suspected call may run; None: it is not suspected."""
+        causes, now = self._state.crash_causes, self._loop.boottime()
+        if not causes.has_suspects:
+            return None
+        identity = identify_call(call)
+        suspicion = causes.find_suspicion(identity, now)
+        if suspicion is None:
+            return None
+        ended, interval_s = causes.list_ended_runs(now), self._state.report_interval_s
+        choice = choose_trial_target(identity[0], suspicion, usable, ended, interval_s, now)
+        self._log_trial(call, suspicion, choice)
+        return choice
+
+    def _log_trial(
+        self, call: CallRequest, suspicion: Suspicion, choice: Target | ProbationRefusal
+    ) -> None:
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.ENTRY_CALL_ON_PROBATION,
+            choice.detail if isinstance(choice, ProbationRefusal) else "call runs on one target",
+            request=call.request_id,
+            trait=compute_fingerprint(call),
+            ended=sorted(run.target for run in suspicion.runs),
+            last_end_s=round(self._loop.boottime() - suspicion.last_end_at, 3),
+            target=choice.id if isinstance(choice, Target) else None,
+        )
+
     def compute_time_left(self, trait: Trait) -> float:
         """Returns the seconds for which calls with a trait are still refused."""
         return self._state.quarantine.compute_time_left(trait, self._get_unix_ms())
@@ -104,39 +142,66 @@
         registration = attempt.plan.target.registration
         run = _get_run(registration)
         if outcome in (Outcome.ANSWERED, Outcome.ERROR):
-            traits = list_parts(call)
-            if self._state.crash_causes.has_ends:
-                traits = (*traits, compute_fingerprint(call))
+            traits = (*list_parts(call), compute_fingerprint(call))
             self._state.crash_causes.record_answer(traits, self._loop.boottime())
-            self._broken_runs.pop(run, None)
+            self._clear_break(run)
         elif outcome is Outcome.BROKEN and not attempt.was_stalled:
             first_event_at = attempt.first_event_at
             if first_event_at is None or self._loop.now() - first_event_at < START_WINDOW_S:
-                self._add_suspect(run, registration.address, call)
+                self._add_suspect(run, call)
+                self._report_break(run)
+                self._probe_once(run, registration.address)
+        elif outcome is Outcome.CANCELLED and attempt.was_unanswered:
+            self._add_suspect(run, call)
         elif outcome is Outcome.NOT_SENT and attempt.was_refused:
             self._confirm_end(run)
 
-    def on_target_removed(self, registration: Registration) -> None:
-        """The registration of a target that was not draining disappeared, or it started again."""
-        self._confirm_end(_get_run(registration))
+    def on_target_removed(self, registration: Registration, waiting: list[CallRequest]) -> None:
+        """The registration of a target that was not draining disappeared, or it started again.
+
+        ``waiting`` are the calls on it that have got nothing yet.
+        """
+        run = _get_run(registration)
+        for call in waiting:
+            self._add_suspect(run, call)
+        self._confirm_end(run)
 
     def on_ends_changed(self) -> None:
         """This instance or a peer has seen a target end; looks for a cause after a short time."""
         delay_s = SETTLE_MARGIN_S + 2 * self._state.report_interval_s
         self._loop.call_later(delay_s, self._find_causes)
 
-    def _add_suspect(self, run: TargetRun, address: str, call: CallRequest) -> None:
+    def _add_suspect(self, run: TargetRun, call: CallRequest) -> None:
         now = self._loop.boottime()
         self._expire(now)
-        is_new = run not in self._broken_runs
         broken = self._broken_runs.setdefault(run, _BrokenRun(now))
-        own_part = call.prompt.parts[-1][0] if call.prompt is not None and call.prompt.parts else ""
+        fingerprint, own_part = identify_call(call)
         broken.suspects.append(
-            SuspectCall(call.request_id, compute_fingerprint(call), list_parts(call), own_part)
+            SuspectCall(call.request_id, fingerprint, list_parts(call), own_part)
         )
         if broken.has_ended:
             self._report_end(run, broken)
-        elif is_new:
+
+    def _report_break(self, run: TargetRun) -> None:
+        """Tells peers of a break before it is known whether the target has ended."""
+        broken = self._broken_runs[run]
+        if broken.has_ended:
+            return
+        end = TargetEnd(run, broken.broken_at, tuple(broken.suspects))
+        expires_at = broken.broken_at + EVIDENCE_TIMEOUT_S
+        self._state.crash_causes.add_unproven_end(end, expires_at)
+        if self.on_end is not None:
+            self.on_end(end, False)
+
+    def _clear_break(self, run: TargetRun) -> None:
+        """The target lives."""
+        self._broken_runs.pop(run, None)
+        self._state.crash_causes.remove_unproven_end(run)
+
+    def _probe_once(self, run: TargetRun, address: str) -> None:
+        broken = self._broken_runs[run]
+        if not broken.has_broken:
+            broken.has_broken = True
             self._probe(run, address, PROBE_COUNT)
 
     def _probe(self, run: TargetRun, address: str, count: int) -> None:
@@ -144,7 +209,7 @@
 
         def on_connected() -> None:
             if count <= 1:
-                self._broken_runs.pop(run, None)
+                self._clear_break(run)
             else:
                 delayed = partial(self._probe, run, address, count - 1)
                 self._loop.call_later(PROBE_INTERVAL_S, delayed)
@@ -170,6 +235,9 @@
             target=run.target,
             requests=[suspect.request for suspect in broken.suspects],
         )
+        self._state.crash_causes.remove_unproven_end(run)
+        if self.on_end is not None:
+            self.on_end(end, True)
         self.on_ends_changed()
 
     def _find_causes(self) -> None:
@@ -259,12 +327,22 @@
     return tuple(Trait(f"part:{part.lower()}") for part, _ in call.prompt.parts[:-1])
 
 
+def identify_call(call: CallRequest) -> CallIdentity:
+    """Returns what is equal for calls that are the same call again."""
+    own_part = call.prompt.parts[-1][0] if call.prompt is not None and call.prompt.parts else ""
+    return compute_fingerprint(call), own_part.lower()
+
+
 def compute_fingerprint(call: CallRequest) -> Trait:
-    """Returns a trait that calls share only if path, customer and body are the same."""
+    """Returns a trait that calls share only if path, customer and body are the same.
+
+    How a caller writes the host, the method, the query and the headers makes no difference: one
+    call in several spellings must not count as several.
+    """
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     customer = call.customer.name if call.customer is not None else ""
-    host = call.http.get(b"host") or b""
-    for item in (customer.encode(), host, call.http.method, call.http.target, call.http.body):
+    path = call.path.encode("latin-1")
+    for item in (customer.encode(), call.route.host.encode(), path, call.http.body):
         digest.update(len(item).to_bytes(8, "big"))
         digest.update(item)
     return Trait(f"call:{digest.hexdigest()}")
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -33,6 +33,7 @@
     OUTCOME_UNKNOWN = "outcome unknown"
     TIMEOUT = "timeout"
     QUARANTINED = "targets end under such calls"
+    SUSPECTED = "targets may have ended under this call"
 
 
 @dataclass(frozen=True)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -12,6 +12,7 @@
     format_salt,
     plan_transfers,
 )
+from ..core.serving.crashcauses import TargetEnd
 from ..core.serving.idlelimits import IdleLimits
 from ..core.serving.outdated import (
     compute_rollout_retry_delay,
@@ -19,8 +20,9 @@
     list_current,
 )
 from ..core.serving.placement import Placement, PlacementRequest, choose_engine
+from ..core.serving.probation import TRIAL_RETRY_DELAY_S, ProbationRefusal
 from ..core.serving.routetable import CallerLimits, Prompt, Service
-from ..core.serving.targettable import Target
+from ..core.serving.targettable import Registration, Target
 from ..eventloop import EventLoop
 from ..events import Event
 from ..http.caller import InboundConnection
@@ -30,7 +32,7 @@
 from ..schema.log_pb2 import QuarantineEntry
 from ..schema.settings_pb2 import EntrySettings
 from .attempt import Attempt, Outcome
-from .crashwatch import CrashWatch
+from .crashwatch import CrashWatch, identify_call
 from .dialect import (
     AttemptPlan,
     CachePlan,
@@ -42,7 +44,7 @@
 )
 from .metrics import EntryMetrics
 from .pool import ConnectionPool
-from .run import RETRY_AFTER_S, CallHandler, PlacementRefusal
+from .run import RETRY_AFTER_S, SILENT, CallHandler, PlacementRefusal
 from .state import EntryState
 
 # A target that rejected a call, for example because it was full, is avoided for this long; it gets
@@ -89,7 +91,8 @@
         self._metrics = EntryMetrics()
         self._crash_watch = CrashWatch(loop, state, lambda: int(loop.wall() * 1000))
         self._crash_watch.on_quarantined = self._store_quarantine
-        state.on_target_lost = self._crash_watch.on_target_removed
+        self._crash_watch.on_end = self._publish_end
+        state.on_target_lost = self._on_target_lost
         state.on_peer_ends = self._crash_watch.on_ends_changed
         self.is_stopping = False
         self._refuses_requests = False
@@ -211,6 +214,12 @@
         limits, boottime = self._state.target_limits, self._loop.boottime()
         priority = handler.call.priority
         reachable = self._list_reachable_targets(service)
+        probation = self._limit_to_trial_target(handler, reachable)
+        if isinstance(probation, ProbationRefusal):
+            return PlacementRefusal(
+                RefusalReason.SUSPECTED, probation.detail, probation.retry_after_s
+            )
+        reachable = probation
         targets = limits.list_admitted(reachable, service.name, priority, boottime)
         if reachable and not targets:
             delay_s = limits.compute_retry_delay(
@@ -227,6 +236,35 @@
             limits.record_refusal(service.name, priority, boottime)
         return plan
 
+    def _limit_to_trial_target(
+        self, handler: CallHandler, usable: list[Target]
+    ) -> list[Target] | ProbationRefusal:
+        """Returns the usable targets, or only one of them if targets have ended under the call."""
+        untried = [target for target in usable if target.id not in handler.tried_targets]
+        choice = self._crash_watch.choose_trial_target(handler.call, untried)
+        if choice is None:
+            return usable
+        if isinstance(choice, ProbationRefusal):
+            return choice
+        identity = identify_call(handler.call)
+        for other in self._handlers:
+            is_running = other is not handler and other.has_attempt
+            if is_running and identify_call(other.call) == identity:
+                return ProbationRefusal(
+                    f"the same call runs as {other.call.request_id}", TRIAL_RETRY_DELAY_S
+                )
+        return [choice]
+
+    def _on_target_lost(self, registration: Registration) -> None:
+        waiting = [
+            handler.call
+            for handler in self._handlers
+            if (attempt := handler.attempt) is not None
+            and attempt.response is None
+            and attempt.plan.target.registration.run == registration.run
+        ]
+        self._crash_watch.on_target_removed(registration, waiting)
+
     def _choose_target(
         self, handler: CallHandler, service: Service, targets: list[Target]
     ) -> AttemptPlan | PlacementRefusal:
@@ -385,7 +423,7 @@
             self._state.target_updates.record_misdirection(
                 target.id, target.consecutive_misdirections
             )
-        elif outcome is not Outcome.CANCELLED or detail == "silent":
+        elif outcome is not Outcome.CANCELLED or detail == SILENT:
             if outcome is Outcome.BROKEN:
                 self._record_reset(attempt, now)
             target.record_failure(now)
@@ -395,6 +433,10 @@
         if self._state.store_quarantine is not None:
             self._state.store_quarantine(entry)
 
+    def _publish_end(self, end: TargetEnd, is_proven: bool) -> None:
+        if self._state.publish_end is not None:
+            self._state.publish_end(end, is_proven)
+
     def _record_reset(self, attempt: Attempt, now: float) -> None:
         """Records a reused connection that was reset as soon as a call was sent on it."""
         is_reset = attempt.response is None and now - attempt.started_at < MAX_RESET_DELAY_S
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -9,6 +9,7 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol, cast
 
 import zmq
@@ -59,6 +60,9 @@
 # Peers are told of a target's end at this interval, for this long.
 END_REPORT_INTERVAL_S = 1.0
 END_REPORT_DURATION_S = 10.0
+# An instance asks its peers for earlier ends for this long after its start. They tell so many.
+END_REQUEST_DURATION_S = 3.0
+MAX_RETOLD_ENDS = 20
 MS_PER_S = 1000
 # ZeroMQ topic, the first frame of a message: its recipient, or this value for all peers. A message
 # to one peer is not sent to the others, as they do not subscribe to its topic.
@@ -78,6 +82,20 @@
     address: str
 
 
+class EndNews(Enum):
+    """What a peer's report says about ends of targets."""
+
+    # The peer knows of no call under which several targets have ended, or has told all ends.
+    COMPLETE = "complete"
+    # The peer knows of ends that it has not told.
+    UNTOLD = "untold"
+
+    @classmethod
+    def find(cls, knows_ends: bool, tells_all_ends: bool) -> "EndNews":
+        """Decodes the two fields of a report."""
+        return cls.UNTOLD if knows_ends and not tells_all_ends else cls.COMPLETE
+
+
 class SharedState(Protocol):
     """The state that reports are built from and applied to."""
 
@@ -115,7 +133,9 @@
         """Topics of which this instance knows records that the restored store has lost."""
         ...
 
-    def on_peer_report(self, instance: InstanceId, carried_topics: set[str]) -> None:
+    def on_peer_report(
+        self, instance: InstanceId, carried_topics: set[str], ends: "EndNews"
+    ) -> None:
         """A peer reported, with the topics of which it knows records that the store has lost."""
         ...
 
@@ -123,6 +143,10 @@
         """Adds ends of targets that a peer has seen."""
         ...
 
+    def apply_unproven_end(self, end: TargetEnd) -> None:
+        """Adds an end of which a peer has no proof yet."""
+        ...
+
     def list_recent_versions(self) -> list[NamedVersion]:
         """Returns the recently named model versions with their ages."""
         ...
@@ -150,6 +174,9 @@
         self._version_ages_sent_at = float("-inf")
         self._ends_sent_at = float("-inf")
         self._sent_ends: list[TargetEnd] = []
+        self._started_at = loop.now()
+        # Whether a peer that has just started asked for earlier ends.
+        self._must_retell_ends = False
         self._limits_sent_at = float("-inf")
         self._sent_limits: dict[TargetRun, float | None] = {}
 
@@ -192,6 +219,15 @@
             self._subscriber.disconnect(f"tcp://{address}")
         self._connected = addresses
 
+    def publish_end(self, end: TargetEnd, is_proven: bool) -> None:
+        """Tells peers of a target's end at once: others may run the call that ended it."""
+        report = self._build_report()
+        message = _encode_end(end, self._loop.boottime())
+        message.is_unproven = not is_proven
+        report.target_ends.append(message)
+        report.has_only_ends = True
+        self._send(report)
+
     def _publish_report(self) -> None:
         if self._is_closed:
             return
@@ -218,6 +254,8 @@
             or report.answered_traits
             or report.named_limits
             or report.HasField("cache_request")
+            or report.wants_ends
+            or report.tells_all_ends
         )
         if has_content or now - self._last_sent_at >= IDLE_REPORT_INTERVAL_S:
             self._last_sent_at = now
@@ -237,7 +275,14 @@
         causes, boottime = self._state.crash_causes, self._loop.boottime()
         for trait, answered_at in causes.pop_answers(boottime):
             report.answered_traits.add(trait=trait, age_ms=_encode_age(boottime - answered_at))
+        report.wants_ends = now - self._started_at < END_REQUEST_DURATION_S
         ends = causes.list_own_ends(END_REPORT_DURATION_S, boottime)
+        report.knows_ends = causes.has_repeated_suspect
+        if self._must_retell_ends:
+            self._must_retell_ends = False
+            report.tells_all_ends = True
+            earlier = [end for end in causes.list_newest_ends(MAX_RETOLD_ENDS) if end not in ends]
+            report.target_ends.extend(_encode_end(end, boottime) for end in earlier)
         # Messages can get lost while connections are established, so recent ends are repeated.
         is_due = now - self._ends_sent_at >= END_REPORT_INTERVAL_S
         if ends and (is_due or ends != self._sent_ends):
@@ -304,6 +349,9 @@
                 _LOGGER, logging.WARNING, Event.MESSAGE_REJECTED, f"invalid peer report: {error}"
             )
             return
+        if report.has_only_ends:
+            self._apply_ends(report)
+            return
         if not (report.feeds or report.requests or report.answers_request):
             self._apply_loads(report)
         if report.data_centre != self._local_peer.data_centre:
@@ -317,7 +365,10 @@
     def _apply_loads(self, report: PeerReport) -> None:
         """Applies a peer's loads and its observations of targets."""
         now = self._loop.now()
-        self._state.on_peer_report(InstanceId(report.instance), set(report.carried_topics))
+        end_news = EndNews.find(report.knows_ends, report.tells_all_ends)
+        self._state.on_peer_report(
+            InstanceId(report.instance), set(report.carried_topics), end_news
+        )
         loads = _decode_loads(report.loads)
         if loads is not None:
             self._state.loads.apply_report(InstanceId(report.instance), loads, now)
@@ -331,9 +382,17 @@
             self._state.crash_causes.record_peer_answer(Trait(answered.trait), answered_at)
         for limit in report.named_limits:
             self._state.apply_peer_limit(_decode_limit(limit, boottime))
-        if report.target_ends:
-            ends = [_decode_end(end, boottime) for end in report.target_ends]
-            self._state.apply_peer_ends(ends)
+        self._must_retell_ends |= report.wants_ends
+        self._apply_ends(report)
+
+    def _apply_ends(self, report: PeerReport) -> None:
+        boottime = self._loop.boottime()
+        proved = [end for end in report.target_ends if not end.is_unproven]
+        if proved:
+            self._state.apply_peer_ends([_decode_end(end, boottime) for end in proved])
+        for end in report.target_ends:
+            if end.is_unproven:
+                self._state.apply_unproven_end(_decode_end(end, boottime))
 
     def _send_full_updates(self, request: PeerReport) -> None:
         """Sends a peer the full cache contents of the holders that it requests."""
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -74,6 +74,7 @@
         peer = Peer(instance, data_centre, settings.peer_address)
         self._peer_exchange = PeerExchange(self._loop, peer, self._state)
         self._state.on_peers_changed = self._peer_exchange.set_peers
+        self._state.publish_end = self._peer_exchange.publish_end
         self._store_tasks = create_store_tasks(
             self._loop, self._clock, settings, self._state, self._peer_exchange
         )
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -21,6 +21,9 @@
 MAX_RESPONSE_AGE_S = 1.5
 # Default Retry-After: another instance may accept the call at once, or this one shortly after.
 RETRY_AFTER_S = 0.3
+# Why an attempt was cancelled, in logs.
+SILENT = "silent"
+DEADLINE = "deadline"
 
 
 @dataclass(frozen=True)
@@ -111,6 +114,11 @@
         """Seconds until the response must be complete."""
         return self.deadline - self._loop.now()
 
+    @property
+    def attempt(self) -> Attempt | None:
+        """The attempt in progress."""
+        return self._attempt
+
     @property
     def has_attempt(self) -> bool:
         """Whether an attempt is in progress."""
@@ -248,7 +256,7 @@
 
     def _on_deadline(self) -> None:
         attempt = self._attempt
-        self._cancel_attempt("deadline")
+        self._cancel_attempt(DEADLINE)
         if attempt is None and self._run_count == 0:
             self._give_up(RefusalReason.EXPIRED)
         else:
@@ -292,7 +300,7 @@
             # No other target would respond sooner.
             self._start_silence_timer(attempt)
             return
-        self._cancel_attempt("silent")
+        self._cancel_attempt(SILENT)
         self._run_count += 1
         self._start_attempt(plan)
 
@@ -301,6 +309,8 @@
         if attempt is None:
             return
         attempt.cancel()
+        is_late = reason in (SILENT, DEADLINE)
+        attempt.was_unanswered = is_late and attempt.response is None
         self._record_attempt(attempt, "cancelled", reason)
         self._owner.on_attempt_end(self, attempt, Outcome.CANCELLED, reason)
 
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -25,7 +25,7 @@
 from ..schema.log_pb2 import QuarantineEntry
 from ..schema.settings_pb2 import EntryBounds
 from .cachesharing import CacheSharing
-from .peers import Peer, compute_report_interval
+from .peers import EndNews, Peer, compute_report_interval
 from .targetupdates import TargetUpdates
 
 # An instance that has just started learns within this time from its peers for how long the current
@@ -38,6 +38,8 @@
 # Peers are told the age of versions that were named within this multiple of the time in which a
 # version must be in use everywhere; an older one binds all calls.
 VERSION_AGE_FACTOR = 2.0
+# A peer that has seen calls break off learns within this time whether the target has ended.
+UNPROVEN_END_S = 1.0
 MS_PER_S = 1000
 _LOGGER = logging.getLogger(__name__)
 
@@ -130,6 +132,8 @@
         self.on_target_lost: Callable[[Registration], None] | None = None
         # A peer has seen targets end.
         self.on_peer_ends: Callable[[], None] | None = None
+        # Tells peers of a target's end that this instance has seen; False: it is not proved.
+        self.publish_end: Callable[[TargetEnd, bool], None] | None = None
         # Stores an entry of the quarantine for all instances.
         self.store_quarantine: Callable[[QuarantineEntry], None] | None = None
         # Whether the list of the live instances has been read.
@@ -141,6 +145,7 @@
         # Topics of which each peer knows records that the store has lost, and of which they came.
         self._peer_topics: dict[InstanceId, set[str]] = {}
         self._received_topics: set[str] = set()
+        self._peer_ends: dict[InstanceId, EndNews] = {}
         # Topics of which the follower of the store knows records that a restored store has lost.
         self.list_carried_topics: Callable[[], list[str]] | None = None
         self._is_store_reachable: bool | None = None
@@ -161,13 +166,18 @@
 
     @property
     def _lacks_records(self) -> bool:
-        """Whether a peer knows records that it has not told yet."""
-        return any(topics - self._received_topics for topics in self._peer_topics.values())
+        """Whether a peer knows records, or ends of targets, that it has not told yet."""
+        lacks_topics = any(topics - self._received_topics for topics in self._peer_topics.values())
+        return lacks_topics or EndNews.UNTOLD in self._peer_ends.values()
 
-    def on_peer_report(self, instance: InstanceId, carried_topics: set[str]) -> None:
+    def on_peer_report(
+        self, instance: InstanceId, carried_topics: set[str], ends: EndNews = EndNews.COMPLETE
+    ) -> None:
         """A peer reported, with the topics of which it knows records that the store has lost."""
         if not self._has_peer_news:
             self._peer_topics[instance] = carried_topics
+            if self._peer_ends.get(instance) is not EndNews.COMPLETE:
+                self._peer_ends[instance] = ends
             self._has_peer_news = not self._lacks_records
 
     def on_carried_records(self, topic: str) -> None:
@@ -277,6 +287,11 @@
         if any(has_new) and self.on_peer_ends is not None:
             self.on_peer_ends()
 
+    def apply_unproven_end(self, end: TargetEnd) -> None:
+        """Adds an end of which a peer has no proof yet."""
+        expires_at = self._loop.boottime() + UNPROVEN_END_S
+        self.crash_causes.add_unproven_end(end, expires_at)
+
     @property
     def report_interval_s(self) -> float:
         """Interval at which the instances report to their peers."""
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -101,6 +101,7 @@
     RefusalReason.OUTCOME_UNKNOWN: 502,
     RefusalReason.TIMEOUT: 504,
     RefusalReason.QUARANTINED: 503,
+    RefusalReason.SUSPECTED: 503,
 }
 _REQUEST_ERROR_REFUSALS = {
     RequestErrorReason.MALFORMED: RefusalReason.MALFORMED,
--- a/tests/process/test_entry_crashes.py
+++ b/tests/process/test_entry_crashes.py
@@ -2,11 +2,14 @@
 
 import http.client
 import itertools
+import random
+import threading
 import time
 import unittest
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from tests.common.callerthreads import CallerThreads
 from tests.common.entry import HOST, LOCAL, MODEL, ReceivedCall
@@ -36,14 +39,25 @@
     crashed_at: list[float] = field(default_factory=list)
     # When each instance was sent the call, by request id.
     sent_at: dict[str, float] = field(default_factory=dict)
-    reached: list[str] = field(default_factory=list)
+    # Request id and path, once for each attempt that reached a target.
+    reached: list[tuple[str, str]] = field(default_factory=list)
+    # When each target ended under a call, by the call's path and the target's name.
+    ends: dict[str, dict[str, float]] = field(default_factory=lambda: defaultdict(dict))
 
-    def list_late(self, max_crashes: int) -> list[str]:
-        """Returns the calls that were sent too late to reach a target, and reached one."""
-        if len(self.crashed_at) < max_crashes:
+    def list_late(self, max_crashes: int, path: str | None = None) -> list[str]:
+        """Returns the calls that were sent too late to reach a target, and reached one.
+
+        ``path``: only calls with this path count, and the ends under them.
+        """
+        times = self.crashed_at if path is None else list(self.ends[path].values())
+        if len(times) < max_crashes:
             return []
-        limit = sorted(self.crashed_at)[max_crashes - 1] + CONTACT_S
-        return [request for request in self.reached if self.sent_at[request] > limit]
+        limit = sorted(times)[max_crashes - 1] + CONTACT_S
+        return [
+            request
+            for request, reached_path in self.reached
+            if self.sent_at[request] > limit and path in (None, reached_path)
+        ]
 
 
 class CrashTest(unittest.TestCase):
@@ -55,6 +69,8 @@
         self.fleet = EntryFleet(self.instances, self.targets)
         self.addCleanup(self.fleet.close)
         self.numbers = itertools.count()
+        # The call that a target's thread runs.
+        self.running = threading.local()
         self.statuses: list[tuple[str, float, int | None]] = []
         for target in self.fleet.targets:
             target.crashes_on = self.crashes
@@ -68,10 +84,12 @@
             CRASHING_PART
         )
         if is_crashing:
-            self.record.reached.append(call.headers["request-id"])
+            self.record.reached.append((call.headers["request-id"], call.path))
+            self.running.path = call.path
         return is_crashing
 
     def crash(self, target: FleetTarget) -> None:
+        self.record.ends[self.running.path].setdefault(target.name, time.monotonic())
         if target.link is not None:
             self.record.crashed_at.append(time.monotonic())
             self.fleet.crash_target(target)
@@ -210,3 +228,55 @@
             lambda entry: self.call("crashing", entry, path),
             lambda entry: self.call("crashing", entry, path, host=HOST.upper(), is_chunked=True),
         )
+
+    def call_crashing(self, entry: EntryProcess) -> None:
+        self.call("crashing", entry, f"/get/{CRASHING_PART}")
+
+    def test_request_ends_few_targets(self) -> None:
+        """Guards against the loss of all targets at once, and again when they are back."""
+        self.check_request(self.call_crashing)
+        self.assertLessEqual(len(self.record.crashed_at), MAX_CRASHES_OF_ONE_REQUEST + 1)
+
+    def test_request_that_may_not_be_repeated(self) -> None:
+        self.check_request(lambda entry: self.call("crashing", entry, f"/pay/{CRASHING_PART}"))
+
+    def test_two_requests_at_once(self) -> None:
+        """Each may end three targets, and reach three later."""
+        paths = [f"/get/{name}/{CRASHING_PART}" for name in ("first", "second")]
+        for path in paths:
+            self.callers.start(self.crashing_interval_s, partial(self.call, "crashing", path=path))
+        self.fleet.target_restart_s = self.target_restart_s
+        time.sleep(self.trouble_s)
+        self.assertGreater(len(self.record.reached), 0)
+        for path in paths:
+            late = self.record.list_late(MAX_CRASHES_OF_ONE_REQUEST, path)
+            self.assertLessEqual(len(late), MAX_LATE_CALLS, self.record.ends)
+
+    def test_other_targets_end_as_well(self) -> None:
+        """Guards against a cause that is missed because it does not explain all ends."""
+        source = random.Random(1)
+        self.repeat(2.0, lambda: self.fleet.crash_target(source.choice(self.fleet.targets)))
+        self.check_request(self.call_crashing)
+
+    def test_instances_are_killed_in_turn(self) -> None:
+        """Guards against evidence that is lost with the instance that saw it."""
+        entries = itertools.cycle(self.fleet.entries)
+        self.repeat(1.5, lambda: self.restart(next(entries)))
+        self.check_request(self.call_crashing)
+
+    def repeat(self, interval_s: float, action: Callable[[], None]) -> None:
+        """Acts at an interval until the test ends."""
+        is_ended = threading.Event()
+
+        def run() -> None:
+            while not is_ended.wait(interval_s):
+                action()
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(is_ended.set)
+
+    def restart(self, entry: EntryProcess) -> None:
+        entry.kill()
+        entry.start()
--- a/tests/unit/test_entry_readiness.py
+++ b/tests/unit/test_entry_readiness.py
@@ -4,7 +4,7 @@
 
 from mulberryrill.internal.clock import ManualClock
 from mulberryrill.internal.core.serving.routetable import RouteTable
-from mulberryrill.internal.entry.peers import Peer
+from mulberryrill.internal.entry.peers import EndNews, Peer
 from mulberryrill.internal.entry.state import (
     CARRIED_RECORDS_TIMEOUT_S,
     PEER_NEWS_TIMEOUT_S,
@@ -76,6 +76,16 @@
         self.clock.advance(CARRIED_RECORDS_TIMEOUT_S)
         self.assertTrue(self.state.is_ready)
 
+    def test_instance_waits_for_the_ends_of_targets_that_a_peer_knows(self) -> None:
+        """Guards against an instance that sends a suspected call on because it has just started."""
+        self.state.on_peers(PEERS)
+        self.read_store()
+        self.state.on_peer_report(PEER, set(), EndNews.UNTOLD)
+        self.clock.advance(PEER_NEWS_TIMEOUT_S)
+        self.assertFalse(self.state.is_ready)
+        self.state.on_peer_report(PEER, set(), EndNews.COMPLETE)
+        self.assertTrue(self.state.is_ready)
+
     def test_serving_instance_stays_ready(self) -> None:
         self.state.on_peers(PEERS[:1])
         self.read_store()
