--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -322,6 +322,8 @@
         self.received_calls: list[ReceivedCall] = []
         self.orders: list[ReceivedOrder] = []
         self.version = 1
+        # Version of the target's own software, as it registers.
+        self.software = "v1"
         self.loads_on_order = True
 
     def build_origin_headers(self, call: ReceivedCall) -> dict[str, str]:
@@ -388,7 +390,7 @@
             "service": service,
             "address": self.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -92,6 +92,8 @@
         # Calls per second that responses name as the target's limit; None: they name none.
         self.rate_limit: float | None = None
         self.on_call: Callable[[ReceivedCall], object] = lambda call: None
+        # Factor by which everything takes longer.
+        self.slow_factor = 1
         self._checker = checker
         self._run_numbers = itertools.count()
 
@@ -119,7 +121,7 @@
             return
         stamp = f"{self.name}/{next(self._run_numbers)}"
         self._checker.record_run(request_id, self.name, stamp, headers.get("tenant"))
-        delay_factor = SLOW_FACTOR if self.fault is TargetFault.SLOW else 1
+        delay_factor = SLOW_FACTOR if self.fault is TargetFault.SLOW else self.slow_factor
         if self.fault is TargetFault.HANG:
             time.sleep(HANG_S)
         origin_headers = {
