--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -5,10 +5,19 @@
 which holds the registry, are kept for a short time after it, because live targets register again.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ...ids import DataCentre, Incarnation, ModelName, ServiceName, TargetId, WeightVersion
+from ...ids import (
+    DataCentre,
+    Incarnation,
+    ModelName,
+    ServiceName,
+    SoftwareVersion,
+    TargetId,
+    WeightVersion,
+)
 
 # Calls avoid a target for this long after a failure; each consecutive failure doubles the time.
 INITIAL_COOLDOWN_S = 0.25
@@ -58,6 +67,7 @@
     # Orders that the target has accepted since its start.
     order_count: int
     models: tuple[tuple[ModelName, WeightVersion], ...] = ()
+    software: SoftwareVersion = SoftwareVersion("")
 
     @property
     def run(self) -> TargetRun:
@@ -294,6 +304,11 @@
             and target.registration.data_centre not in self._evacuated
         ]
 
+    def count_versions(self, service: ServiceName) -> Counter[SoftwareVersion]:
+        """Returns the software versions of a service's targets, with their numbers."""
+        registrations = (target.registration for target in self._targets.values())
+        return Counter(r.software for r in registrations if r.service == service)
+
     def is_usable(self, target: Target) -> bool:
         """Returns whether the target is still registered and may get new calls."""
         registration = target.registration
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -33,6 +33,8 @@
     OUTCOME_UNKNOWN = "outcome unknown"
     TIMEOUT = "timeout"
     QUARANTINED = "targets end under such calls"
+    ORIGIN_UNKNOWN = "software version of the stream unknown"
+    VERSION_GONE = "no target of the stream's software version"
     SUSPECTED = "targets may have ended under this call"
 
 
@@ -50,6 +52,13 @@
     prompt: Prompt | None
     # Id of the last event that the caller received of an interrupted stream.
     last_event_id: int | None
+    # The request that brought the first event of the interrupted stream; None: not stated.
+    resumes: RequestId | None = None
+
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the call goes on with an interrupted stream."""
+        return self.route.is_resumable and self.last_event_id is not None
 
     @property
     def priority(self) -> int:
@@ -98,11 +107,13 @@
 
     def describe(self) -> str:
         """Returns the target and its cached prompt parts, for logs."""
+        software = self.target.registration.software
+        target = f"{self.target.id} ({software})" if software else self.target.id
         if self.cache is None:
-            return self.target.id
+            return target
         fetch = ",".join(address or "-" for address in self.cache.fetch)
         wait_ms = round(self.expected_wait_s * 1000)
-        return f"{self.target.id} salt={self.cache.salt} fetch={fetch} expected={wait_ms}ms"
+        return f"{target} salt={self.cache.salt} fetch={fetch} expected={wait_ms}ms"
 
 
 class ResponseKind(Enum):
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 from ..core.retries import RetryBudget
 from ..core.serving.admission import AdmissionRequest, compute_retry_delay, is_admitted
@@ -22,12 +23,21 @@
 from ..core.serving.placement import Placement, PlacementRequest, choose_engine
 from ..core.serving.probation import TRIAL_RETRY_DELAY_S, ProbationRefusal
 from ..core.serving.routetable import CallerLimits, Prompt, Service
+from ..core.serving.streamorigins import OriginSource
 from ..core.serving.targettable import Registration, Target
 from ..eventloop import EventLoop
 from ..events import Event
 from ..http.caller import InboundConnection
 from ..http.messages import HttpRequest, RequestErrorReason
-from ..ids import CustomerName, DataCentre, ModelName, ServiceName, TargetId, WeightVersion
+from ..ids import (
+    CustomerName,
+    DataCentre,
+    ModelName,
+    ServiceName,
+    SoftwareVersion,
+    TargetId,
+    WeightVersion,
+)
 from ..logs import log_event
 from ..schema.log_pb2 import QuarantineEntry
 from ..schema.settings_pb2 import EntrySettings
@@ -63,6 +73,9 @@
 # Share of an engine's KV cache that running calls may fill, counting shared prompt parts for each
 # call. Beyond it engines evict fetched prompt parts before they are used, and preempt calls.
 MAX_HELD_SHARE = 0.9
+# Streams that are taken up may fill more than all of it: only engines of one software version can
+# go on with them, parts that calls share count several times, and urgent calls preempt others.
+MAX_TAKE_UP_HELD_SHARE = 1.2
 # A fetch may take this share of the route's latency objective; a slower one is abandoned and the
 # prompt is prefilled.
 MAX_FETCH_SHARE = 0.5
@@ -213,7 +226,11 @@
             return PlacementRefusal(RefusalReason.QUARANTINED, trait, time_left_s)
         limits, boottime = self._state.target_limits, self._loop.boottime()
         priority = handler.call.priority
-        reachable = self._list_reachable_targets(service)
+        reachable = self._list_fitting_targets(handler, service)
+        if not reachable and handler.software is not None:
+            return PlacementRefusal(
+                RefusalReason.VERSION_GONE, f"the stream began at {handler.software or 'none'}"
+            )
         probation = self._limit_to_trial_target(handler, reachable)
         if isinstance(probation, ProbationRefusal):
             return PlacementRefusal(
@@ -304,7 +321,8 @@
             )
         candidates = self._placement.list_candidates(current, request, service.cold_rate)
         if service.engine is not None:
-            held_limit = MAX_HELD_SHARE * service.engine.cache_tokens - prompt.total_tokens
+            held_share = MAX_TAKE_UP_HELD_SHARE if handler.call.is_take_up else MAX_HELD_SHARE
+            held_limit = held_share * service.engine.cache_tokens - prompt.total_tokens
             candidates = [t for t in candidates if self._estimate_held_tokens(t, now) <= held_limit]
             if current and not candidates:
                 return PlacementRefusal(
@@ -334,9 +352,13 @@
             for target, tokens in zip(candidates, prefill_tokens, strict=True)
         ]
         best = choose_engine(waits)
-        admission = AdmissionRequest(
-            waits[best], handler.call.route.latency_objective_s, handler.time_left_s
+        # A stream that is taken up has kept its caller waiting already, and most of it is paid for.
+        objective_s = (
+            handler.time_left_s
+            if handler.call.is_take_up
+            else handler.call.route.latency_objective_s
         )
+        admission = AdmissionRequest(waits[best], objective_s, handler.time_left_s)
         if not is_admitted(admission):
             detail = (
                 f"first event expected after {admission.expected_wait_s:.2f} s on the best of"
@@ -505,6 +527,69 @@
             if self._has_connection(target, service)
         ]
 
+    def _list_fitting_targets(self, handler: CallHandler, service: Service) -> list[Target]:
+        """Returns the reachable targets, for a stream those of the software version it began at.
+
+        While streams are not recorded, new ones begin at the default version: it needs no record.
+        """
+        reachable = self._list_reachable_targets(service)
+        if handler.software is not None:
+            return [t for t in reachable if t.registration.software == handler.software]
+        if handler.call.route.is_resumable and self._state.origin_records.is_failing:
+            version = self._find_recordless_version(service.name)
+            return [t for t in reachable if t.registration.software == version] or reachable
+        return reachable
+
+    def find_origin(self, handler: CallHandler) -> None:
+        """Finds the software version at which a stream began that its caller takes up."""
+        service, call = handler.service, handler.call
+        if service is None:
+            handler.on_origin(None)
+            return
+
+        def on_found(version: SoftwareVersion | None, source: OriginSource) -> None:
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.ENTRY_STREAM_TAKEN_UP,
+                "stream is taken up" if version is not None else "origin of a stream is unknown",
+                request=call.request_id,
+                stream=call.resumes,
+                last_event=call.last_event_id,
+                version=version,
+                source=source.value,
+                default=self._state.stream_origins.get_default(service.name),
+            )
+            handler.on_origin(version)
+
+        self._state.origin_records.find(call.resumes, service.name, on_found)
+
+    def record_origin(
+        self, handler: CallHandler, attempt: Attempt, done: Callable[[], bool]
+    ) -> None:
+        """Calls ``done`` once it is recorded which version begins a stream, if that is needed."""
+        registration = attempt.plan.target.registration
+        self._state.origin_records.begin(
+            handler.call.request_id, registration.service, registration.software, done
+        )
+
+    def begin_unrecorded(self, handler: CallHandler, attempt: Attempt) -> None:
+        """A new stream begins although its version could not be recorded."""
+        registration = attempt.plan.target.registration
+        self._state.origin_records.begin_unrecorded(
+            handler.call.request_id, registration.service, registration.software
+        )
+
+    def has_recordless_target(self, handler: CallHandler, attempt: Attempt) -> bool:
+        """Whether a stream could begin at a target whose version needs no record."""
+        registration = attempt.plan.target.registration
+        version = self._find_recordless_version(registration.service)
+        return version is not None and version != registration.software
+
+    def _find_recordless_version(self, service: ServiceName) -> SoftwareVersion | None:
+        registered = self._state.targets.count_versions(service)
+        return self._state.stream_origins.find_recordless(service, registered)
+
     def _has_connection(self, target: Target, service: Service) -> bool:
         """Whether this instance's share of the target's connections allows one more call."""
         pool = self._pools.get(target.id)
@@ -611,6 +696,7 @@
         for handler in list(self._handlers):
             handler.check_progress()
         self._state.remove_expired_targets()
+        self._state.origin_records.update()
         self._state.crash_causes.prune(self._loop.boottime())
         live = {target.id: target.registration for target in self._state.targets.targets}
         self._state.loads.prune(set(live))
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -38,6 +38,7 @@
 from ..schema.peers_pb2 import NamedVersion as NamedVersionMessage
 from ..schema.peers_pb2 import TargetEnd as TargetEndMessage
 from .cachesharing import CacheSharing
+from .originrecords import OriginRecords, decode_origin, encode_origin
 from .targetupdates import TargetUpdates
 
 # Reports are sent at this interval, or less often if there are many peers, so that an instance
@@ -147,6 +148,11 @@
         """Adds an end of which a peer has no proof yet."""
         ...
 
+    @property
+    def origin_records(self) -> OriginRecords:
+        """Versions of streams to tell and to learn."""
+        ...
+
     def list_recent_versions(self) -> list[NamedVersion]:
         """Returns the recently named model versions with their ages."""
         ...
@@ -245,6 +251,7 @@
         self._add_version_ages(report, now)
         self._add_crashes(report, now)
         self._add_limits(report, now)
+        report.begun_streams.extend(map(encode_origin, self._state.origin_records.pop_news()))
         has_content = (
             report.loads.targets
             or report.caches
@@ -254,6 +261,7 @@
             or report.answered_traits
             or report.named_limits
             or report.HasField("cache_request")
+            or report.begun_streams
             or report.wants_ends
             or report.tells_all_ends
         )
@@ -383,6 +391,7 @@
         for limit in report.named_limits:
             self._state.apply_peer_limit(_decode_limit(limit, boottime))
         self._must_retell_ends |= report.wants_ends
+        self._state.origin_records.apply_peer_origins(map(decode_origin, report.begun_streams))
         self._apply_ends(report)
 
     def _apply_ends(self, report: PeerReport) -> None:
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -1,12 +1,13 @@
 """Handles one call from arrival to response: targets, attempts, retries, resumed streams."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from ..core.serving.routetable import CallKind, Service
 from ..eventloop import EventLoop, Timer
 from ..http.caller import InboundConnection
-from ..ids import TargetId
+from ..ids import SoftwareVersion, TargetId
 from .attempt import Attempt, BufferedResponse, Outcome
 from .dialect import AttemptPlan, CallRequest, Dialect, RefusalReason
 
@@ -21,6 +22,9 @@
 MAX_RESPONSE_AGE_S = 1.5
 # Default Retry-After: another instance may accept the call at once, or this one shortly after.
 RETRY_AFTER_S = 0.3
+# A stream whose version is not recorded in this time begins at another target, if one needs no
+# record.
+RECORDING_PATIENCE_S = 0.5
 # Why an attempt was cancelled, in logs.
 SILENT = "silent"
 DEADLINE = "deadline"
@@ -65,6 +69,27 @@
         """Records the outcome of an attempt for its target."""
         ...
 
+    def find_origin(self, handler: "CallHandler") -> None:
+        """Finds the version that began a stream and calls ``on_origin``, also at once."""
+        ...
+
+    def record_origin(
+        self, handler: "CallHandler", attempt: Attempt, done: Callable[[], bool]
+    ) -> None:
+        """Calls ``done`` once the first event of a new stream may go to the caller.
+
+        ``done`` returns whether the event has gone there.
+        """
+        ...
+
+    def begin_unrecorded(self, handler: "CallHandler", attempt: Attempt) -> None:
+        """A new stream begins although its version could not be recorded."""
+        ...
+
+    def has_recordless_target(self, handler: "CallHandler", attempt: Attempt) -> bool:
+        """Whether the stream could begin at a target whose version needs no record."""
+        ...
+
     def try_retry(self, handler: "CallHandler") -> bool:
         """Withdraws one retry from the service's retry budget; False if it is exhausted."""
         ...
@@ -103,6 +128,12 @@
         self._run_count = 0
         self._attempt_count = 0
         self._has_begun_response = False
+        # The version that began the stream, once it has an event; None: any target may begin it.
+        self.software: SoftwareVersion | None = None
+        # Events that wait until the stream's version is recorded.
+        self._held_events = bytearray()
+        self._is_recording = False
+        self._held_end: Attempt | None = None
         self._error_response: BufferedResponse | None = None
         self._is_done = False
         self._retry_after_s = RETRY_AFTER_S
@@ -130,7 +161,20 @@
         self._connection.on_drained = self._on_drained
         self._deadline_timer = self._loop.call_later(self.time_left_s, self._on_deadline)
         self.service = self._owner.choose_service(self.call)
-        self._send_to_next_target()
+        if self.call.is_take_up:
+            self._owner.find_origin(self)
+        else:
+            self._send_to_next_target()
+
+    def on_origin(self, version: SoftwareVersion | None) -> None:
+        """Goes on with an interrupted stream at the version that began it, or refuses the call."""
+        if self._is_done:
+            return
+        self.software = version
+        if version is None:
+            self._give_up(RefusalReason.ORIGIN_UNKNOWN)
+        else:
+            self._send_to_next_target()
 
     def _send_to_next_target(self) -> None:
         if self._attempt_count >= MAX_TOTAL_ATTEMPTS:
@@ -165,9 +209,61 @@
         if attempt is not self._attempt:
             return
         self._cancel_silence_timer()
-        if not self._has_begun_response:
+        if attempt.first_event_at is None and not self._has_begun_response:
             attempt.first_event_at = self._loop.now()
             self._owner.on_first_event(self, attempt)
+        if self._is_recording:
+            self._held_events += events
+        elif not self._has_begun_response and self._needs_record:
+            self._record_origin(attempt, events)
+        else:
+            self._forward_events(attempt, events)
+
+    @property
+    def _needs_record(self) -> bool:
+        return self.call.route.is_resumable and not self.call.is_take_up
+
+    def _record_origin(self, attempt: Attempt, events: bytes) -> None:
+        """Holds the first events back until it is recorded which version begins the stream."""
+        self._is_recording = True
+        self._held_events = bytearray(events)
+        attempt.pause()
+        self._owner.record_origin(self, attempt, lambda: self._release_events(attempt))
+        if self._is_recording:
+            self._loop.call_later(RECORDING_PATIENCE_S, lambda: self._on_unrecorded(attempt))
+
+    def _release_events(self, attempt: Attempt) -> bool:
+        if not self._is_recording or attempt is not self._attempt or self._is_done:
+            return False
+        self._is_recording = False
+        self.software = attempt.plan.target.registration.software
+        self._forward_events(attempt, bytes(self._held_events))
+        if self._held_end is attempt:
+            self.on_outcome(attempt, Outcome.ANSWERED, "")
+        elif not self._connection.is_buffer_full:
+            attempt.resume()
+        return True
+
+    def _on_unrecorded(self, attempt: Attempt) -> None:
+        """Begins the stream at a version that needs no record, if there is one."""
+        if not self._is_recording or attempt is not self._attempt or self._is_done:
+            return
+        if not self._owner.has_recordless_target(self, attempt):
+            self._owner.begin_unrecorded(self, attempt)
+            self._release_events(attempt)
+            return
+        self._discard_held_events()
+        self._cancel_attempt("software version not recorded in time")
+        self._run_count += 1
+        self._retry_or_give_up(RefusalReason.OUTCOME_UNKNOWN)
+
+    def _discard_held_events(self) -> None:
+        self._is_recording = False
+        self._held_events = bytearray()
+        self._held_end = None
+
+    def _forward_events(self, attempt: Attempt, events: bytes) -> None:
+        if not self._has_begun_response:
             assert attempt.response is not None
             self._has_begun_response = True
             headers = self._dialect.list_response_headers(attempt.response)
@@ -179,6 +275,11 @@
 
     def on_outcome(self, attempt: Attempt, outcome: Outcome, detail: str) -> None:
         """Responds to the caller or tries again."""
+        if self._is_recording and attempt is self._attempt:
+            if outcome is Outcome.ANSWERED:
+                self._held_end = attempt
+                return
+            self._discard_held_events()
         self._cancel_silence_timer()
         self._record_attempt(attempt, outcome.value, detail)
         self._owner.on_attempt_end(self, attempt, outcome, detail)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -16,15 +16,17 @@
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
 from ..core.serving.routetable import RouteTable
+from ..core.serving.streamorigins import DefaultVersion, StreamOrigins
 from ..core.serving.targetlimits import LimitNews, TargetLimits
 from ..core.serving.targettable import Registration, RegistrationState, Target, TargetTable
 from ..eventloop import EventLoop
 from ..events import Event
-from ..ids import DataCentre, InstanceId, ModelName, TargetId, WeightVersion
+from ..ids import DataCentre, InstanceId, ModelName, ServiceName, TargetId, WeightVersion
 from ..logs import log_event
 from ..schema.log_pb2 import QuarantineEntry
 from ..schema.settings_pb2 import EntryBounds
 from .cachesharing import CacheSharing
+from .originrecords import OriginRecords
 from .peers import EndNews, Peer, compute_report_interval
 from .targetupdates import TargetUpdates
 
@@ -93,6 +95,10 @@
         """Calls with a trait are quarantined; None: no longer."""
         ...
 
+    def on_default_version(self, service: ServiceName, default: DefaultVersion | None) -> None:
+        """The default software version of a service was written; None: it was deleted."""
+        ...
+
     def on_peers(self, peers: list[Peer]) -> None:
         """The list of live entry instances, including this one, was read."""
         ...
@@ -124,6 +130,8 @@
         self.target_updates = TargetUpdates(self.targets)
         self.engine_clock = RemoteClock()
         self.crash_causes = CrashCauses()
+        self.stream_origins = StreamOrigins(loop.boottime())
+        self.origin_records = OriginRecords(loop, self, instance)
         self.quarantine = Quarantine()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self.local_instances: tuple[InstanceId, ...] = (instance,)
@@ -276,6 +284,19 @@
                 trait=trait,
             )
 
+    def on_default_version(self, service: ServiceName, default: DefaultVersion | None) -> None:
+        """Applies the software version that began the streams without a record."""
+        self.stream_origins.set_default(service, default)
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.ENTRY_DEFAULT_VERSION_CHANGED,
+            "default software version of a service",
+            service=service,
+            version=default.version if default is not None else None,
+            era=default.era if default is not None else None,
+        )
+
     def _report_lost(self, target: Target) -> None:
         is_ready = target.registration.state is RegistrationState.READY
         if is_ready and self.on_target_lost is not None:
@@ -407,6 +428,11 @@
             "platform store reachable" if is_reachable else f"platform store unreachable: {detail}",
         )
 
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the store answered last, as far as known."""
+        return self._is_store_reachable is not False
+
     def remove_expired_targets(self) -> None:
         """Removes expired targets that have not registered again in time."""
         for target in self.targets.expire(self._loop.now()):
--- a/src/mulberryrill/internal/entry/topicfollower.py
+++ b/src/mulberryrill/internal/entry/topicfollower.py
@@ -162,6 +162,11 @@
         """The topic that is read."""
         return self._topic
 
+    @property
+    def next_offset(self) -> Offset | None:
+        """The offset up to which all records are known; None: none are."""
+        return self._next_offset
+
     def start(self) -> None:
         """Starts to read."""
         self._read()
--- a/src/mulberryrill/internal/ids.py
+++ b/src/mulberryrill/internal/ids.py
@@ -22,6 +22,8 @@
 FencingToken = NewType("FencingToken", int)
 ModelName = NewType("ModelName", str)
 WeightVersion = NewType("WeightVersion", int)
+# Version of a target's own software, not of its weights.
+SoftwareVersion = NewType("SoftwareVersion", str)
 PartId = NewType("PartId", str)
 
 
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -34,6 +34,8 @@
 # The prompt's parts in order. Format: "ID:TOKENS,...".
 PROMPT_PARTS = b"prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
+# Request id of the call that brought the first event of the stream that is taken up.
+RESUMES = b"resumes"
 # The platform calls a customer "tenant" and a target "instance".
 CUSTOMER = b"tenant"
 EXPECTED_TARGET = b"expect-instance"
@@ -84,6 +86,7 @@
     TOKEN_USAGE,
     PROMPT_PARTS,
     LAST_EVENT_ID,
+    RESUMES,
 )
 REFUSAL_STATUSES = {
     RefusalReason.MALFORMED: 400,
@@ -101,6 +104,8 @@
     RefusalReason.OUTCOME_UNKNOWN: 502,
     RefusalReason.TIMEOUT: 504,
     RefusalReason.QUARANTINED: 503,
+    RefusalReason.ORIGIN_UNKNOWN: 503,
+    RefusalReason.VERSION_GONE: 503,
     RefusalReason.SUSPECTED: 503,
 }
 _REQUEST_ERROR_REFUSALS = {
@@ -144,6 +149,7 @@
             deadline_s=_parse_ms_as_seconds(request.get(DEADLINE)),
             prompt=_parse_prompt(request) if route.has_prompt else None,
             last_event_id=_parse_integer(request.get(LAST_EVENT_ID)),
+            resumes=RequestId(_decode_header(request.get(RESUMES))) or None,
         )
 
     def get_request_id(self, request: HttpRequest) -> RequestId | None:
@@ -161,7 +167,9 @@
         if plan.last_event_id is not None:
             headers.append((LAST_EVENT_ID, b"%d" % plan.last_event_id))
         if call.prompt is not None:
-            priority = min(LOWEST_PRIORITY, max(HIGHEST_PRIORITY, call.priority))
+            # A stream that is taken up ends work that its caller waits for.
+            priority = call.priority - call.is_take_up
+            priority = min(LOWEST_PRIORITY, max(HIGHEST_PRIORITY, priority))
             headers.append((CALL_PRIORITY, b"%d" % priority))
         cache = plan.cache
         if cache is not None:
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -14,19 +14,20 @@
     plan_periodic_reads,
     plan_waiting_reads,
 )
+from ..internal.core.serving.streamorigins import DefaultVersion
 from ..internal.entry.feedsharing import FeedSharing, LogPeers
 from ..internal.entry.peers import Peer
 from ..internal.entry.state import StoreObserver
 from ..internal.entry.topicfollower import TopicFollower
 from ..internal.eventloop import EventLoop
 from ..internal.events import Event
-from ..internal.ids import DataCentre, InstanceId, Offset, StoreEra
+from ..internal.ids import DataCentre, InstanceId, Offset, ServiceName, StoreEra
 from ..internal.logs import log_event
 from ..internal.schema.log_pb2 import QuarantineEntry
 from ..internal.schema.peers_pb2 import LogFeed, LogRequest
 from ..internal.schema.settings_pb2 import EntryBounds
 from .store import OPERATOR_TOPIC, QUARANTINE_TOPIC, REGISTRY_TOPIC, StoreClient
-from .topichandlers import OperatorRecords, QuarantineRecords, RegistryRecords
+from .topichandlers import InstanceRecords, OperatorRecords, RegistryRecords
 
 MS_PER_S = 1000
 # Calls that end targets are refused everywhere within this time, also if the instance that reads
@@ -73,7 +74,7 @@
         # Until then the list of a restored store may lack members, or has gone ones.
         self._members_settle_at = float("-inf")
         self._is_closed = False
-        self._quarantine_records = QuarantineRecords(
+        self._instance_records = InstanceRecords(
             loop, store, observer, self._sharing[QUARANTINE_TOPIC]
         )
         self._unreachable_topics: set[str] = set()
@@ -97,12 +98,12 @@
             self._sharing[REGISTRY_TOPIC],
             carries_missing=False,
         )
-        self._quarantine_follower = TopicFollower(
+        self._instance_follower = TopicFollower(
             loop,
             store,
             QUARANTINE_TOPIC,
             lambda: plan_waiting_reads(QUARANTINE_BOUND_S),
-            self._quarantine_records,
+            self._instance_records,
             lambda is_reachable, detail: None,
             self._sharing[QUARANTINE_TOPIC],
             logs_records=True,
@@ -110,7 +111,7 @@
         self._followers = (
             self._operator_follower,
             self._registry_follower,
-            self._quarantine_follower,
+            self._instance_follower,
         )
 
     def start(self) -> None:
@@ -122,7 +123,7 @@
     def close(self) -> None:
         """Stops reading."""
         self._is_closed = True
-        self._quarantine_records.close()
+        self._instance_records.close()
         for follower in self._followers:
             follower.close()
 
@@ -132,7 +133,13 @@
 
     def append_quarantine(self, entry: QuarantineEntry) -> None:
         """Writes an entry of the quarantine for all instances."""
-        self._quarantine_records.append_entry(entry)
+        self._instance_records.append_entry(entry)
+
+    def write_default(self, service: ServiceName, default: DefaultVersion) -> None:
+        """Writes a service's default version unless there are records that are not known here."""
+        expected_end = self._instance_follower.next_offset
+        if expected_end is not None:
+            self._instance_records.write_default(service, default, expected_end)
 
     def is_reader(self, topic: str) -> bool:
         """Whether this instance reads a topic for its data centre."""
--- a/src/mulberryrill/platform/records.py
+++ b/src/mulberryrill/platform/records.py
@@ -23,6 +23,7 @@
     StoreProfile,
     WeightedService,
 )
+from ..internal.core.serving.streamorigins import DefaultVersion
 from ..internal.core.serving.targettable import Registration, RegistrationState
 from ..internal.ids import (
     CustomerName,
@@ -30,9 +31,12 @@
     Incarnation,
     ModelName,
     ServiceName,
+    SoftwareVersion,
+    StoreEra,
     TargetId,
     WeightVersion,
 )
+from ..internal.schema.log_pb2 import DefaultVersion as DefaultVersionMessage
 from ..internal.schema.log_pb2 import QuarantineEntry
 
 CONFIGURATION_KEY = "config"
@@ -250,9 +254,25 @@
             (ModelName(model.get_string("name")), WeightVersion(model.get_integer("version")))
             for model in item.get_objects("models")
         ),
+        software=SoftwareVersion(item.get_string("version", "")),
     )
 
 
+def parse_default_version(value: bytes) -> DefaultVersion:
+    """Parses a service's default software version; raises CorruptRecordError."""
+    try:
+        message = DefaultVersionMessage.FromString(value)
+    except DecodeError as error:
+        raise CorruptRecordError(f"default version: {error}") from error
+    era = StoreEra(message.era) if message.HasField("era") else None
+    return DefaultVersion(SoftwareVersion(message.version), era)
+
+
+def encode_default_version(default: DefaultVersion) -> bytes:
+    """Encodes a service's default software version."""
+    return DefaultVersionMessage(version=default.version, era=default.era).SerializeToString()
+
+
 def parse_quarantine_entry(value: bytes) -> QuarantineEntry:
     """Parses an entry of the quarantine; raises CorruptRecordError."""
     entry = QuarantineEntry()
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import logging
+import re
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 from ..internal.core.serving.keyedrecords import KeyedRecord, RecordPage
 from ..internal.entry.connection import ExchangeFailure, FailureKind
 from ..internal.entry.exchange import ExchangeResponse, send_request
+from ..internal.entry.originrecords import BatchPage
 from ..internal.entry.pool import ConnectionPool
 from ..internal.eventloop import EventLoop
 from ..internal.events import Event
@@ -33,6 +35,10 @@
 REGISTRY_TOPIC = "keyed.servers"
 # The entry instances' own topic: traits of calls that are refused because targets end under them.
 QUARANTINE_TOPIC = "keyed.quarantine"
+# Keys with this prefix in the same topic: the default software version of each service.
+DEFAULT_VERSION_PREFIX = "software/"
+# The entry instances' own log of the software versions that began streams.
+STREAM_TOPIC = "streams"
 PARTITION = 0
 # In each response of the store. Rises by one when the store comes back from an older copy: it has
 # lost what it acknowledged last, and gives out offsets again. The platform calls it "Store-Era".
@@ -47,6 +53,7 @@
 # End of the partition, offset of the oldest record kept.
 _READ_RESPONSE_HEADER = struct.Struct(">QQ")
 _LENGTH_PREFIX = struct.Struct(">I")
+_OLDEST_OFFSET_PATTERN = re.compile(r'"first"\s*:\s*([0-9]{1,18})')
 _LOGGER = logging.getLogger(__name__)
 _JSON_CONTENT_TYPE: Header = (b"content-type", b"application/json")
 
@@ -127,6 +134,33 @@
             f"/-/log-append?{query}", body, lambda data: Offset(json.loads(data)["offset"]), done
         )
 
+    def append_batch(self, partition: int, batch: bytes, done: ResultCallback[Offset]) -> None:
+        """Appends a batch of stream records and reports its offset."""
+        query = urlencode({"topic": STREAM_TOPIC, "part": partition})
+        body = _LENGTH_PREFIX.pack(len(batch)) + batch
+        self._post(
+            f"/-/log-append?{query}", body, lambda data: Offset(json.loads(data)["offset"]), done
+        )
+
+    def read_batches(self, partition: int, start: Offset, done: ResultCallback[BatchPage]) -> None:
+        """Reports batches of stream records from an offset, or from the oldest one that is kept."""
+
+        def decode(data: bytes) -> BatchPage:
+            page = _decode_records(data, start)
+            end = Offset(page.first_offset + len(page.records))
+            return BatchPage(page.records, end, bool(page.records) and end < page.end)
+
+        def on_result(result: BatchPage | StoreCallError) -> None:
+            is_gone = isinstance(result, StoreCallError) and result.status == HTTPStatus.GONE
+            first = _find_oldest_offset(str(result)) if is_gone else None
+            if first is None or first <= start:
+                done(result)
+            else:
+                self.read_batches(partition, first, done)
+
+        query = {"topic": STREAM_TOPIC, "part": partition, "from": start, "max_kb": MAX_READ_KB}
+        self._get("/-/log-read", query, decode, on_result)
+
     def join_group(
         self,
         group: str,
@@ -311,6 +345,12 @@
     return RawPage(Offset(max(start, oldest_offset)), tuple(records), Offset(end))
 
 
+def _find_oldest_offset(message: str) -> Offset | None:
+    """Returns the oldest offset that a response names whose records were deleted."""
+    match = _OLDEST_OFFSET_PATTERN.search(message)
+    return Offset(int(match.group(1))) if match else None
+
+
 def _decode_keyed_record(raw: bytes, offset: Offset) -> KeyedRecord:
     length = raw[0] if raw else 0
     key = raw[1 : 1 + length].decode("utf-8", "replace")
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -11,6 +11,7 @@
 from .cacheevents import PlatformCacheClient
 from .follower import StoreFollower
 from .store import StoreClient
+from .streamlog import StreamLog
 from .targetorders import PlatformOrderClient
 
 
@@ -38,6 +39,7 @@
             peers,
         )
         state.store_quarantine = self._follower.append_quarantine
+        state.origin_records.store = StreamLog(self._store, self._follower)
         state.list_carried_topics = self._follower.list_carried_topics
         peers.on_log_feed = self._follower.on_log_feed
         peers.on_log_request = self._follower.on_log_request
--- a/src/mulberryrill/platform/topichandlers.py
+++ b/src/mulberryrill/platform/topichandlers.py
@@ -6,25 +6,28 @@
 
 from ..errors import CorruptRecordError, StoreCallError
 from ..internal.core.serving.keyedrecords import KeyedRecord
+from ..internal.core.serving.streamorigins import DefaultVersion
 from ..internal.core.serving.targettable import Registration
 from ..internal.entry.feedsharing import FeedSharing
 from ..internal.entry.state import StoreObserver
 from ..internal.entry.topicfollower import log_failed_record
 from ..internal.eventloop import EventLoop
 from ..internal.events import Event
-from ..internal.ids import DataCentre, Offset, TargetId
+from ..internal.ids import DataCentre, Offset, ServiceName, TargetId
 from ..internal.logs import log_event
 from ..internal.schema.log_pb2 import QuarantineEntry
 from .records import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
     MODEL_VERSION_PREFIX,
+    encode_default_version,
     parse_configuration,
+    parse_default_version,
     parse_desired_version,
     parse_quarantine_entry,
     parse_registration,
 )
-from .store import QUARANTINE_TOPIC, StoreClient
+from .store import DEFAULT_VERSION_PREFIX, QUARANTINE_TOPIC, StoreClient
 
 # An entry of the quarantine is written again after a failure, so often and after this time.
 MAX_APPEND_ATTEMPTS = 60
@@ -129,8 +132,8 @@
         return [registration for registration in parsed if registration is not None]
 
 
-class QuarantineRecords:
-    """Implements ``TopicHandler``: calls that are refused because targets end under them.
+class InstanceRecords:
+    """Implements ``TopicHandler``: quarantined calls, and the default versions of services.
 
     Only entry instances write this topic, so they also write again what a restored store has lost.
     """
@@ -148,6 +151,28 @@
         """Stops repeating writes that failed."""
         self._is_closed = True
 
+    def write_default(
+        self, service: ServiceName, default: DefaultVersion, expected_end: Offset
+    ) -> None:
+        """Writes a service's default version if the topic ends at ``expected_end``.
+
+        Nothing is repeated: whether the record is still wanted is decided again.
+        """
+        key = DEFAULT_VERSION_PREFIX + service
+        value = encode_default_version(default)
+
+        def on_result(result: Offset | StoreCallError) -> None:
+            if isinstance(result, StoreCallError):
+                log_event(
+                    _LOGGER,
+                    logging.WARNING,
+                    Event.LOG_APPEND_FAILED,
+                    f"default version: {result}",
+                    key=key,
+                )
+
+        self._store.append_keyed(QUARANTINE_TOPIC, key, value, expected_end, on_result)
+
     def append(self, key: str, value: bytes, attempt: int = 1) -> None:
         """Writes an entry for all instances, or nothing to delete it; repeats a failed write."""
 
@@ -158,7 +183,7 @@
                 _LOGGER,
                 logging.WARNING,
                 Event.LOG_APPEND_FAILED,
-                f"quarantine entry, attempt {attempt}: {result}",
+                f"entry, attempt {attempt}: {result}",
                 key=key,
             )
             if attempt < MAX_APPEND_ATTEMPTS:
@@ -178,6 +203,11 @@
 
     def on_record(self, record: KeyedRecord) -> None:
         try:
+            if record.key.startswith(DEFAULT_VERSION_PREFIX):
+                service = ServiceName(record.key.removeprefix(DEFAULT_VERSION_PREFIX))
+                default = None if record.value is None else parse_default_version(record.value)
+                self._observer.on_default_version(service, default)
+                return
             entry = None if record.value is None else parse_quarantine_entry(record.value)
         except CorruptRecordError as error:
             _log_corrupt(record, error)
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -222,7 +222,7 @@
         self.reply(request, 200, json.dumps(response).encode(), era)
 
     def _handle_read(self, request: RequestHandler, query: dict[str, str]) -> None:
-        topic, start = query["topic"], int(query["from"])
+        topic, start = _name_partition(query), int(query["from"])
         end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         if self.drops_long_poll_responses and "wait_ms" in query:
             time.sleep(WAIT_S)
@@ -239,20 +239,26 @@
             data = struct.pack(">QQ", len(records), first)
             for key, value in records[start:]:
                 raw = bytes([len(key)]) + key.encode() + (value or b"")
+                raw = raw if topic == query["topic"] else value or b""
                 data += struct.pack(">I", len(raw)) + raw
             era = self.era
         self.reply(request, 200, data, era)
 
     def _handle_append(self, request: RequestHandler, query: dict[str, str], body: bytes) -> None:
         raw = body[4:]
-        key, value = raw[1 : 1 + raw[0]].decode(), raw[1 + raw[0] :]
         with self._changed:
-            records = self._topics[query["topic"]]
+            topic = _name_partition(query)
+            if topic == query["topic"]:
+                key, value = raw[1 : 1 + raw[0]].decode(), raw[1 + raw[0] :]
+            else:
+                key, value = "", raw
+            records = self._topics[topic]
             if "at" in query and int(query["at"]) != len(records):
                 self.reply(request, 412, json.dumps({"end": len(records)}).encode())
                 return
             records.append((key, value))
             offset = len(records) - 1
+            self._changed.notify_all()
         if self.drops_append_responses:
             request.close_connection = True
             return
@@ -277,6 +283,12 @@
         self.reply(request, 200, json.dumps(response).encode())
 
 
+def _name_partition(query: dict[str, str]) -> str:
+    """Returns the name under which the records of a topic's partition are kept."""
+    topic = query["topic"]
+    return topic if topic.startswith("keyed.") else f"{topic}/{query['part']}"
+
+
 @dataclass
 class ReceivedCall:
     """A call as a target received it."""
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -88,7 +88,7 @@
     on_registration_removed = _ignore
     on_evacuations_read = on_evacuation = on_desired_version = _ignore
     on_store_reachability = on_operator_records_checked = on_quarantine = _ignore
-    on_carried_records = _ignore
+    on_carried_records = on_default_version = _ignore
 
 
 @dataclass
