--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -125,7 +125,8 @@
         end = time.monotonic() + timeout_s
         while not self.is_ready():
             if time.monotonic() > end or self.process.poll() is not None:
-                raise RuntimeError(f"{self.name} does not get ready")
+                log = Path(self._log.name).read_text(errors="replace")[-1500:]
+                raise RuntimeError(f"{self.name} does not get ready: {log}")
             time.sleep(0.1)
 
     def stop(self):
