--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -36,6 +36,14 @@
 }
 
 
+def _stop_case(number, frame):
+    raise SystemExit(2)
+
+
+# A case that is stopped from outside still ends the processes that it started.
+signal.signal(signal.SIGTERM, _stop_case)
+
+
 class Record:
     """Writes record.txt: one line an event, with seconds since the start."""
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -7,6 +7,7 @@
 import contextlib
 import itertools
 import json
+import random
 import socket
 import struct
 import threading
@@ -21,11 +22,19 @@
 _RESET_LINGER = struct.pack("ii", 1, 0)
 
 
+_given_ports = set()
+
+
 def find_port(host=LOCAL):
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Returns a free port, each only once, below those that outgoing connections take."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, port))
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return port
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -92,9 +101,13 @@
             self._server.shutdown()
             self._server.server_close()
             self._server = None
-            for connection in list(self._connections):
-                with contextlib.suppress(OSError):
-                    connection.shutdown(socket.SHUT_RDWR)
+            self.cut()
+
+    def cut(self):
+        """Breaks off all connections."""
+        for connection in list(self._connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
     def handle(self, request, body):
         raise NotImplementedError
@@ -305,52 +318,58 @@
 
 
 class Link:
-    """A TCP proxy. Its open connections can be made silent for good while new ones work."""
+    """A TCP proxy on a port of its own, which can be cut: then it resets and refuses connections."""
 
     def __init__(self, port):
         self._destination = (LOCAL, port)
-        self._server = socket.create_server((LOCAL, 0))
-        self.port = self._server.getsockname()[1]
+        self.port = find_port()
         self._lock = threading.Lock()
-        self._silent = set()
-        self._open = set()
-        self._numbers = itertools.count()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._ends = set()
+        self._listen()
 
-    def silence_open_connections(self):
-        """Forwards nothing more on the connections that are open; returns how many they are."""
-        with self._lock:
-            self._silent |= self._open
-            return len(self._open)
+    def _listen(self):
+        self._server = socket.create_server((LOCAL, self.port), backlog=128)
+        threading.Thread(target=self._accept, args=(self._server,), daemon=True).start()
 
-    def _accept(self):
+    def cut(self):
+        """Resets the open connections and refuses new ones until ``heal``."""
+        self.close()
+        with self._lock:
+            ends, self._ends = self._ends, set()
+        for end in ends:
+            with contextlib.suppress(OSError):
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_LINGER)
+                end.shutdown(socket.SHUT_RD)
+                end.close()
+
+    def heal(self):
+        """Accepts connections again."""
+        self._listen()
+
+    def _accept(self, server):
         while True:
             try:
-                inbound, _ = self._server.accept()
+                inbound, _ = server.accept()
                 outbound = socket.create_connection(self._destination, 2.0)
             except OSError:
                 return
             outbound.settimeout(None)
             for end in (inbound, outbound):
                 end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            number = next(self._numbers)
             with self._lock:
-                self._open.add(number)
+                self._ends |= {inbound, outbound}
             for source, sink in ((inbound, outbound), (outbound, inbound)):
-                args = (number, source, sink)
-                threading.Thread(target=self._forward, args=args, daemon=True).start()
+                threading.Thread(target=self._forward, args=(source, sink), daemon=True).start()
 
-    def _forward(self, number, source, sink):
+    def _forward(self, source, sink):
         with contextlib.suppress(OSError):
             while data := source.recv(65536):
-                if number not in self._silent:
-                    sink.sendall(data)
+                sink.sendall(data)
         with self._lock:
-            self._open.discard(number)
-        if number not in self._silent:
-            for end in (source, sink):
-                with contextlib.suppress(OSError):
-                    end.shutdown(socket.SHUT_RDWR)
+            self._ends.discard(source)
+        for end in (source, sink):
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
 
     def close(self):
         with contextlib.suppress(OSError):
