Use only cached parts that the salt's weights have computed

Cause: an engine that loads newer weights under a running call may preempt the call later and prefill its prompt again, by the newer weights but under the call's salt. find_sources took every engine or store that tells a part under a salt as a source; nothing asked which weights had computed it, and events do not tell.

Change: a part counts only if it is older than the naming of any version after its salt's. For stores this follows from the time of the part's event and from the time up to which the operators' records are known. Engines may replace a part at any time, so they are sources only while no newer version is known, that is known recently, they have the salt's version and the fetch has a time limit. Nothing is saved for a version that is being replaced. The operators' records count as known only after they were applied (before, a feed's counted earlier), and the ages of cache events include suspensions.

Class: a label that was true when it was given is used as a fact about something made later.

--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -3,7 +3,8 @@
 Events arrive late and with gaps, so for engines the index is only a hint: a part that has been
 evicted costs a millisecond. For stores it must be conservative, because a store does not check
 whether a part is complete: a store's entries count only while its events are fresh and its epoch is
-unchanged.
+unchanged. All times include the time for which the host was suspended: what was fresh before that
+is not fresh after it.
 """
 
 from dataclasses import dataclass, field
@@ -12,6 +13,7 @@
 
 from ...ids import CustomerName, WeightVersion
 from ..rendezvous import choose_member
+from .cachevalidity import ValidParts
 from .placement import rank_stores
 from .routetable import Service
 
@@ -62,6 +64,8 @@
     next_event: int = 0
     updated_at: float = float("-inf")
     parts: dict[CacheKey, int] = field(default_factory=dict)
+    # When the newest event of each part of a store was read; not kept for engines.
+    observed_at: dict[CacheKey, float] = field(default_factory=dict)
     tokens: int = 0
 
 
@@ -108,6 +112,8 @@
             if event.is_cached:
                 holder.tokens += event.tokens - holder.parts.get(event.key, 0)
                 holder.parts[event.key] = event.tokens
+                if holder.kind is HolderKind.STORE:
+                    holder.observed_at[event.key] = now
                 self._by_part.setdefault(event.key, set()).add(address)
             else:
                 self._remove_part(holder, address, event.key)
@@ -154,6 +160,10 @@
             and self.holds(address, key, tokens)
         )
 
+    def was_held_before(self, address: str, key: CacheKey, time: float) -> bool:
+        """Returns whether a store is known to have held the part before ``time``."""
+        return self._holders[address].observed_at.get(key, float("inf")) < time
+
     def has_answered(self, address: str) -> bool:
         """Returns whether a response of the holder has arrived since it was last cleared."""
         holder = self._holders.get(address)
@@ -171,6 +181,7 @@
 
     def _remove_part(self, holder: _Holder, address: str, key: CacheKey) -> None:
         holder.tokens -= holder.parts.pop(key, 0)
+        holder.observed_at.pop(key, None)
         addresses = self._by_part.get(key)
         if addresses is not None:
             addresses.discard(address)
@@ -246,6 +257,8 @@
 
     shared: list[PartSources]
     part_count: int
+    # Why some sources are not used, for logs.
+    restriction: str = ""
 
 
 def find_sources(
@@ -254,16 +267,22 @@
     salt: str,
     parts: tuple[tuple[str, int], ...],
     now: float,
+    valid: ValidParts,
 ) -> PromptSources:
     """Finds where a prompt's parts are cached, and a store for each part that no store has."""
     shared = []
     for part, tokens in parts[:-1]:
         key = CacheKey(salt, part)
-        engines = index.list_holders(key, tokens, HolderKind.ENGINE, now)
-        cached_in_stores = index.list_holders(key, tokens, HolderKind.STORE, now)
-        save = None if cached_in_stores else _choose_store(index, stores, key, tokens, now)
-        shared.append(PartSources(key, tokens, engines, cached_in_stores, save))
-    return PromptSources(shared, len(parts))
+        engines: list[str] = []
+        if valid.allows_engines:
+            holders = index.list_holders(key, tokens, HolderKind.ENGINE, now)
+            engines = [address for address in holders if valid.is_valid_engine(address)]
+        in_stores = index.list_holders(key, tokens, HolderKind.STORE, now)
+        needs_saving = valid.allows_saving and not in_stores
+        save = _choose_store(index, stores, key, tokens, now) if needs_saving else None
+        valid_stores = [a for a in in_stores if index.was_held_before(a, key, valid.stored_before)]
+        shared.append(PartSources(key, tokens, engines, valid_stores, save))
+    return PromptSources(shared, len(parts), valid.restriction)
 
 
 def estimate_prefill_tokens(
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -169,6 +169,8 @@
 
     def __init__(self) -> None:
         self._targets: dict[TargetId, Target] = {}
+        # The target that registered an address last; None: to be computed again.
+        self._by_address: dict[str, Target] | None = None
         self._evacuated: set[DataCentre] = set()
         self._is_registry_down = False
         self._registry_returned_at = float("-inf")
@@ -185,6 +187,18 @@
         """Returns a registered target, or None."""
         return self._targets.get(target)
 
+    def find_by_address(self, address: str) -> Target | None:
+        """Returns the target that registered an address last, or None."""
+        if self._by_address is None:
+            self._by_address = {t.registration.address: t for t in self._targets.values()}
+        return self._by_address.get(address)
+
+    def find_newest_version(self, model: ModelName) -> WeightVersion | None:
+        """Returns the newest version of a model that any target is known to have, or None."""
+        return max(
+            (t.versions[model] for t in self._targets.values() if model in t.versions), default=None
+        )
+
     def apply(self, registration: Registration, now: float, age_s: float = 0.0) -> bool:
         """Applies a registration; returns whether incarnation, state, models or address changed."""
         current = self._targets.get(registration.target)
@@ -195,7 +209,9 @@
                 self._add_gone(current, now)
             self._gone.pop(registration.run, None)
             current = Target(registration)
+            self._targets.pop(registration.target, None)
             self._targets[registration.target] = current
+            self._by_address = None
             self._update_condition(current, registration, now, age_s)
             return True
         previous = current.registration
@@ -208,6 +224,8 @@
         if registration.order_count < previous.order_count:
             return False
         current.registration = registration
+        if registration.address != previous.address:
+            self._by_address = None
         self._update_condition(current, registration, now, age_s)
         return (previous.state, previous.models, previous.address) != (
             registration.state,
@@ -225,6 +243,7 @@
         else:
             self._add_gone(current, now)
             del self._targets[target]
+            self._by_address = None
 
     def replace_all(self, registrations: list[Registration], now: float) -> None:
         """Replaces all registrations by those of a complete registry read."""
@@ -281,6 +300,7 @@
         expired = [key for key, target in self._targets.items() if target.removed_at is not None]
         for key in expired:
             self._add_gone(self._targets.pop(key), now)
+            self._by_address = None
         return expired
 
     def set_evacuated_data_centres(self, data_centres: set[DataCentre]) -> None:
--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -160,7 +160,7 @@
         if page.clock_s is not None:
             self._state.engine_clock.observe(page.clock_s, self._loop.now())
         since = index.get_next_event(address)
-        index.apply(address, page.epoch, page.next_event, page.events, self._loop.now())
+        index.apply(address, page.epoch, page.next_event, page.events, self._loop.boottime())
         if self._state.cache_sharing.is_shared(self._max_polls.get(address, 0)):
             self._state.cache_sharing.record_events(address, since, page.events)
         return POLL_PAUSE_S
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -90,6 +90,8 @@
     prefill_tokens: int = 0
     # Time at which fetches are abandoned, in seconds on the engines' clock; None: no limit.
     fetch_deadline_s: float | None = None
+    # Why engines are not used as sources, for logs; empty: they are.
+    restriction: str = ""
 
 
 @dataclass(frozen=True)
@@ -113,7 +115,8 @@
             return target
         fetch = ",".join(address or "-" for address in self.cache.fetch)
         wait_ms = round(self.expected_wait_s * 1000)
-        return f"{target} salt={self.cache.salt} fetch={fetch} expected={wait_ms}ms"
+        restriction = f" ({self.cache.restriction})" if self.cache.restriction else ""
+        return f"{target} salt={self.cache.salt} fetch={fetch}{restriction} expected={wait_ms}ms"
 
 
 class ResponseKind(Enum):
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -344,8 +344,7 @@
         # Sources depend only on the salt, which most candidate engines share.
         sources: dict[str, PromptSources] = {}
         prefill_tokens = [
-            self._estimate_prefill_tokens(handler, prompt, target, sources, now)
-            for target in candidates
+            self._estimate_prefill_tokens(handler, prompt, target, sources) for target in candidates
         ]
         waits = [
             loads.estimate_wait(target.id, priority, tokens, now)
@@ -604,7 +603,6 @@
         prompt: Prompt,
         target: Target,
         sources: dict[str, PromptSources],
-        now: float,
     ) -> int:
         """Estimates what an engine must prefill; adds the sources of its salt to ``sources``."""
         version = target.get_version(prompt.model)
@@ -614,7 +612,10 @@
         cache, table = self._state.cache_index, self._state.route_table
         assert table is not None
         if salt not in sources:
-            sources[salt] = find_sources(cache, table.list_stores(), salt, prompt.parts, now)
+            valid = self._state.find_valid_parts(prompt.model, version)
+            sources[salt] = find_sources(
+                cache, table.list_stores(), salt, prompt.parts, self._loop.boottime(), valid
+            )
         address = target.registration.address
         return estimate_prefill_tokens(cache, sources[salt], prompt.prompt_tokens, address)
 
@@ -645,6 +646,7 @@
             save=transfers.save,
             prefill_tokens=prefill_tokens,
             fetch_deadline_s=clock + fetch_time_s if clock is not None else None,
+            restriction=sources[salt].restriction,
         )
 
     def _get_retry_budget(self, service: ServiceName) -> RetryBudget:
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -10,15 +10,23 @@
 
 from ..core.quarantine import Quarantine
 from ..core.serving.cacheindex import CacheIndex, RemoteClock
+from ..core.serving.cachevalidity import ValidParts, VersionTimes
 from ..core.serving.crashcauses import CrashCauses, TargetEnd
 from ..core.serving.loads import LoadTable
 from ..core.serving.namedversions import NamedVersion, NamedVersions
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
+from ..core.serving.readtiming import plan_waiting_reads
 from ..core.serving.routetable import RouteTable
 from ..core.serving.streamorigins import DefaultVersion, StreamOrigins
 from ..core.serving.targetlimits import LimitNews, TargetLimits
-from ..core.serving.targettable import Registration, RegistrationState, Target, TargetTable
+from ..core.serving.targettable import (
+    REWRITING_S,
+    Registration,
+    RegistrationState,
+    Target,
+    TargetTable,
+)
 from ..eventloop import EventLoop
 from ..events import Event
 from ..ids import DataCentre, InstanceId, ModelName, ServiceName, StoreEra, TargetId, WeightVersion
@@ -121,12 +129,13 @@
         self.route_table: RouteTable | None = None
         self.targets = TargetTable()
         self.named_versions = NamedVersions()
+        self._version_times = VersionTimes()
         self.rollout = VersionRollout(self.named_versions, bounds.version_ms / MS_PER_S)
         self.cold_pacer = ColdPacer(instance, bounds.cold_factor, bounds.cold_reserve)
         self.target_limits = TargetLimits(instance)
         self.cache_index = CacheIndex()
         self.loads = LoadTable()
-        self.cache_sharing = CacheSharing(self.cache_index, instance, loop.now)
+        self.cache_sharing = CacheSharing(self.cache_index, instance, loop.boottime)
         self.target_updates = TargetUpdates(self.targets)
         self.engine_clock = RemoteClock()
         self.crash_causes = CrashCauses()
@@ -162,6 +171,10 @@
         self._is_store_reachable: bool | None = None
         # Boot time at which the operators' records were last found to be the newest.
         self._operator_records_checked_at: float | None = None
+        # The era of the store in which they were read, and until when a restored store may lack
+        # versions that were named before.
+        self._operator_records_era: StoreEra | None = None
+        self._versions_settle_at = float("-inf")
 
     @property
     def is_ready(self) -> bool:
@@ -252,6 +265,13 @@
     def on_operator_records_checked(self, complete_at: float) -> None:
         """Records up to when the configuration in force was the newest one."""
         self._operator_records_checked_at = complete_at
+        now = self._loop.boottime()
+        if self.store_era != self._operator_records_era:
+            if self._operator_records_era is not None:
+                self._versions_settle_at = now + REWRITING_S
+            self._operator_records_era = self.store_era
+        if now >= self._versions_settle_at:
+            self._version_times.confirm(complete_at)
 
     @property
     def operator_records_age_s(self) -> float | None:
@@ -365,6 +385,7 @@
         """Sets the version that all targets should load."""
         now = self._loop.boottime()
         age_s = max(0.0, self.version_bound_s - VERSION_AGE_GRACE_S) if is_initial else 0.0
+        self._version_times.record(model, version)
         record = self.named_versions.assume if is_initial else self.named_versions.record
         if record(model, version, now - age_s):
             log_event(
@@ -377,6 +398,36 @@
                 age_s=age_s,
             )
 
+    def find_valid_parts(self, model: ModelName, version: WeightVersion) -> ValidParts:
+        """Returns which cached parts a call may use that begins on a version of the weights."""
+
+        def is_valid_engine(address: str) -> bool:
+            target = self.targets.find_by_address(address)
+            return target is not None and target.get_version(model) == version
+
+        restriction = ""
+        newer = self._version_times.find_newer(model, version)
+        newest_on_targets = self.targets.find_newest_version(model) or version
+        age_s = self.operator_records_age_s
+        max_age_s = plan_waiting_reads(
+            self._bounds.configuration_ms / MS_PER_S
+        ).compute_takeover_age(0)
+        if newer is not None or newest_on_targets > version:
+            restriction = f"version {max(newer or version, newest_on_targets)} is known"
+        elif age_s is None or age_s > max_age_s:
+            restriction = "newest version not known"
+        elif self.engine_clock.read(self._loop.now()) is None:
+            # Without the engines' time a fetch cannot be limited, and the engine may load other
+            # weights before it begins.
+            restriction = "engines' time not known"
+        return ValidParts(
+            is_valid_engine,
+            allows_engines=not restriction,
+            stored_before=self._version_times.find_last_valid_time(model, version),
+            allows_saving=newer is None,
+            restriction=restriction,
+        )
+
     @property
     def version_bound_s(self) -> float:
         """Seconds after which no call may begin on a version older than a newly named one."""
@@ -389,6 +440,7 @@
 
     def apply_peer_version(self, named: NamedVersion) -> None:
         """Applies the age of a version as a peer knows it."""
+        self._version_times.record(named.model, named.version)
         named_at = self._loop.boottime() - named.age_s
         self.named_versions.record(named.model, named.version, named_at)
 
--- a/src/mulberryrill/internal/entry/topicfollower.py
+++ b/src/mulberryrill/internal/entry/topicfollower.py
@@ -123,11 +123,14 @@
         *,
         logs_records: bool = False,
         carries_missing: bool = True,
+        on_complete: Callable[[float], None] = lambda complete_at: None,
     ) -> None:
         """``get_timing`` is called before each read, so that new bounds take effect.
 
         ``logs_records``: each applied record is logged, for topics that change rarely.
         ``carries_missing``: records that a restored store lacks hold until they are written again.
+        ``on_complete`` is called after records were applied, with the boot time up to which all
+        are known.
         """
         self._loop = loop
         self._logs_records = logs_records
@@ -143,6 +146,7 @@
         self._read_complete_at = float("-inf")
         self._handler = handler
         self._on_reachability = on_reachability
+        self._on_complete = on_complete
         self._next_offset: Offset | None = None
         self._highest_end = Offset(0)
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
@@ -258,6 +262,7 @@
         self._on_success(Offset(new_records[-1].offset + 1) if new_records else self._next_offset)
         for record in new_records:
             self._apply_record(record, RecordSource.FEED)
+        self._on_complete(self._complete_at)
 
     def apply_newest_feed(
         self,
@@ -285,6 +290,7 @@
         self._complete_at = max(self._complete_at, complete_at)
         self._on_success(end)
         self._apply_newest(records, is_restored)
+        self._on_complete(self._complete_at)
 
     def apply_carried_feed(self, records: tuple[KeyedRecord, ...], era: StoreEra | None) -> bool:
         """Applies records that a peer knows of, and that the restored store has lost.
@@ -358,6 +364,7 @@
                 self._sharing.send_records(page.end, (), age_s, era)
         try:
             self._apply_newest(page.records, is_restored)
+            self._on_complete(self._complete_at)
         finally:
             self._schedule_read()
 
@@ -415,6 +422,7 @@
             if record.offset >= next_offset:
                 self._apply_record(record, RecordSource.STORE)
         self._on_success(max(next_offset, end))
+        self._on_complete(self._complete_at)
         self._schedule_read()
 
     def _record_read(self, complete_at: float) -> None:
@@ -502,11 +510,6 @@
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._on_reachability(True, "")
 
-    @property
-    def complete_at(self) -> float:
-        """Boot time up to which all records are known; negative infinity: none are."""
-        return self._complete_at
-
     def _schedule_read(self) -> None:
         interval_s = self._get_timing().interval_s
         if interval_s > 0:
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -87,6 +87,7 @@
             partial(self._on_store_reachability, OPERATOR_TOPIC),
             self._sharing[OPERATOR_TOPIC],
             logs_records=True,
+            on_complete=observer.on_operator_records_checked,
         )
         self._registry_follower = TopicFollower(
             loop,
@@ -191,8 +192,6 @@
         else:
             self._unreachable_topics.add(topic)
         self._observer.on_store_reachability(not self._unreachable_topics, detail)
-        if is_reachable and topic == OPERATOR_TOPIC:
-            self._observer.on_operator_records_checked(self._operator_follower.complete_at)
 
     def _join_group(self) -> None:
         if self._is_closed:
--- a/tests/unit/test_serving_placement.py
+++ b/tests/unit/test_serving_placement.py
@@ -14,6 +14,7 @@
     list_obsolete,
     plan_transfers,
 )
+from mulberryrill.internal.core.serving.cachevalidity import ValidParts
 from mulberryrill.internal.core.serving.placement import (
     AFFINITY_TOLERANCE_S,
     ColdPacer,
@@ -29,6 +30,8 @@
 HOME = DataCentre("msasani")
 PARTS = (("aa", 512), ("bb", 8000), ("cc", 2000))
 PROMPT = Prompt(ModelName("m"), 10_512, 64, PARTS)
+# All holders have the salt's version, and no other was ever named.
+ALL_VALID = ValidParts(lambda address: True, True, float("inf"), True)
 
 
 def create_targets(count: int) -> list[Target]:
@@ -132,11 +135,11 @@
         self.stores = [Service(ServiceName("s"), store=profile)]
 
     def plan(self, now: float = 0.1, salt: str = "1"):
-        sources = find_sources(self.index, self.stores, salt, PARTS, now)
+        sources = find_sources(self.index, self.stores, salt, PARTS, now, ALL_VALID)
         return plan_transfers(self.index, sources, self.ENGINE)
 
     def estimate_prefill(self, prompt_tokens: int, now: float = 0.1) -> int:
-        sources = find_sources(self.index, self.stores, "1", PARTS, now)
+        sources = find_sources(self.index, self.stores, "1", PARTS, now, ALL_VALID)
         return estimate_prefill_tokens(self.index, sources, prompt_tokens, self.ENGINE)
 
     def test_unknown_parts_are_prefilled_and_saved_but_not_the_calls_own(self) -> None:
