Send no two attempts at a call over one connection

Cause: after a 421 a call may go to the same target again, and the pool hands out the connection that became idle last, the one with the 421. A target that repeats its 421 late, where the next answer is due, is believed: the request id is the same for both attempts.

Change: a call keeps the connections that its attempts used, and the pool does not hand them out to it again. On any other connection no answer to an earlier attempt can be waiting.

Class: an answer is matched to a question by something that other questions on the same connection share.

--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -388,7 +388,11 @@
         self._state.loads.add_run(target.id, count_held_tokens(handler.call))
         pool = self._get_pool(target)
         max_idle_s = self._idle_limits.find_limit(target.registration.service, now)
-        attempt.start(pool.acquire(not handler.call.route.is_repeatable, max_idle_s))
+        connection = pool.acquire(
+            not handler.call.route.is_repeatable, max_idle_s, handler.used_connections
+        )
+        handler.used_connections.append(connection)
+        attempt.start(connection)
 
     def on_response(self, attempt: Attempt) -> None:
         """Records the rate limit that the target names."""
--- a/src/mulberryrill/internal/entry/pool.py
+++ b/src/mulberryrill/internal/entry/pool.py
@@ -1,6 +1,6 @@
 """Pools of keep-alive connections to servers, one pool per address."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ..eventloop import EventLoop
 from .connection import OutboundConnection
@@ -44,15 +44,20 @@
         """Whether a connection is idle, or fewer than ``limit`` are open."""
         return bool(self._idle) or len(self._open) < limit
 
-    def acquire(self, needs_fresh: bool, max_idle_s: float | None = None) -> OutboundConnection:
+    def acquire(
+        self,
+        needs_fresh: bool,
+        max_idle_s: float | None = None,
+        excluded: Collection[OutboundConnection] = (),
+    ) -> OutboundConnection:
         """Returns an idle or a new connection.
 
         ``needs_fresh`` skips those that the server may be about to close, ``max_idle_s`` those
-        that have been idle longer. Skipped connections are closed.
+        that have been idle longer. Such connections are closed. Those in ``excluded`` stay idle.
         """
         now = self._loop.now()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in [c for c in reversed(self._idle) if c not in excluded]:
+            self._idle.remove(connection)
             idle_s = now - connection.idle_since
             limit = (connection.idle_timeout_s or DEFAULT_IDLE_TIMEOUT_S) * IDLE_SAFETY_FACTOR
             if needs_fresh:
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -9,6 +9,7 @@
 from ..http.caller import InboundConnection
 from ..ids import SoftwareVersion, TargetId
 from .attempt import Attempt, BufferedResponse, Outcome
+from .connection import OutboundConnection
 from .dialect import AttemptPlan, CallRequest, Dialect, RefusalReason
 
 # Maximum attempts of one call, including those that did not run or did not reach a target.
@@ -114,6 +115,9 @@
         self.service: Service | None = None
         self.tried_targets: list[TargetId] = []
         self.attempt_history: list[str] = []
+        # No connection carries two attempts at a call: its target may repeat the response to the
+        # first one late, and the request id would match the second one.
+        self.used_connections: list[OutboundConnection] = []
         self.arrived_at = loop.now()
         timeout_s = call.route.timeout_s
         if call.deadline_s is not None:
