Ignore cache events that a holder answers a second time

A store's part that was evicted seemed cached again, until the next read.

Cause: a late second answer to an earlier read of cache events, at the point where the next one is due, was applied as if it were new. Reads of events have no id.

Change: numbers of events only grow within an epoch, so an answer that ends before the number that was asked for is a repeated one and is ignored.

--- a/src/mulberryrill/internal/entry/cachewatch.py
+++ b/src/mulberryrill/internal/entry/cachewatch.py
@@ -150,6 +150,11 @@
                 )
             index.clear(address)
             return RETRY_DELAY_S
+        epoch, since = index.get_position(address)
+        if page.epoch == epoch and page.next_event < since:
+            # Its events would bring back parts that were evicted since.
+            self._log_loss(address, "repeated answer to an earlier read ignored", page)
+            return POLL_PAUSE_S
         if page.has_gap:
             # The missing events may include evictions.
             self._log_loss(
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -449,6 +449,19 @@
     return {**configuration, **changes}
 
 
+def build_store_service(address: str) -> dict:
+    """Returns a service of a configuration that is a store of prompt parts."""
+    return {
+        "name": "memory",
+        "kv_store_addr": address,
+        "zone": "z1",
+        "kv_capacity": 100_000,
+        "link_mbps": 32_000,
+        "first_ms": 1,
+        "max_inflight": 12,
+    }
+
+
 @dataclass
 class CallerResponse:
     """A response as a caller received it."""
--- a/tests/regressions/test_part_of_newer_weights_is_fetched.py
+++ b/tests/regressions/test_part_of_newer_weights_is_fetched.py
@@ -30,20 +30,11 @@
 )
 from mulberryrill.internal.schema.settings_pb2 import EntryBounds, EntrySettings
 from mulberryrill.platform.records import parse_configuration
-from tests.common.entry import MODEL, create_configuration
+from tests.common.entry import MODEL, build_store_service, create_configuration
 
 HOME = DataCentre("z1")
 SOURCE, ENGINE, STORE = "10.0.0.1:80", "10.0.0.2:80", "10.9.0.1:80"
 PROMPT = Prompt(ModelName(MODEL), 8_000, 16, (("aa", 7_000), ("bb", 1_000)))
-STORE_SERVICE = {
-    "name": "memory",
-    "kv_store_addr": STORE,
-    "zone": HOME,
-    "kv_capacity": 100_000,
-    "link_mbps": 32_000,
-    "first_ms": 1,
-    "max_inflight": 12,
-}
 
 
 class StalePartTest(unittest.TestCase):
@@ -55,7 +46,7 @@
         self.state = EntryState(loop, InstanceId("i0"), HOME, bounds)
         self.dispatcher = Dispatcher(loop, settings, self.state, Mock())
         configuration = create_configuration()
-        configuration["services"].append(STORE_SERVICE)
+        configuration["services"].append(build_store_service(STORE))
         table = parse_configuration(json.dumps(configuration).encode())
         self.state.on_configuration(table)
         self.state.on_peers([Peer(InstanceId("i0"), HOME, "127.0.0.1:1")])
