Tell a cut from an outage before a removed target is kept

Cause: registrations that were removed while an instance could not read the registry counted as lapsed in an outage of the store, and their targets were kept until 2 s after its first read. That read came late, since one that was sent during the cut had to time out first (2 s) and was repeated up to 1 s later; the end of the 2 s was looked for once a second; and a failed read of another topic counted too.

Change: targets write their registration at a steady interval, so an instance counts their records since its last read. If two in five have gone on to write, the store was there and removed targets are gone at once; otherwise they have 2 s to register again, which end on time. While reads fail, another one is sent every 0.5 s although the last is not answered. Only reads of the registry count.

Class: the absence of news is taken for one cause where it has two.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -174,6 +174,7 @@
         self._evacuated: set[DataCentre] = set()
         self._is_registry_down = False
         self._registry_returned_at = float("-inf")
+        self._earlier_return_at = float("-inf")
         self._restored_at = float("-inf")
         # Targets that are gone, with their last registered state and when they went, oldest first.
         self._gone: dict[TargetRun, tuple[RegistrationState, float]] = {}
@@ -284,9 +285,14 @@
     def set_registry_down(self, is_down: bool, now: float) -> None:
         """Records whether the registry is down; its return starts the grace period."""
         if self._is_registry_down and not is_down:
+            self._earlier_return_at = self._registry_returned_at
             self._registry_returned_at = now
         self._is_registry_down = is_down
 
+    def end_grace(self) -> None:
+        """Ends the grace period of the last return: it was not from an outage for the targets."""
+        self._registry_returned_at = self._earlier_return_at
+
     def record_response(self, address: str, now: float) -> None:
         """Records that the target at an address has sent a response."""
         for target in self._targets.values():
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -12,6 +12,7 @@
 from ..core.serving.cacheindex import CacheIndex, RemoteClock
 from ..core.serving.cachevalidity import ValidParts, VersionTimes
 from ..core.serving.crashcauses import CrashCauses, TargetEnd
+from ..core.serving.heartbeats import HeartbeatLog
 from ..core.serving.loads import LoadTable
 from ..core.serving.namedversions import NamedVersion, NamedVersions
 from ..core.serving.orders import VersionRollout
@@ -21,6 +22,7 @@
 from ..core.serving.streamorigins import DefaultVersion, StreamOrigins
 from ..core.serving.targetlimits import LimitNews, TargetLimits
 from ..core.serving.targettable import (
+    EXPIRY_GRACE_S,
     REWRITING_S,
     Registration,
     RegistrationState,
@@ -51,6 +53,7 @@
 # A peer that has seen calls break off learns within this time whether the target has ended.
 UNPROVEN_END_S = 1.0
 MS_PER_S = 1000
+TIMER_MARGIN_S = 0.01
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -115,6 +118,14 @@
         """A request to the store succeeded or failed."""
         ...
 
+    def on_registry_reachability(self, is_reachable: bool) -> None:
+        """A read of the registry succeeded or failed; called before its records are applied."""
+        ...
+
+    def on_registry_checked(self, complete_at: float) -> None:
+        """All records of the registry up to boot time ``complete_at`` are known."""
+        ...
+
 
 class EntryState:
     """Implements ``StoreObserver`` and holds the state that the dispatcher reads."""
@@ -128,6 +139,12 @@
         self._bounds = bounds
         self.route_table: RouteTable | None = None
         self.targets = TargetTable()
+        self._heartbeats = HeartbeatLog()
+        self._is_registry_reachable = True
+        # Boot time since which it was not reachable the last time.
+        self._registry_lost_at = float("-inf")
+        # The registry is reachable again, and its records since then were not applied yet.
+        self._has_registry_returned = False
         self.named_versions = NamedVersions()
         self._version_times = VersionTimes()
         self.rollout = VersionRollout(self.named_versions, bounds.version_ms / MS_PER_S)
@@ -281,6 +298,7 @@
 
     def on_registration(self, registration: Registration) -> None:
         """Applies a target's registration."""
+        self._heartbeats.record(registration.target)
         current = self.targets.get(registration.target)
         has_changed = self.targets.apply(registration, self._loop.now())
         if current is not None and self.targets.get(registration.target) is not current:
@@ -300,6 +318,7 @@
 
     def on_registry_read(self, registrations: list[Registration], is_restored: bool) -> None:
         """Replaces the list of targets, or brings it up to date with an older copy."""
+        self._heartbeats.skip()
         apply = self.targets.restore_all if is_restored else self.targets.replace_all
         apply(registrations, self._loop.now())
         self._has_registry = True
@@ -498,7 +517,6 @@
         if is_reachable == self._is_store_reachable:
             return
         self._is_store_reachable = is_reachable
-        self.targets.set_registry_down(not is_reachable, self._loop.now())
         log_event(
             _LOGGER,
             logging.INFO if is_reachable else logging.WARNING,
@@ -506,6 +524,42 @@
             "platform store reachable" if is_reachable else f"platform store unreachable: {detail}",
         )
 
+    def on_registry_reachability(self, is_reachable: bool) -> None:
+        """Keeps targets whose registrations are removed while the registry is not reachable."""
+        if is_reachable == self._is_registry_reachable:
+            return
+        self._is_registry_reachable = is_reachable
+        self.targets.set_registry_down(not is_reachable, self._loop.now())
+        if not is_reachable:
+            self._registry_lost_at = self._loop.boottime()
+        else:
+            self._has_registry_returned = True
+            # A little later, since the grace period ends at exactly that time.
+            self._loop.call_later(EXPIRY_GRACE_S + TIMER_MARGIN_S, self.remove_expired_targets)
+
+    def on_registry_checked(self, complete_at: float) -> None:
+        """Decides, when the registry is back, whether removed targets are gone."""
+        if self._has_registry_returned and complete_at <= self._registry_lost_at:
+            return  # A message from before the cut or outage that came late.
+        was_available = self._heartbeats.complete(complete_at, len(self.targets.targets))
+        if not self._has_registry_returned:
+            return
+        self._has_registry_returned = False
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.ENTRY_REGISTRY_RETURNED,
+            (
+                "targets wrote to the registry all the time: those removed are gone"
+                if was_available
+                else "registry may have been away: targets have time to register again"
+            ),
+            lapsed=[target.id for target in self.targets.targets if target.removed_at is not None],
+        )
+        if was_available:
+            self.targets.end_grace()
+            self.remove_expired_targets()
+
     @property
     def is_store_reachable(self) -> bool:
         """Whether the store answered last, as far as known."""
@@ -514,7 +568,7 @@
     def remove_expired_targets(self) -> None:
         """Removes expired targets that have not registered again in time."""
         for target in self.targets.expire(self._loop.now()):
-            self._log_target(target, "removed: no registration after the store outage", "")
+            self._log_target(target, "removed: no registration since the registry is back", "")
 
     def _log_target(self, target: TargetId, state: str, address: str) -> None:
         log_event(
--- a/src/mulberryrill/internal/entry/topicfollower.py
+++ b/src/mulberryrill/internal/entry/topicfollower.py
@@ -29,7 +29,11 @@
 # reader. It also checks at the moment at which they are no longer recent.
 FEED_CHECK_INTERVAL_S = 0.5
 INITIAL_RETRY_DELAY_S = 0.2
-MAX_RETRY_DELAY_S = 1.0
+MAX_RETRY_DELAY_S = 0.5
+# While reads fail, another one is sent at this interval although the last one is not answered yet:
+# one that was sent during a cut may stay without an answer long after its end.
+ATTEMPT_INTERVAL_S = 0.5
+MAX_OPEN_ATTEMPTS = 5
 # Interval at which starting peers are told of what a restored store has lost.
 CARRY_INTERVAL_S = 0.5
 MAX_LOGGED_KEYS = 20
@@ -150,6 +154,11 @@
         self._next_offset: Offset | None = None
         self._highest_end = Offset(0)
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
+        # Whether the last read failed. Reads of which the first answer counts are one cycle: its
+        # number, and how many of them are not answered yet.
+        self._is_failing = False
+        self._cycle = 0
+        self._open_attempts = 0
         self._is_closed = False
         # The era of the store in which the offsets count; None: unknown.
         self._era: StoreEra | None = None
@@ -192,14 +201,51 @@
         if feed_time_left_s > 0:
             delay_s = min(FEED_CHECK_INTERVAL_S, feed_time_left_s)
             self._loop.call_later(delay_s, self._read)
-        elif self._next_offset is None:
+        else:
+            self._cycle += 1
+            self._open_attempts = 0
+            self._send_attempt(self._cycle)
+
+    def _send_attempt(self, cycle: int) -> None:
+        """Sends a read, and another one later if reads fail and this one is not answered."""
+        self._open_attempts += 1
+        if self._next_offset is None:
             on_newest = partial(self.on_newest_read, self._loop.boottime())
-            self._store.read_newest(self._topic, on_newest)
+            self._store.read_newest(self._topic, partial(self._on_answer, cycle, on_newest))
         else:
-            wait_s = 0.0 if self._has_more else self._get_timing().wait_s
+            wait_s = 0.0 if self._has_more or self._is_failing else self._get_timing().wait_s
             read = PendingRead(self._next_offset, self._loop.boottime(), wait_s, self._era)
             on_page = partial(self.on_records_read, read)
-            self._store.read_keyed(self._topic, read.start, wait_s, on_page)
+            self._store.read_keyed(
+                self._topic, read.start, wait_s, partial(self._on_answer, cycle, on_page)
+            )
+        if self._is_failing:
+            self._loop.call_later(ATTEMPT_INTERVAL_S, partial(self._repeat_attempt, cycle))
+
+    def _repeat_attempt(self, cycle: int) -> None:
+        """Sends a further read of a cycle that has not been answered."""
+        if cycle != self._cycle or self._is_closed or not self._is_failing:
+            return
+        if self._open_attempts < MAX_OPEN_ATTEMPTS:
+            self._send_attempt(cycle)
+        else:
+            self._loop.call_later(ATTEMPT_INTERVAL_S, partial(self._repeat_attempt, cycle))
+
+    def _on_answer(
+        self,
+        cycle: int,
+        handle: Callable[[RecordPage | StoreCallError], None],
+        page: RecordPage | StoreCallError,
+    ) -> None:
+        """Handles the first answer of a cycle of reads, or the last error if there is none."""
+        if cycle != self._cycle:
+            return
+        self._open_attempts -= 1
+        if isinstance(page, StoreCallError) and not page.status and self._open_attempts > 0:
+            self._request_from_peers()
+            return
+        self._cycle += 1
+        handle(page)
 
     def _record_takeover(self, feed_time_left_s: float) -> None:
         """Logs that this instance begins to read in place of a silent reader."""
@@ -508,6 +554,7 @@
         self._next_offset = next_offset
         self._highest_end = Offset(max(self._highest_end, next_offset))
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
+        self._is_failing = False
         self._on_reachability(True, "")
 
     def _schedule_read(self) -> None:
@@ -518,6 +565,7 @@
             self._loop.call_soon(self._read)
 
     def _on_failure(self, error: StoreCallError) -> None:
+        self._is_failing = True
         self._on_reachability(False, str(error))
         self._request_from_peers()
         self._loop.call_later(self._retry_delay_s, self._read)
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -98,6 +98,7 @@
             partial(self._on_store_reachability, REGISTRY_TOPIC),
             self._sharing[REGISTRY_TOPIC],
             carries_missing=False,
+            on_complete=observer.on_registry_checked,
         )
         self._instance_follower = TopicFollower(
             loop,
@@ -192,6 +193,8 @@
         else:
             self._unreachable_topics.add(topic)
         self._observer.on_store_reachability(not self._unreachable_topics, detail)
+        if topic == REGISTRY_TOPIC:
+            self._observer.on_registry_reachability(is_reachable)
 
     def _join_group(self) -> None:
         if self._is_closed:
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -36,6 +36,8 @@
 STEP_S = 0.0005
 STORE_LATENCY_S = 0.004
 LINK_DELAY_S = 0.001
+# Interval at which targets write their registration.
+HEARTBEAT_S = 1.2
 BOUNDS = EntryBounds(configuration_ms=2000, drain_ms=2000)
 
 
@@ -89,6 +91,7 @@
     on_evacuations_read = on_evacuation = on_desired_version = _ignore
     on_store_reachability = on_operator_records_checked = on_quarantine = _ignore
     on_carried_records = on_default_version = _ignore
+    on_registry_reachability = on_registry_checked = _ignore
 
 
 @dataclass
@@ -162,7 +165,7 @@
         self, delay_s: float, handle: Callable[[], None], timeout_s: float, done: Callable
     ) -> None:
         instance, simulation = self._instance, self._simulation
-        if instance.is_cut_off:
+        if instance.is_cut_off or simulation.is_store_down:
             error = StoreCallError("store: no answer in time", 0, in_doubt=False)
             simulation.schedule(timeout_s, lambda: instance.inbox.append(lambda: done(error)))
             return
@@ -228,11 +231,59 @@
         )
 
 
+class SimulatedTarget:
+    """A target that writes its registration at steady times."""
+
+    def __init__(
+        self, simulation: "FollowerSimulation", target: TargetId, heartbeat_s: float
+    ) -> None:
+        self.id = target
+        # Whether it can reach the store, and whether it still writes.
+        self.is_cut_off = False
+        self.is_leaving = False
+        self._simulation = simulation
+        self._heartbeat_s = heartbeat_s
+        registration = {
+            "service": "desk",
+            "address": f"{target}:1",
+            "zone": DATA_CENTRE,
+            "state": "ready",
+            "slots": 1,
+            "born": 1,
+        }
+        self._value = json.dumps(registration).encode()
+
+    def write(self) -> None:
+        """Writes a heartbeat now, and the next ones."""
+        if self.is_leaving:
+            return
+        if not self.is_cut_off and not self._simulation.is_store_down:
+            self._simulation.append_registration(self.id, self._value)
+        self._simulation.schedule(self._heartbeat_s, self.write)
+
+    def leave(self) -> None:
+        """Removes its registration and serves on, without having been draining."""
+        self.is_leaving = True
+        self.lapse()
+
+    def lapse(self) -> None:
+        """Lets the store remove its registration."""
+        self._simulation.append_registration(self.id, None)
+
+
 class FollowerSimulation:
     """A store and the instances of one data centre, on one simulated clock."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(
+        self,
+        count: int,
+        create_observer: Callable[[SimulatedLoop, InstanceId], "SimulatedObserver"] | None = None,
+    ) -> None:
+        """``create_observer`` creates what an instance does with the records that it reads."""
         self._clock = ManualClock()
+        self._create_observer = create_observer
+        # Nobody reaches the store.
+        self.is_store_down = False
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self.topics: dict[str, list[KeyedRecord]] = {
@@ -291,7 +342,7 @@
             self._waiting[topic].append(respond_once)
             self.schedule(wait_s, respond_once)
 
-    def _append(self, topic: str, key: str, value: bytes) -> None:
+    def _append(self, topic: str, key: str, value: bytes | None) -> None:
         records = self.topics[topic]
         records.append(KeyedRecord(key, value, Offset(len(records))))
         for respond_once in list(self._waiting[topic]):
@@ -318,6 +369,16 @@
         self.written_at[version] = self.now()
         return version
 
+    def add_target(self, name: str, heartbeat_s: float = HEARTBEAT_S) -> "SimulatedTarget":
+        """Starts a target, which writes its registration at each heartbeat."""
+        target = SimulatedTarget(self, TargetId(name), heartbeat_s)
+        target.write()
+        return target
+
+    def append_registration(self, target: TargetId, value: bytes | None) -> None:
+        """Writes a registration, or removes it."""
+        self._append(REGISTRY_TOPIC, target, value)
+
     def write_draining_target(self, name: str = "") -> TargetId:
         """Writes a registration that says that its target is leaving."""
         target = TargetId(name or f"t{len(self.topics[REGISTRY_TOPIC])}")
@@ -387,7 +448,9 @@
     def _create_instance(self, number: int) -> SimulatedInstance:
         name = InstanceId(f"front-{number}")
         loop = SimulatedLoop(self._clock, name)
-        instance = SimulatedInstance(name, loop, SimulatedObserver(self._clock))
+        create = self._create_observer
+        observer = create(loop, name) if create is not None else SimulatedObserver(self._clock)
+        instance = SimulatedInstance(name, loop, observer)
         instance.follower = StoreFollower(
             loop,
             SimulatedStoreClient(self, instance),
