Count records as known only when a read reached their end

What callers saw: nothing yet; found while the validity of cached parts was built on the time up to which the operators' records are known.

Cause: a response of the store is limited to 1 MB. One that held only the first of the records counted as up to date from when it was sent, so a newer configuration or version could be missing.

Change: such a response does not move the time up to which records are known; the next read, which follows at once, does.

Evidence: tests.regressions.test_truncated_read_counts_as_complete failed before (one of two tests; the other guards complete reads).

--- a/src/mulberryrill/internal/entry/topicfollower.py
+++ b/src/mulberryrill/internal/entry/topicfollower.py
@@ -459,6 +459,9 @@
         # Records that arrived during a wait say nothing about later ones: the next read tells.
         self._has_more = bool(page.records)
         complete_at = read.started_at if page.records else min(now, read.started_at + read.wait_s)
+        if page.records and page.records[-1].offset + 1 < page.end:
+            # The response was too small for all records.
+            complete_at = self._read_complete_at
         self._record_read(complete_at)
         end = Offset(page.records[-1].offset + 1) if page.records else read.start
         if self._sharing is not None:
