Split the reasons for not using engines as sources from their use

No change in behaviour: find_valid_parts had grown a chain of conditions, and looked through all targets although a newer version was known already.

--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -424,29 +424,33 @@
             target = self.targets.find_by_address(address)
             return target is not None and target.get_version(model) == version
 
-        restriction = ""
-        newer = self._version_times.find_newer(model, version)
-        newest_on_targets = self.targets.find_newest_version(model) or version
-        age_s = self.operator_records_age_s
-        max_age_s = plan_waiting_reads(
-            self._bounds.configuration_ms / MS_PER_S
-        ).compute_takeover_age(0)
-        if newer is not None or newest_on_targets > version:
-            restriction = f"version {max(newer or version, newest_on_targets)} is known"
-        elif age_s is None or age_s > max_age_s:
-            restriction = "newest version not known"
-        elif self.engine_clock.read(self._loop.now()) is None:
-            # Without the engines' time a fetch cannot be limited, and the engine may load other
-            # weights before it begins.
-            restriction = "engines' time not known"
+        restriction = self._find_source_restriction(model, version)
         return ValidParts(
             is_valid_engine,
             allows_engines=not restriction,
             stored_before=self._version_times.find_last_valid_time(model, version),
-            allows_saving=newer is None,
+            allows_saving=self._version_times.find_newer(model, version) is None,
             restriction=restriction,
         )
 
+    def _find_source_restriction(self, model: ModelName, version: WeightVersion) -> str:
+        """Returns why engines may cache parts that other weights computed; empty: they do not."""
+        newer = self._version_times.find_newer(model, version)
+        if newer is None:
+            newest_on_targets = self.targets.find_newest_version(model) or version
+            newer = newest_on_targets if newest_on_targets > version else None
+        if newer is not None:
+            return f"version {newer} is known"
+        timing = plan_waiting_reads(self._bounds.configuration_ms / MS_PER_S)
+        age_s = self.operator_records_age_s
+        if age_s is None or age_s > timing.compute_takeover_age(0):
+            return "newest version not known"
+        if self.engine_clock.read(self._loop.now()) is None:
+            # Without the engines' time a fetch cannot be limited, and its source may load other
+            # weights before it begins.
+            return "engines' time not known"
+        return ""
+
     @property
     def version_bound_s(self) -> float:
         """Seconds after which no call may begin on a version older than a newly named one."""
