--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -53,6 +53,7 @@
 # A peer that has seen calls break off learns within this time whether the target has ended.
 UNPROVEN_END_S = 1.0
 MS_PER_S = 1000
+# Timers that look for what has expired run a little later, so that rounding does not matter.
 TIMER_MARGIN_S = 0.01
 _LOGGER = logging.getLogger(__name__)
 
@@ -321,6 +322,8 @@
         self._heartbeats.skip()
         apply = self.targets.restore_all if is_restored else self.targets.replace_all
         apply(registrations, self._loop.now())
+        if is_restored:
+            self._schedule_expiry()
         self._has_registry = True
         self._check_records_known()
         log_event(
@@ -538,8 +541,11 @@
             self._registry_lost_at = self._loop.boottime()
         else:
             self._has_registry_returned = True
-            # A little later, since the grace period ends at exactly that time.
-            self._loop.call_later(EXPIRY_GRACE_S + TIMER_MARGIN_S, self.remove_expired_targets)
+            self._schedule_expiry()
+
+    def _schedule_expiry(self) -> None:
+        """Removes targets that have not registered again as soon as the grace period is over."""
+        self._loop.call_later(EXPIRY_GRACE_S + TIMER_MARGIN_S, self.remove_expired_targets)
 
     def on_registry_checked(self, complete_at: float) -> None:
         """Decides, when the registry is back, whether removed targets are gone."""
--- a/src/mulberryrill/internal/entry/topicfollower.py
+++ b/src/mulberryrill/internal/entry/topicfollower.py
@@ -154,8 +154,8 @@
         self._next_offset: Offset | None = None
         self._highest_end = Offset(0)
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
-        # Whether the last read failed. Reads of which the first answer counts are one cycle: its
-        # number, and how many of them are not answered yet.
+        # Whether the last read failed. While reads fail, several may be under way at the same time;
+        # the first answer ends their cycle, and later answers to reads of that cycle are ignored.
         self._is_failing = False
         self._cycle = 0
         self._open_attempts = 0
