Let engines be sources of parts that they have held since before an outage

Cause: since engines were no sources at all while the operators' records were old.

Change: then, too, an engine is a source for a part that it has held all the time since before the last moment at which no newer version was named. An order discards what an engine has cached, and its events tell that; they must be as fresh as a store's.

--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import isfinite
 from typing import NamedTuple
 
 from ...ids import CustomerName, WeightVersion
@@ -64,7 +65,7 @@
     next_event: int = 0
     updated_at: float = float("-inf")
     parts: dict[CacheKey, int] = field(default_factory=dict)
-    # When the newest event of each part of a store was read; not kept for engines.
+    # When the newest event of each part was read.
     observed_at: dict[CacheKey, float] = field(default_factory=dict)
     tokens: int = 0
 
@@ -112,8 +113,7 @@
             if event.is_cached:
                 holder.tokens += event.tokens - holder.parts.get(event.key, 0)
                 holder.parts[event.key] = event.tokens
-                if holder.kind is HolderKind.STORE:
-                    holder.observed_at[event.key] = now
+                holder.observed_at[event.key] = now
                 self._by_part.setdefault(event.key, set()).add(address)
             else:
                 self._remove_part(holder, address, event.key)
@@ -161,7 +161,7 @@
         )
 
     def was_held_before(self, address: str, key: CacheKey, time: float) -> bool:
-        """Returns whether a store is known to have held the part before ``time``."""
+        """Returns whether a holder has held the part since before ``time``, as far as known."""
         return self._holders[address].observed_at.get(key, float("inf")) < time
 
     def has_answered(self, address: str) -> bool:
@@ -273,14 +273,13 @@
     shared = []
     for part, tokens in parts[:-1]:
         key = CacheKey(salt, part)
-        engines: list[str] = []
-        if valid.allows_engines:
-            holders = index.list_holders(key, tokens, HolderKind.ENGINE, now)
-            engines = [address for address in holders if valid.is_valid_engine(address)]
+        engines = _list_valid_engines(index, key, tokens, now, valid)
         in_stores = index.list_holders(key, tokens, HolderKind.STORE, now)
         needs_saving = valid.allows_saving and not in_stores
         save = _choose_store(index, stores, key, tokens, now) if needs_saving else None
-        valid_stores = [a for a in in_stores if index.was_held_before(a, key, valid.stored_before)]
+        valid_stores = [
+            a for a in in_stores if index.was_held_before(a, key, valid.in_stores_before)
+        ]
         shared.append(PartSources(key, tokens, engines, valid_stores, save))
     return PromptSources(shared, len(parts), valid.restriction)
 
@@ -328,6 +327,23 @@
     return TransferPlan(tuple(fetch), tuple(save))
 
 
+def _list_valid_engines(
+    index: CacheIndex, key: CacheKey, tokens: int, now: float, valid: ValidParts
+) -> list[str]:
+    """Returns the engines from which a part may be fetched."""
+    if valid.in_engines_before == float("-inf"):
+        return []
+    # Where it matters since when a part is held, its eviction must not have gone unnoticed.
+    max_age_s = STORE_FRESHNESS_S if isfinite(valid.in_engines_before) else ENGINE_FRESHNESS_S
+    return [
+        address
+        for address in index.list_holders(key, tokens, HolderKind.ENGINE, now)
+        if index.get_age(address, now) < max_age_s
+        and index.was_held_before(address, key, valid.in_engines_before)
+        and valid.is_valid_engine(address)
+    ]
+
+
 def _choose_store(
     index: CacheIndex, stores: list[Service], key: CacheKey, tokens: int, now: float
 ) -> str | None:
--- a/src/mulberryrill/internal/core/serving/cachevalidity.py
+++ b/src/mulberryrill/internal/core/serving/cachevalidity.py
@@ -4,9 +4,9 @@
 loaded newer weights; when the memory runs out, it may be preempted and its prompt prefilled again,
 now by the newer weights but under the old salt. Neither an engine's events nor a store's tell
 which weights computed a part, so this follows from times: no engine can load a version before it is
-named, and a part whose event was read before that is older. Engines replace parts, so of them only
-those with the salt's version count, and only while no newer one is known. Stores keep a part as
-they first received it.
+named, and a part whose event was read before that is older. Stores keep a part as they first
+received it. Engines replace parts, so only those that have the salt's version count, and only while
+no newer one is known.
 
 All times include the time for which the host was suspended.
 """
@@ -23,10 +23,10 @@
 
     # Whether the engine at an address has the salt's version.
     is_valid_engine: Callable[[str], bool]
-    # Whether no newer version is known, and that is known recently enough.
-    allows_engines: bool
-    # Parts that a store was known to hold before this time.
-    stored_before: float
+    # Parts that an engine, or a store, was known to hold before these times and holds since then;
+    # infinity: all, negative infinity: none.
+    in_engines_before: float
+    in_stores_before: float
     # Whether the parts that the call computes may be saved.
     allows_saving: bool
     # Why some sources are not used, for logs; empty: all are.
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -427,32 +427,35 @@
             target = self.targets.find_by_address(address)
             return target is not None and target.get_version(model) == version
 
-        restriction = self._find_source_restriction(model, version)
+        last_valid_time = self._version_times.find_last_valid_time(model, version)
+        engines_before, restriction = self._limit_engines(model, version, last_valid_time)
         return ValidParts(
             is_valid_engine,
-            allows_engines=not restriction,
-            stored_before=self._version_times.find_last_valid_time(model, version),
+            in_engines_before=engines_before,
+            in_stores_before=last_valid_time,
             allows_saving=self._version_times.find_newer(model, version) is None,
             restriction=restriction,
         )
 
-    def _find_source_restriction(self, model: ModelName, version: WeightVersion) -> str:
-        """Returns why engines may cache parts that other weights computed; empty: they do not."""
+    def _limit_engines(
+        self, model: ModelName, version: WeightVersion, last_valid_time: float
+    ) -> tuple[float, str]:
+        """Returns since before when engines must hold a part to be its source, and why."""
         newer = self._version_times.find_newer(model, version)
         if newer is None:
             newest_on_targets = self.targets.find_newest_version(model) or version
             newer = newest_on_targets if newest_on_targets > version else None
         if newer is not None:
-            return f"version {newer} is known"
-        timing = plan_waiting_reads(self._bounds.configuration_ms / MS_PER_S)
-        age_s = self.operator_records_age_s
-        if age_s is None or age_s > timing.compute_takeover_age(0):
-            return "newest version not known"
+            return float("-inf"), f"version {newer} is known"
         if self.engine_clock.read(self._loop.now()) is None:
             # Without the engines' time a fetch cannot be limited, and its source may load other
             # weights before it begins.
-            return "engines' time not known"
-        return ""
+            return float("-inf"), "engines' time not known"
+        timing = plan_waiting_reads(self._bounds.configuration_ms / MS_PER_S)
+        age_s = self.operator_records_age_s
+        if age_s is None or age_s > timing.compute_takeover_age(0):
+            return last_valid_time, "newest version not known"
+        return float("inf"), ""
 
     @property
     def version_bound_s(self) -> float:
