Heed what targets say of themselves: quiet times and departures

A target whose responses said Server-Leaving got calls until the registry said so.

Cause: neither header was read. A rejection started a cooldown of 0.25 s only, and placement falls back to the target whose cooldown ends first.

Change: quiet times (core/serving/quiettimes.py) and a mark of the leaving incarnation (core/serving/targettable.py) bind every choice of a target; calls that no target wants are refused at once with the time at which the first one does. Requests are now built when their connection is open, so both are asked again then, and the time that is handed on is the time left at that moment. Peers of the data centre are told of departures. The two rules are in one commit because both need the check before the send.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -34,6 +34,9 @@
 # What the registry lost when it came back from a copy is written again within this time.
 REWRITING_S = 10.0
 MAX_GONE_TARGETS = 5_000
+# A target that leaves is gone within this time of its last response. Until then a registration that
+# lapsed and was written again does not bring it back.
+LEAVING_RETENTION_S = 600.0
 
 
 class RegistrationState(Enum):
@@ -176,6 +179,8 @@
         self._registry_returned_at = float("-inf")
         self._earlier_return_at = float("-inf")
         self._restored_at = float("-inf")
+        # Incarnations whose own responses said that they leave, and when this was learned.
+        self._leaving: dict[TargetRun, float] = {}
         # Targets that are gone, with their last registered state and when they went, oldest first.
         self._gone: dict[TargetRun, tuple[RegistrationState, float]] = {}
 
@@ -320,16 +325,42 @@
         else:
             self._evacuated.discard(data_centre)
 
+    @property
+    def leaving_count(self) -> int:
+        """Number of registered targets whose own responses say that they leave."""
+        return sum(t.registration.run in self._leaving for t in self._targets.values())
+
+    def mark_leaving(self, run: TargetRun, now: float) -> bool:
+        """Records that a response of this incarnation says that it leaves; whether that is new.
+
+        The mark holds whatever the registry or a copy of it says later of the same incarnation.
+        """
+        is_new = run not in self._leaving
+        self._leaving[run] = now
+        return is_new
+
+    def prune_leaving(self, now: float) -> None:
+        """Forgets marks of incarnations that are not registered any more."""
+        live = {target.registration.run for target in self._targets.values()}
+        for run, marked_at in list(self._leaving.items()):
+            if run not in live and now - marked_at >= LEAVING_RETENTION_S:
+                del self._leaving[run]
+
     def list_usable(self, service: ServiceName) -> list[Target]:
         """Returns the targets of a service that may get new calls."""
         return [
             target
             for target in self._targets.values()
-            if target.registration.service == service
-            and target.registration.state is RegistrationState.READY
-            and target.registration.data_centre not in self._evacuated
+            if target.registration.service == service and self._accepts_calls(target.registration)
         ]
 
+    def _accepts_calls(self, registration: Registration) -> bool:
+        return (
+            registration.state is RegistrationState.READY
+            and registration.data_centre not in self._evacuated
+            and registration.run not in self._leaving
+        )
+
     def count_versions(self, service: ServiceName) -> Counter[SoftwareVersion]:
         """Returns the software versions of a service's targets, with their numbers."""
         registrations = (target.registration for target in self._targets.values())
@@ -338,10 +369,8 @@
     def is_usable(self, target: Target) -> bool:
         """Returns whether the target is still registered and may get new calls."""
         registration = target.registration
-        return (
-            self._targets.get(registration.target) is target
-            and registration.state is RegistrationState.READY
-            and registration.data_centre not in self._evacuated
+        return self._targets.get(registration.target) is target and self._accepts_calls(
+            registration
         )
 
     def _update_condition(
--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -1,7 +1,7 @@
 """One attempt at a call: sends it to a target, classifies the response and forwards it."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
 
@@ -9,7 +9,7 @@
 from ..core.serving.routetable import CallKind
 from ..http.bounds import MAX_ELEMENT_S
 from ..http.messages import HttpResponse
-from .connection import ExchangeFailure, OutboundConnection
+from .connection import ExchangeFailure, FailureKind, OutboundConnection
 from .dialect import AttemptPlan, CallRequest, Dialect, ResponseInfo, ResponseKind
 from .eventstream import EventStreamParser
 
@@ -25,6 +25,8 @@
     REJECTED = "not run"
     MISDIRECTED = "misdirected"
     NOT_SENT = "not sent"
+    # The target must not get the call any more: it was not sent, and nothing is wrong with it.
+    WITHDRAWN = "withdrawn"
     BROKEN = "broken"
     UNVERIFIED = "unverified"
     CANCELLED = "cancelled"
@@ -112,11 +114,19 @@
         """Seconds for which the connection was idle before the call was sent on it."""
         return self._connection.idle_before_send_s if self._connection is not None else 0.0
 
-    def start(self, connection: OutboundConnection) -> None:
-        """Sends the request."""
+    def start(self, connection: OutboundConnection, may_send: Callable[[], bool]) -> None:
+        """Sends the request, if ``may_send`` still says so when the connection is open."""
         self._connection = connection
+
+        def build_request() -> bytes | None:
+            time_left_s = self.plan.time_left_s - (self._now() - self.started_at)
+            if time_left_s <= 0 or not may_send():
+                return None
+            plan = replace(self.plan, time_left_s=time_left_s)
+            return self._dialect.encode_attempt(self._call, plan)
+
         connection.send(
-            self._dialect.encode_attempt(self._call, self.plan),
+            build_request,
             self,
             lambda response: self._dialect.is_response_to(response, self._call),
         )
@@ -233,6 +243,9 @@
         if self.response_info is not None and self.response_info.kind is ResponseKind.REJECTED:
             self._end(Outcome.REJECTED, failure.message)
             return
+        if failure.kind is FailureKind.WITHDRAWN:
+            self._end(Outcome.WITHDRAWN, failure.message)
+            return
         self.may_have_run = failure.was_sent
         self.was_refused = failure.was_refused
         outcome = Outcome.BROKEN if failure.was_sent else Outcome.NOT_SENT
--- a/src/mulberryrill/internal/entry/connection.py
+++ b/src/mulberryrill/internal/entry/connection.py
@@ -25,6 +25,8 @@
     BROKEN = "broken"
     MALFORMED = "malformed"
     TIMEOUT = "timeout"
+    # The request was not sent, because its sender did not want it any more.
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True)
@@ -87,6 +89,7 @@
         self._handler: ExchangeHandler | None = None
         self._response: HttpResponse | None = None
         self._send_buffer = bytearray()
+        self._build_request: Callable[[], bytes | None] | None = None
         self._was_sent = False
         self._is_paused = False
         self._connect_timer: Timer | None = None
@@ -118,11 +121,15 @@
 
     def send(
         self,
-        request: bytes,
+        build_request: Callable[[], bytes | None],
         handler: ExchangeHandler,
         accepts: Callable[[HttpResponse], bool] | None = None,
     ) -> None:
-        """Begins an exchange. Drops responses to earlier requests, which ``accepts`` rejects."""
+        """Begins an exchange. Drops responses to earlier requests, which ``accepts`` rejects.
+
+        The request is built when it can be written, because it may state the time left and the
+        connection may still have to open; None withdraws it.
+        """
         self._handler = handler
         self._response = None
         self._was_sent = False
@@ -131,10 +138,20 @@
         self._parser.reset()
         self._parser.accepts = accepts
         self.partial_head_since = None
-        self._send_buffer = bytearray(request)
+        self._send_buffer = bytearray()
+        self._build_request = build_request
         if self._state is _State.IDLE:
             self._state = _State.BUSY
-            self._write()
+            self._begin_request()
+
+    def _begin_request(self) -> None:
+        assert self._build_request is not None
+        request, self._build_request = self._build_request(), None
+        if request is None:
+            self._fail(FailureKind.WITHDRAWN, "the request was withdrawn before it was sent")
+            return
+        self._send_buffer = bytearray(request)
+        self._write()
 
     def pause(self) -> None:
         """Stops reading until ``resume``, because the receiver is slow."""
@@ -193,7 +210,7 @@
         self._state = _State.BUSY if self._handler is not None else _State.IDLE
         self._update_event_mask()
         if self._state is _State.BUSY:
-            self._write()
+            self._begin_request()
         else:
             self._enter_idle()
 
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -28,6 +28,7 @@
     NO_TARGET = "no target"
     OVERLOADED = "overloaded"
     LIMITED = "rate limits of the targets"
+    QUIET = "targets want no calls for a time"
     REJECTED_BY_TARGETS = "rejected by targets"
     EXPIRED = "deadline passed before the call was sent"
     OUTCOME_UNKNOWN = "outcome unknown"
@@ -146,6 +147,12 @@
     rate_limit: float | None = None
     # Whether the response tells anything about a limit: not if its origin or the value is unclear.
     tells_rate_limit: bool = False
+    # Whether the target itself says that it leaves.
+    is_leaving: bool = False
+    # Seconds for which the target wants no calls from this instance; None: it names no time.
+    quiet_s: float | None = None
+    # Names of headers whose values were ignored or cut because they were out of range.
+    invalid_headers: tuple[str, ...] = ()
 
 
 class Dialect(Protocol):
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -136,6 +136,8 @@
             "instances": len(self._state.instances),
             "targets": len(self._state.targets.targets),
             "limited_targets": self._state.target_limits.limited_count,
+            "leaving_targets": self._state.targets.leaving_count,
+            "quiet_targets": self._state.quiet_times.count(self._loop.boottime()),
             "configuration_version": table.version if table is not None else 0,
         }
         if (age_s := self._state.operator_records_age_s) is not None:
@@ -236,7 +238,13 @@
             return PlacementRefusal(
                 RefusalReason.SUSPECTED, probation.detail, probation.retry_after_s
             )
-        reachable = probation
+        reachable = self._state.quiet_times.list_allowed(probation, boottime)
+        if probation and not reachable:
+            delay_s = self._state.quiet_times.compute_retry_delay(
+                probation, self._random.random(), boottime
+            )
+            detail = f"{len(probation)} targets, none wants calls now"
+            return PlacementRefusal(RefusalReason.QUIET, detail, delay_s)
         targets = limits.list_admitted(reachable, service.name, priority, boottime)
         if reachable and not targets:
             delay_s = limits.compute_retry_delay(
@@ -392,18 +400,25 @@
             not handler.call.route.is_repeatable, max_idle_s, handler.used_connections
         )
         handler.used_connections.append(connection)
-        attempt.start(connection)
+        attempt.start(connection, lambda: self._state.may_send(target))
 
     def on_response(self, attempt: Attempt) -> None:
-        """Records the rate limit that the target names."""
+        """Records what the target says of itself: its rate limit, quiet time and departure."""
         info = attempt.response_info
-        if info is not None and info.tells_rate_limit:
+        if info is None:
+            return
+        registration = attempt.plan.target.registration
+        if info.tells_rate_limit:
             elapsed_s = self._loop.now() - attempt.started_at
             self._state.record_rate_limit(
-                attempt.plan.target.registration,
-                info.rate_limit,
-                self._loop.boottime() - elapsed_s,
+                registration, info.rate_limit, self._loop.boottime() - elapsed_s
             )
+        if info.is_leaving:
+            self._state.record_leaving(registration.run)
+        if info.quiet_s is not None:
+            self._state.record_quiet_time(registration.run, info.quiet_s)
+        for name in info.invalid_headers:
+            self._metrics.record_invalid_header(name)
 
     def on_first_event(self, handler: CallHandler, attempt: Attempt) -> None:
         """Updates the target's prefill rate and removes the prompt from its pending load."""
@@ -448,6 +463,8 @@
             self._state.target_updates.record_misdirection(
                 target.id, target.consecutive_misdirections
             )
+        elif outcome is Outcome.WITHDRAWN:
+            pass  # Nothing was sent, so this says nothing of the target.
         elif outcome is not Outcome.CANCELLED or detail == SILENT:
             if outcome is Outcome.BROKEN:
                 self._record_reset(attempt, now)
@@ -699,6 +716,7 @@
         )
 
     def _clean_up(self) -> None:
+        now = self._loop.now()
         for handler in list(self._handlers):
             handler.check_progress()
         self._state.remove_expired_targets()
@@ -707,6 +725,8 @@
         live = {target.id: target.registration for target in self._state.targets.targets}
         self._state.loads.prune(set(live))
         self._state.target_limits.prune(live, self._loop.boottime())
+        self._state.quiet_times.prune(live, self._loop.boottime())
+        self._state.targets.prune_leaving(now)
         for target_id, pool in list(self._pools.items()):
             pool.close_expired()
             if self._state.targets.get(target_id) is None:
--- a/src/mulberryrill/internal/entry/exchange.py
+++ b/src/mulberryrill/internal/entry/exchange.py
@@ -79,4 +79,4 @@
     """Sends a request over a pooled connection; ``done`` is called once with the result."""
     connection = pool.acquire(needs_fresh=False)
     collector = _ExchangeCollector(loop, connection, done, timeout_s, max_body_bytes)
-    connection.send(request, collector)
+    connection.send(lambda: request, collector)
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -40,7 +40,7 @@
 from ..schema.peers_pb2 import TargetEnd as TargetEndMessage
 from .cachesharing import CacheSharing
 from .originrecords import OriginRecords, decode_origin, encode_origin
-from .targetupdates import TargetUpdates
+from .targetupdates import TargetUpdates, find_leaving_run
 
 # Reports are sent at this interval, or less often if there are many peers, so that an instance
 # receives at most MAX_REPORTS_PER_S reports per second.
@@ -126,6 +126,10 @@
         """Limits that targets named to this instance."""
         ...
 
+    def apply_peer_leaving(self, run: TargetRun) -> None:
+        """Applies that a target's response to a peer said that this incarnation leaves."""
+        ...
+
     def apply_peer_limit(self, news: LimitNews) -> None:
         """Applies a limit that a target named to a peer."""
         ...
@@ -400,6 +404,8 @@
             self._state.loads.apply_report(InstanceId(report.instance), loads, now)
         for update in report.updates:
             self._state.target_updates.apply(update, now)
+            if (run := find_leaving_run(update)) is not None:
+                self._state.apply_peer_leaving(run)
         for named in report.named_versions:
             self._state.apply_peer_version(_decode_named_version(named))
         boottime = self._loop.boottime()
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -297,7 +297,7 @@
         elif outcome is Outcome.ERROR:
             self._error_response = attempt.buffered_response
             self._retry_or_give_up(RefusalReason.OUTCOME_UNKNOWN)
-        elif outcome is Outcome.NOT_SENT:
+        elif outcome in (Outcome.NOT_SENT, Outcome.WITHDRAWN):
             # Nothing reached a target, so this does not count against the retry budget.
             self._send_to_next_target()
         elif outcome in (Outcome.REJECTED, Outcome.MISDIRECTED):
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -17,6 +17,7 @@
 from ..core.serving.namedversions import NamedVersion, NamedVersions
 from ..core.serving.orders import VersionRollout
 from ..core.serving.placement import ColdPacer
+from ..core.serving.quiettimes import QuietTimes
 from ..core.serving.readtiming import plan_waiting_reads
 from ..core.serving.routetable import RouteTable
 from ..core.serving.streamorigins import DefaultVersion, StreamOrigins
@@ -27,6 +28,7 @@
     Registration,
     RegistrationState,
     Target,
+    TargetRun,
     TargetTable,
 )
 from ..eventloop import EventLoop
@@ -151,6 +153,7 @@
         self.rollout = VersionRollout(self.named_versions, bounds.version_ms / MS_PER_S)
         self.cold_pacer = ColdPacer(instance, bounds.cold_factor, bounds.cold_reserve)
         self.target_limits = TargetLimits(instance)
+        self.quiet_times = QuietTimes()
         self.cache_index = CacheIndex()
         self.loads = LoadTable()
         self.cache_sharing = CacheSharing(self.cache_index, instance, loop.boottime)
@@ -503,6 +506,51 @@
         if self.target_limits.observe(registration, rate, sent_at, self._loop.boottime()):
             self._log_rate_limit(registration.target, rate, "response")
 
+    def record_leaving(self, run: TargetRun) -> None:
+        """Records that a target's own response says that this incarnation leaves."""
+        if self._mark_leaving(run, "response"):
+            self.target_updates.record_leaving(run)
+
+    def apply_peer_leaving(self, run: TargetRun) -> None:
+        """Applies that a target's response to a peer said that this incarnation leaves."""
+        self._mark_leaving(run, "peer")
+
+    def _mark_leaving(self, run: TargetRun, source: str) -> bool:
+        is_new = self.targets.mark_leaving(run, self._loop.now())
+        if is_new:
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.ENTRY_TARGET_LEAVING,
+                "target says that it leaves",
+                target=run.target,
+                incarnation=run.incarnation,
+                source=source,
+            )
+        return is_new
+
+    def record_quiet_time(self, run: TargetRun, seconds: float) -> None:
+        """Records the time for which a target wants no calls from this instance."""
+        if self.quiet_times.observe(run, seconds, self._loop.boottime()):
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.ENTRY_TARGET_QUIET,
+                "target wants no calls for a time",
+                target=run.target,
+                incarnation=run.incarnation,
+                seconds=seconds,
+                source="response",
+            )
+
+    def may_send(self, target: Target) -> bool:
+        """Whether a new call may be sent to the target at this moment."""
+        now = self._loop.boottime()
+        return (
+            self.targets.is_usable(target)
+            and self.quiet_times.find_end(target.registration, now) is None
+        )
+
     def apply_peer_limit(self, news: LimitNews) -> None:
         """Applies a limit that a target named in a response to a peer."""
         target = self.targets.get(news.run.target)
--- a/src/mulberryrill/internal/entry/targetupdates.py
+++ b/src/mulberryrill/internal/entry/targetupdates.py
@@ -4,8 +4,8 @@
 Without sharing, each instance would detect that only by a rejected call of its own per engine.
 """
 
-from ..core.serving.targettable import TargetTable
-from ..ids import ModelName, TargetId, WeightVersion
+from ..core.serving.targettable import TargetRun, TargetTable
+from ..ids import Incarnation, ModelName, TargetId, WeightVersion
 from ..schema.peers_pb2 import TargetUpdate
 
 MS_PER_S = 1000
@@ -21,6 +21,7 @@
         self._versions: dict[tuple[TargetId, ModelName], WeightVersion] = {}
         self._cooldowns: dict[TargetId, float] = {}
         self._misdirections: dict[TargetId, int] = {}
+        self._leaving: dict[TargetId, Incarnation] = {}
 
     def record_version(self, target: TargetId, model: ModelName, version: WeightVersion) -> None:
         """Records a new weight version that a target reported."""
@@ -34,6 +35,10 @@
         """Records how many consecutive calls reached another target at a target's address."""
         self._misdirections[target] = count
 
+    def record_leaving(self, run: TargetRun) -> None:
+        """Records that a target's own response says that this incarnation leaves."""
+        self._leaving[run.target] = run.incarnation
+
     def pop_updates(self, now: float) -> list[TargetUpdate]:
         """Returns updates with what was recorded since the last call."""
         updates = [
@@ -48,7 +53,12 @@
             TargetUpdate(target=target, misdirections=count)
             for target, count in self._misdirections.items()
         ]
+        updates += [
+            TargetUpdate(target=target, leaving_incarnation=incarnation)
+            for target, incarnation in self._leaving.items()
+        ]
         self._versions, self._cooldowns, self._misdirections = {}, {}, {}
+        self._leaving = {}
         return updates
 
     def apply(self, update: TargetUpdate, now: float) -> None:
@@ -62,3 +72,10 @@
             target.start_cooldown(now, update.cooldown_ms / MS_PER_S)
         if update.misdirections > target.consecutive_misdirections:
             target.record_misdirection(now, update.misdirections)
+
+
+def find_leaving_run(update: TargetUpdate) -> TargetRun | None:
+    """Returns the incarnation that leaves as a peer's update says, or None."""
+    if not update.leaving_incarnation:
+        return None
+    return TargetRun(TargetId(update.target), Incarnation(update.leaving_incarnation))
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -3,6 +3,7 @@
 import logging
 import re
 
+from ..internal.core.serving.quiettimes import MAX_QUIET_S
 from ..internal.core.serving.routetable import Customer, Prompt, Route, RouteTable
 from ..internal.entry.dialect import (
     AttemptPlan,
@@ -55,6 +56,10 @@
 WEIGHT_VERSION = b"weight-versions"
 # Calls per second, as a decimal number, that a target in need accepts from all instances together.
 RATE_LIMIT = b"server-limit"
+# Present in every response of a target that is leaving.
+LEAVING = b"server-leaving"
+# On a 503: seconds, as a decimal number, for which the target wants no calls from this instance.
+RETRY_AFTER = b"retry-after"
 
 # Headers that only the system may send to a target; a caller's values are dropped.
 SYSTEM_HEADERS = frozenset(
@@ -99,6 +104,7 @@
     RefusalReason.NO_TARGET: 503,
     RefusalReason.OVERLOADED: 503,
     RefusalReason.LIMITED: 503,
+    RefusalReason.QUIET: 503,
     RefusalReason.REJECTED_BY_TARGETS: 503,
     RefusalReason.EXPIRED: 503,
     RefusalReason.OUTCOME_UNKNOWN: 502,
@@ -214,6 +220,16 @@
         rate_limit = _parse_rate_limit(response.get(RATE_LIMIT))
         has_known_origin = kind not in (ResponseKind.MISDIRECTED, ResponseKind.UNVERIFIED)
         is_readable = rate_limit is not None or response.get(RATE_LIMIT) is None
+        # A rejection has no stamp; a misdirected call may have been answered by another target.
+        is_own = not is_other_target and (
+            is_verified
+            or (response.get(NOT_RUN) is not None and response.status != 421)
+            or responding_target == plan.target.id
+        )
+        quiet_s: float | None = None
+        invalid_headers: tuple[str, ...] = ()
+        if is_own and response.status == 503:
+            quiet_s, invalid_headers = _parse_quiet_time(response.get(RETRY_AFTER))
         return ResponseInfo(
             kind,
             versions,
@@ -221,6 +237,9 @@
             not response.keeps_alive,
             rate_limit,
             has_known_origin and not is_other_target and is_readable,
+            is_own and (response.get(LEAVING) or b"").strip() == b"1",
+            quiet_s,
+            invalid_headers,
         )
 
     def list_response_headers(self, response: HttpResponse) -> list[Header]:
@@ -236,7 +255,7 @@
         if request_id is not None:
             headers.append((REQUEST_ID, request_id))
         if retry_after_s is not None:
-            headers.append((b"retry-after", b"%.3f" % retry_after_s))
+            headers.append((RETRY_AFTER, b"%.3f" % retry_after_s))
         return REFUSAL_STATUSES[reason], headers, reason.value.encode() + b"\n"
 
     def get_refusal_reason(self, error: RequestErrorReason) -> RefusalReason:
@@ -297,6 +316,26 @@
     return None
 
 
+def _parse_quiet_time(value: bytes | None) -> tuple[float | None, tuple[str, ...]]:
+    """Returns seconds, or None for no usable value, and the header's name if it is out of range.
+
+    Sources: RFC 9110, section 10.2.3, without dates; the platform also allows decimal fractions.
+    """
+    if value is None:
+        return None, ()
+    seconds = float(value) if _DECIMAL_PATTERN.fullmatch(value.strip()) else None
+    if seconds is not None and seconds <= MAX_QUIET_S:
+        return seconds, ()
+    consequence = "ignored" if seconds is None else f"cut to {MAX_QUIET_S:.0f} s"
+    log_event(
+        _LOGGER,
+        logging.WARNING,
+        Event.MESSAGE_REJECTED,
+        f"a target's Retry-After is out of range, {consequence}: {value[:MAX_LOGGED_BYTES]!r}",
+    )
+    return None if seconds is None else MAX_QUIET_S, (RETRY_AFTER.decode(),)
+
+
 def _parse_ms_as_seconds(value: bytes | None) -> float | None:
     milliseconds = _parse_integer(value)
     return milliseconds / 1000 if milliseconds is not None else None
