Count a call's time from its arrival, not from its read

What targets saw: on instances that were slow or stopped for a part of the time, a fifth of the calls got up to 1.24 s more than their callers would still wait (205 of 1,088 with every instance stopped for 0.8 s of 1.2 s).

Cause: the deadline was counted from the moment at which the request had been read. Until then it may have waited unread, or its connection unaccepted, while the loop was in a long iteration.

Change: the loop knows the earliest time at which data that a poll found may have arrived: the poll before it after a long iteration, the begin of the poll if the process was stopped in it. Accepted connections are read at once. A call whose time is over is refused at once as not run. Event 1160 tells for how long a request had waited.

Ways weighed: the age of the iteration alone would refuse fresh calls after a freeze; timestamps alone do not exist on every platform.

--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -152,6 +152,7 @@
         """Starts serving a new connection."""
         self._connections.add(connection)
         connection.start()
+        connection.read_available()
 
     def stop(self) -> None:
         """Makes connections close after their current response."""
@@ -530,6 +531,7 @@
             parts=[part for part, _ in call.prompt.parts] if call.prompt is not None else None,
             attempts=handler.attempt_history,
             elapsed_ms=round(elapsed * 1000),
+            unread_ms=round(handler.unread_s * 1000),
             configuration=table.version if table is not None else None,
         )
 
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -118,7 +118,11 @@
         # No connection carries two attempts at a call: its target may repeat the response to the
         # first one late, and the request id would match the second one.
         self.used_connections: list[OutboundConnection] = []
-        self.arrived_at = loop.now()
+        now, arrived_at = loop.now(), call.http.arrived_at
+        # A call that waited unread, for a slow or stopped instance, has less time left.
+        self.arrived_at = now if arrived_at is None else min(now, arrived_at)
+        # Seconds for which the request had waited before this instance read it.
+        self.unread_s = now - self.arrived_at
         timeout_s = call.route.timeout_s
         if call.deadline_s is not None:
             timeout_s = min(timeout_s, call.deadline_s)
@@ -163,8 +167,11 @@
         """Sends the call to a first target."""
         self._connection.on_disconnect = self._on_disconnect
         self._connection.on_drained = self._on_drained
-        self._deadline_timer = self._loop.call_later(self.time_left_s, self._on_deadline)
         self.service = self._owner.choose_service(self.call)
+        if self.time_left_s <= 0:
+            self._give_up(RefusalReason.EXPIRED)
+            return
+        self._deadline_timer = self._loop.call_later(self.time_left_s, self._on_deadline)
         if self.call.is_take_up:
             self._owner.find_origin(self)
         else:
--- a/src/mulberryrill/internal/eventloop.py
+++ b/src/mulberryrill/internal/eventloop.py
@@ -15,6 +15,10 @@
 from .logs import log_event
 
 MAX_POLL_TIMEOUT_S = 0.5
+# Data that a poll finds may have waited for as long as the iteration before it took, or for as long
+# as the process was stopped during the poll. Shorter times are not looked for: a call's bounds have
+# half a second of slack.
+MIN_DELAY_S = 0.02
 _LOGGER = logging.getLogger(__name__)
 
 Task = Callable[[], None]
@@ -52,6 +56,15 @@
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
         self._is_stopping = False
         self._last_iteration_at = clock.monotonic()
+        self._earliest_arrival = self._last_iteration_at
+
+    @property
+    def earliest_arrival(self) -> float:
+        """The earliest time at which data that this iteration found may have arrived.
+
+        It lies before the iteration if the one before it took long, or the process was stopped.
+        """
+        return self._earliest_arrival
 
     @property
     def last_iteration_at(self) -> float:
@@ -154,8 +167,7 @@
                 )
 
     def _run_once(self) -> None:
-        events = self._epoll.poll(self._compute_poll_timeout())
-        self._last_iteration_at = self.now()
+        events = self._poll()
         # Posted tasks run last: they may open sockets, and a new socket may get the number of one
         # that was closed in this iteration and still has an event in the list.
         for fd, mask in sorted(events, key=lambda event: event[0] == self._wake_fd):
@@ -166,6 +178,22 @@
         for task in tasks:
             self._run_task(task)
 
+    def _poll(self) -> list[tuple[int, int]]:
+        """Waits for events and determines since when their data may have been there."""
+        started_at, previous_poll_at = self.now(), self._last_iteration_at
+        if started_at - previous_poll_at >= MIN_DELAY_S:
+            events = self._epoll.poll(0.0)
+            if events:
+                self._last_iteration_at = self.now()
+                self._earliest_arrival = previous_poll_at
+                return events
+        timeout_s = self._compute_poll_timeout()
+        events = self._epoll.poll(timeout_s)
+        now = self._last_iteration_at = self.now()
+        was_stopped = now - started_at - timeout_s >= MIN_DELAY_S
+        self._earliest_arrival = started_at if was_stopped else now
+        return events
+
     def _compute_poll_timeout(self) -> float:
         if self._posted_tasks or self._soon_tasks or self._iteration_end_tasks:
             return 0.0
--- a/src/mulberryrill/internal/http/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -2,12 +2,13 @@
 
 import select
 import socket
+import ssl
 from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
 from ..core.serving.routetable import CallerLimits
-from ..eventloop import EventLoop, Timer
+from ..eventloop import MIN_DELAY_S, EventLoop, Timer
 from .messages import (
     CRLF,
     LAST_CHUNK,
@@ -19,7 +20,7 @@
     encode_chunk,
     encode_head,
 )
-from .sockets import RECEIVE_BYTES
+from .sockets import RECEIVE_BYTES, receive_with_timestamp
 
 # Unsent response bytes for a slow client above which reading from the target is paused.
 MAX_BUFFERED_BYTES = 262_144
@@ -92,6 +93,8 @@
         self._request: HttpRequest | None = None
         self._timer: Timer | None = None
         self._watched_events = 0
+        # Encrypted connections return decrypted bytes, which have no timestamp.
+        self._has_timestamps = not isinstance(sock, ssl.SSLSocket)
         self._is_chunked = True
         self.has_begun_response = False
         # When the socket last accepted bytes, or when the oldest unsent bytes were buffered.
@@ -133,6 +136,14 @@
         self._update_watch()
         self._arm_timer(self._owner.limits.idle_timeout_s)
 
+    def read_available(self) -> None:
+        """Reads what has arrived before the connection was accepted.
+
+        The iteration that accepts it knows since when that may have waited.
+        """
+        if self._state is ConnectionState.READING:
+            self._read()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request has arrived, also if it has not been read yet."""
         if self.is_idle:
@@ -267,7 +278,7 @@
         if self._state is ConnectionState.CLOSED:
             return
         try:
-            data = self._socket.recv(RECEIVE_BYTES)
+            data, arrived_at = self._receive()
         except BlockingIOError:
             return
         except OSError:
@@ -275,7 +286,23 @@
         if not data:
             self._handle_disconnect()
         elif self._state is not ConnectionState.LINGERING:
-            self._parse(data)
+            self._parse(data, arrived_at)
+
+    def _receive(self) -> tuple[bytes, float]:
+        """Receives bytes, with the time at which they arrived at the latest known moment.
+
+        After a long iteration of the loop they may have waited. The system's timestamp says how
+        long; without one the bytes count as arrived at the earliest possible time.
+        """
+        now, earliest = self._loop.now(), self._loop.earliest_arrival
+        if now - earliest < MIN_DELAY_S or not self._has_timestamps:
+            return self._socket.recv(RECEIVE_BYTES), earliest
+        data, unix_time = receive_with_timestamp(self._socket)
+        if unix_time is None:
+            return data, earliest
+        # The time of day may have been set meanwhile, so it only counts within what is possible.
+        age_s = self._loop.wall() - unix_time
+        return data, min(now, max(earliest, now - age_s))
 
     def _handle_disconnect(self) -> None:
         on_disconnect = self.on_disconnect
@@ -283,10 +310,10 @@
         if on_disconnect is not None:
             on_disconnect()
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes, arrived_at: float) -> None:
         had_partial_request = self._parser.has_partial_request
         try:
-            self._parser.feed(data)
+            self._parser.feed(data, arrived_at)
         except RequestError as error:
             if self._state is ConnectionState.RESPONDING:
                 # The invalid bytes follow a valid request, which still gets its response.
--- a/src/mulberryrill/internal/http/messages.py
+++ b/src/mulberryrill/internal/http/messages.py
@@ -80,6 +80,8 @@
     target: bytes = b""
     keeps_alive: bool = True
     is_http11: bool = True
+    # When its first byte arrived, as far as known, in monotonic time.
+    arrived_at: float | None = None
 
 
 @dataclass
@@ -105,13 +107,18 @@
         self._head_bytes = 0
         self._is_in_head = True
         self._error_reason: RequestErrorReason | None = None
+        self._arrived_at: float | None = None
         self.requests: list[HttpRequest] = []
         self.has_partial_request = False
         # Whether the client waits for "100 Continue" before it sends the body.
         self.expects_continue = False
 
-    def feed(self, data: bytes) -> None:
-        """Parses bytes and appends complete requests to ``requests``; raises RequestError."""
+    def feed(self, data: bytes, arrived_at: float | None = None) -> None:
+        """Parses bytes and appends complete requests to ``requests``; raises RequestError.
+
+        ``arrived_at`` is when the bytes arrived, in monotonic time.
+        """
+        self._arrived_at = arrived_at
         self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -124,7 +131,7 @@
 
     def on_message_begin(self) -> None:
         """Called by ``httptools`` at the first byte of a request."""
-        self._request = HttpRequest()
+        self._request = HttpRequest(arrived_at=self._arrived_at)
         self._is_in_head = True
         self.has_partial_request = True
 
