Give a new process no retry reserve of its own at once

Restarts in quick succession each brought a full share of the reserve of retries, so a service could get more repeats in 10 s than operators allow. A process now begins with the part for the time that it has run, and one retry in any case. Cuts between data centres were the other suspect: those cut off from the store keep their list of instances, so the sides together stay under what is allowed; a property test states both.

--- a/src/mulberryrill/internal/core/retries.py
+++ b/src/mulberryrill/internal/core/retries.py
@@ -13,11 +13,20 @@
 class RetryBudget:
     """Limits the retries of one service to a fraction of its requests plus a reserve."""
 
-    def __init__(self, ratio: float = RETRY_RATIO, reserve: float = RETRY_RESERVE) -> None:
+    def __init__(
+        self,
+        ratio: float = RETRY_RATIO,
+        reserve: float = RETRY_RESERVE,
+        initial_share: float = 1.0,
+    ) -> None:
+        """``initial_share`` is the share of the reserve that is there from the beginning.
+
+        One retry is there in any case: a service with few requests needs it as much as others.
+        """
         # Credit is an integer, 1 per request: adding 0.1 repeatedly would accumulate an error.
         self._credit_per_retry = round(1 / ratio)
         self._max_credit = self._compute_max_credit(reserve)
-        self._credit = self._max_credit
+        self._credit = max(self._credit_per_retry, int(initial_share * self._max_credit))
 
     def _compute_max_credit(self, reserve: float) -> int:
         return max(self._credit_per_retry, round(reserve * self._credit_per_retry))
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -66,6 +66,9 @@
 # Used share of the retry ratio and retry reserve that operators allow for all instances together;
 # the reserve is also divided among the instances.
 RETRY_BUDGET_SHARE = 0.5
+# Operators count retries over spans of this length. A new process gets the part of its reserve for
+# the time that it has run: otherwise each of several quick restarts would bring a reserve.
+RETRY_WINDOW_S = 10.0
 HOUSEKEEPING_INTERVAL_S = 1.0
 # Share of a target's connections that calls of all instances may use; the rest is left for cache
 # events, reports and instances that have just started.
@@ -99,6 +102,7 @@
         self._pools: dict[TargetId, ConnectionPool] = {}
         self._idle_limits = IdleLimits()
         self._retry_budgets: dict[ServiceName, RetryBudget] = {}
+        self._started_at = loop.now()
         self._connections: set[InboundConnection] = set()
         self._handlers: set[CallHandler] = set()
         self._metrics = EntryMetrics()
@@ -679,7 +683,12 @@
         reserve = RETRY_BUDGET_SHARE * bounds.retry_reserve * share
         budget = self._retry_budgets.get(service)
         if budget is None:
-            budget = RetryBudget(ratio=RETRY_BUDGET_SHARE * bounds.retry_ratio, reserve=reserve)
+            uptime_s = self._loop.now() - self._started_at
+            budget = RetryBudget(
+                ratio=RETRY_BUDGET_SHARE * bounds.retry_ratio,
+                reserve=reserve,
+                initial_share=min(1.0, uptime_s / RETRY_WINDOW_S),
+            )
             self._retry_budgets[service] = budget
         budget.set_reserve(reserve)
         return budget
--- a/tests/unit/test_retries.py
+++ b/tests/unit/test_retries.py
@@ -66,3 +66,39 @@
         self.tracker.on_start(SECOND)
         self.tracker.on_bytes_sent(SECOND)
         self.assertIs(self.tracker.executed, Executed.YES)
+
+
+class RestartedInstancesTest(unittest.TestCase):
+    """Guards against a reserve of retries that each restart, or each side of a cut, has anew."""
+
+    WINDOW_S = 10.0
+    INSTANCES = 8
+    RESERVE = 28.0
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.floats(0.1, 10.0), min_size=1, max_size=30))
+    def test_restarts_within_a_window_share_one_reserve(self, uptimes: list[float]) -> None:
+        """Each process uses up what it has at the end of its time, and none gets requests."""
+        retries, processes, window_s, counted_s = 0, 0, self.WINDOW_S, 0.0
+        for uptime_s in uptimes:
+            if counted_s + uptime_s > window_s:
+                break
+            counted_s += uptime_s
+            processes += 1
+            share = min(1.0, uptime_s / window_s)
+            budget = RetryBudget(0.1, self.RESERVE, initial_share=share)
+            while budget.try_withdraw():
+                retries += 1
+        # Each process has one retry, even one that has just started.
+        self.assertLessEqual(retries, self.RESERVE + processes)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.integers(0, 8))
+    def test_sides_of_a_cut_use_less_than_operators_allow(self, cut_off: int) -> None:
+        """Those cut off from the store keep the list of all; the others divide by fewer."""
+        allowed, used_share = 56.0, 0.5
+        connected = self.INSTANCES - cut_off
+        per_connected = used_share * allowed / max(1, connected)
+        per_cut_off = used_share * allowed / self.INSTANCES
+        total = connected * per_connected + cut_off * per_cut_off
+        self.assertLessEqual(total, allowed)
