--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -172,7 +172,10 @@
 class EntryProcess:
     """One entry process and its link to the store."""
 
-    def __init__(self, name: str, data_centre: str, store: PlatformStore, folder: Path) -> None:
+    def __init__(
+        self, name: str, data_centre: str, store: PlatformStore, folder: Path, **extra: object
+    ) -> None:
+        """``extra`` are further settings of the process."""
         self.name = name
         self.link = Link(LOCAL, store.port)
         self.callers_port = find_port()
@@ -202,6 +205,7 @@
                 "cold_reserve": 5,
             },
             "log_level": "info",
+            **extra,
         }
         self._settings_file.write_text(yaml.safe_dump(settings), encoding="utf-8")
 
@@ -255,7 +259,8 @@
 class EntryFleet:
     """The store, targets and entry processes of two data centres."""
 
-    def __init__(self, instances: int = 4, targets: int = 8) -> None:
+    def __init__(self, instances: int = 4, targets: int = 8, **extra: object) -> None:
+        """``extra`` are further settings of the entry processes."""
         self.disturbances = Disturbances()
         self.checker = PromiseChecker(self.disturbances)
         self.keys = [f"key-of-{CUSTOMER}/{number}" for number in range(API_KEY_COUNT)]
@@ -269,7 +274,7 @@
         self._folder = tempfile.TemporaryDirectory(prefix="mulberryrill-fleet-")
         folder = Path(self._folder.name)
         self.entries = [
-            EntryProcess(f"front-{n}", DATA_CENTRES[n % 2], self.store, folder)
+            EntryProcess(f"front-{n}", DATA_CENTRES[n % 2], self.store, folder, **extra)
             for n in range(instances)
         ]
         self._target_numbers = itertools.count(1)
