Bound what a process holds for its clients

What operators saw: a process ran out of memory under clients that sent legal requests almost to their end; every call that it had was lost.

Cause: each connection was bounded, their sum was not. What a closed connection had received stayed in memory besides, until the garbage collector ran, because the two parsers refer to each other.

Change: one account for all that is held for clients, with bounds from the machine's memory and descriptors; when it is full, clients without progress and then the largest ones are let go, never a call that a target may be running. Parsers are emptied when their connection ends. The listener pauses when it cannot accept; ports for probes keep 16 connections. Header lines count with three bytes besides name and value, as they are sent.

--- a/src/mulberryrill/internal/entry/attempt.py
+++ b/src/mulberryrill/internal/entry/attempt.py
@@ -51,6 +51,10 @@
         """The head of the response was classified."""
         ...
 
+    def may_buffer(self, attempt: "Attempt", count: int) -> bool:
+        """Whether this many bytes of the response may be kept until it is complete."""
+        ...
+
     def on_events(self, attempt: "Attempt", events: bytes) -> None:
         """Complete events of a stream arrived."""
         ...
@@ -182,9 +186,12 @@
         if self._event_parser is None:
             self._owner.on_progress(self)
             self._body += data
-            if len(self._body) > MAX_RESPONSE_BYTES:
+            is_too_large = len(self._body) > MAX_RESPONSE_BYTES
+            if is_too_large or not self._owner.may_buffer(self, len(self._body)):
+                self._body.clear()
                 self.may_have_run = True
-                self._end(Outcome.UNVERIFIED, "answer too large")
+                detail = "answer too large" if is_too_large else "no memory left for the answer"
+                self._end(Outcome.UNVERIFIED, detail)
             return
         self._feed_events(self._event_parser, data)
 
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from ..core.memoryaccount import HolderState, MemoryAccount
 from ..core.retries import RetryBudget
 from ..core.serving.admission import AdmissionRequest, compute_retry_delay, is_admitted
 from ..core.serving.cacheindex import (
@@ -29,6 +30,7 @@
 from ..events import Event
 from ..http.caller import InboundConnection
 from ..http.messages import HttpRequest, RequestErrorReason
+from ..http.resources import find_account_limits
 from ..ids import (
     CustomerName,
     DataCentre,
@@ -104,6 +106,9 @@
         self._retry_budgets: dict[ServiceName, RetryBudget] = {}
         self._started_at = loop.now()
         self._connections: set[InboundConnection] = set()
+        self._memory: MemoryAccount[InboundConnection] = MemoryAccount(
+            find_account_limits(settings.memory_mb, settings.max_descriptors)
+        )
         self._handlers: set[CallHandler] = set()
         self._metrics = EntryMetrics()
         self._crash_watch = CrashWatch(loop, state, lambda: int(loop.wall() * 1000))
@@ -120,6 +125,11 @@
         table = self._state.route_table
         return table.limits if table is not None else CallerLimits()
 
+    @property
+    def memory(self) -> MemoryAccount[InboundConnection]:
+        """What is held for all clients."""
+        return self._memory
+
     @property
     def running_calls(self) -> int:
         """Number of calls that have not ended."""
@@ -144,6 +154,8 @@
             "quiet_targets": self._state.quiet_times.count(self._loop.boottime()),
             "configuration_version": table.version if table is not None else 0,
         }
+        for holder_state, held_bytes in self._memory.sum_by_state().items():
+            gauges[f"{holder_state.value}_bytes"] = held_bytes
         if (age_s := self._state.operator_records_age_s) is not None:
             gauges["configuration_age_seconds"] = age_s
         return self._metrics.render(gauges)
@@ -199,11 +211,36 @@
     def on_invalid_request(self, connection: InboundConnection, reason: RequestErrorReason) -> None:
         """Refuses a request that could not be parsed and closes its connection."""
         refusal = self._dialect.get_refusal_reason(reason)
-        status, headers, body = self._dialect.build_refusal(refusal, None, None)
+        retry_after = RETRY_AFTER_S if refusal is RefusalReason.MEMORY else None
+        status, headers, body = self._dialect.build_refusal(refusal, None, retry_after)
         connection.reject_request(status, headers, body)
         self._metrics.record_refusal(refusal.value)
         log_event(_LOGGER, logging.INFO, Event.ENTRY_CALL_REFUSED, refusal.value)
 
+    def on_overload(
+        self, connection: InboundConnection, state: HolderState, held_bytes: int
+    ) -> None:
+        """Counts and logs a client that is let go."""
+        self._metrics.record_closed_client(state.value)
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.ENTRY_CLIENT_LET_GO,
+            "too much is held for clients: one is let go",
+            client=connection.client_address,
+            state=state.value,
+            held_bytes=held_bytes,
+            held_for_all=self._memory.held_bytes,
+            limit=self._memory.limits.max_bytes,
+            connections=len(self._connections),
+            max_connections=self._memory.limits.max_connections,
+        )
+
+    def free_descriptor(self) -> None:
+        """Closes a connection that is not in use, because no descriptors are left."""
+        for connection in self._memory.choose_unused(self._loop.now()):
+            connection.give_up(at_once=True)
+
     def on_closed(self, connection: InboundConnection) -> None:
         """Removes a closed connection."""
         self._connections.discard(connection)
--- a/src/mulberryrill/internal/entry/metrics.py
+++ b/src/mulberryrill/internal/entry/metrics.py
@@ -19,6 +19,7 @@
         self._attempts: Counter[tuple[str, str]] = Counter()
         self._refusals: Counter[str] = Counter()
         self._invalid_headers: Counter[str] = Counter()
+        self._closed_clients: Counter[str] = Counter()
         self._durations = {kind: _create_histogram() for kind in CallKind}
         self._first_event_delays = _create_histogram()
 
@@ -43,6 +44,10 @@
         """Counts a header of a target whose value was ignored or cut."""
         self._invalid_headers[name] += 1
 
+    def record_closed_client(self, state: str) -> None:
+        """Counts a client that was let go to free memory or a descriptor."""
+        self._closed_clients[state] += 1
+
     def render(self, gauges: Mapping[str, float]) -> bytes:
         """Returns all metrics as text; ``gauges`` holds current values by metric name."""
         lines = [f"{METRIC_PREFIX}_{name} {value:g}" for name, value in sorted(gauges.items())]
@@ -55,6 +60,8 @@
             lines.append(f'{METRIC_PREFIX}_refusals_total{{reason="{reason}"}} {count}')
         for name, count in sorted(self._invalid_headers.items()):
             lines.append(f'{METRIC_PREFIX}_invalid_headers_total{{header="{name}"}} {count}')
+        for state, count in sorted(self._closed_clients.items()):
+            lines.append(f'{METRIC_PREFIX}_closed_clients_total{{state="{state}"}} {count}')
         for call_kind, histogram in self._durations.items():
             lines += _render_histogram("call_ms", f'kind="{call_kind.value}",', histogram)
         lines += _render_histogram("first_event_ms", "", self._first_event_delays)
--- a/src/mulberryrill/internal/entry/program.py
+++ b/src/mulberryrill/internal/entry/program.py
@@ -13,7 +13,7 @@
 from ..eventloop import EventLoop
 from ..events import Event
 from ..http.caller import InboundConnection
-from ..http.listener import Listener, ProbeConnection
+from ..http.listener import Listener, ProbeConnections
 from ..http.messages import HttpRequest
 from ..http.sockets import set_connection_options
 from ..ids import DataCentre, InstanceId
@@ -81,14 +81,16 @@
         self._caller_listener = Listener(
             self._loop, settings.callers_address, self._accept_connection
         )
-        self._readiness_listener = Listener(
-            self._loop, settings.readiness_address, self._accept_probe
-        )
+        self._caller_listener.on_exhausted = self._dispatcher.free_descriptor
+        probes = ProbeConnections(self._loop, self._handle_probe)
+        self._readiness_listener = Listener(self._loop, settings.readiness_address, probes.add)
+        self._readiness_listener.on_exhausted = self._dispatcher.free_descriptor
         self._metrics_listener: Listener | None = None
         if settings.metrics_address:
-            self._metrics_listener = Listener(
-                self._loop, settings.metrics_address, self._accept_metrics
+            scrapes = ProbeConnections(
+                self._loop, lambda _: (200, self._dispatcher.render_metrics())
             )
+            self._metrics_listener = Listener(self._loop, settings.metrics_address, scrapes.add)
         self._is_stopping = False
         self._has_ended = False
 
@@ -182,12 +184,6 @@
         set_connection_options(sock)
         self._dispatcher.add_connection(InboundConnection(self._loop, sock, self._dispatcher))
 
-    def _accept_probe(self, sock: socket.socket) -> None:
-        ProbeConnection(self._loop, sock, self._handle_probe)
-
-    def _accept_metrics(self, sock: socket.socket) -> None:
-        ProbeConnection(self._loop, sock, lambda _: (200, self._dispatcher.render_metrics()))
-
     def _handle_probe(self, request: HttpRequest) -> tuple[int, bytes]:
         is_ready = self._state.is_ready and not self._is_stopping
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -6,7 +6,7 @@
 
 from ..core.serving.routetable import CallKind, Service
 from ..eventloop import EventLoop, Timer
-from ..http.caller import InboundConnection
+from ..http.caller import MIN_CHARGED_BYTES, InboundConnection
 from ..ids import SoftwareVersion, TargetId
 from .attempt import Attempt, BufferedResponse, Outcome
 from .connection import OutboundConnection
@@ -215,6 +215,10 @@
         """Reports what the target says of itself."""
         self._owner.on_response(attempt)
 
+    def may_buffer(self, attempt: Attempt, count: int) -> bool:
+        """Whether this many bytes of a response may be kept for the caller."""
+        return count < MIN_CHARGED_BYTES or self._connection.charge_response(count)
+
     def on_events(self, attempt: Attempt, events: bytes) -> None:
         """Forwards events of the stream to the caller."""
         if attempt is not self._attempt:
--- a/src/mulberryrill/internal/http/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
+from ..core.memoryaccount import HolderState, MemoryAccount
 from ..core.serving.routetable import CallerLimits
 from ..eventloop import MIN_DELAY_S, EventLoop, Timer
 from .messages import (
@@ -30,6 +31,10 @@
 # After the last response, incoming bytes are read and discarded for at most this long: closing a
 # socket with unread bytes sends a reset, which can destroy the response before the client reads it.
 LINGER_TIMEOUT_S = 1.0
+# Copies of a request while it is handled: the one that was read, and the one for a target.
+REQUEST_COPIES = 2
+# Smaller amounts of unsent bytes are not charged one by one: they are part of a connection's cost.
+MIN_CHARGED_BYTES = 16_384
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue" + CRLF + CRLF
 
 
@@ -46,10 +51,21 @@
         """Whether connections are to be closed after their responses."""
         ...
 
+    @property
+    def memory(self) -> "MemoryAccount[InboundConnection]":
+        """What is held for all clients of this process."""
+        ...
+
     def on_request(self, connection: "InboundConnection", request: HttpRequest) -> None:
         """A complete request has arrived; the next one is delivered after its response."""
         ...
 
+    def on_overload(
+        self, connection: "InboundConnection", state: HolderState, held_bytes: int
+    ) -> None:
+        """The connection is given up, because too much is held for all clients."""
+        ...
+
     def on_invalid_request(
         self, connection: "InboundConnection", reason: RequestErrorReason
     ) -> None:
@@ -97,6 +113,10 @@
         self._has_timestamps = not isinstance(sock, ssl.SSLSocket)
         self._is_chunked = True
         self.has_begun_response = False
+        # The connection closes after the current response, and what else arrives is dropped.
+        self._discards_input = False
+        # Response bytes that a target has sent and that are not queued yet.
+        self._response_bytes = 0
         # When the socket last accepted bytes, or when the oldest unsent bytes were buffered.
         self.last_progress_at = loop.now()
         self.on_disconnect: Callable[[], None] | None = None
@@ -121,6 +141,14 @@
             and not self._send_buffer
         )
 
+    @property
+    def client_address(self) -> str:
+        """The client's IP address, for logs; empty if the connection is closed."""
+        try:
+            return str(self._socket.getpeername()[0])
+        except OSError:
+            return ""
+
     @property
     def buffered_bytes(self) -> int:
         """Number of response bytes that the socket has not accepted yet."""
@@ -133,6 +161,10 @@
 
     def start(self) -> None:
         """Starts reading."""
+        for connection in self._owner.memory.open(self, self._loop.now()):
+            connection.give_up(at_once=True)
+        if self._state is ConnectionState.CLOSED:
+            return
         self._update_watch()
         self._arm_timer(self._owner.limits.idle_timeout_s)
 
@@ -151,6 +183,65 @@
         if self.is_idle:
             self.close()
 
+    def give_up(self, *, at_once: bool = False) -> None:
+        """Frees what is held for the client: rejects its request, or closes the connection.
+
+        With ``at_once`` its descriptor is needed too, so it is closed in any case.
+        """
+        if self._state is ConnectionState.CLOSED:
+            return
+        held_state, held_bytes = self._holder_state, self._compute_held_bytes()
+        is_rejected = held_state is HolderState.RECEIVING and not at_once
+        self._owner.on_overload(self, held_state, held_bytes)
+        if is_rejected:
+            self._reject_partial()
+        else:
+            self._handle_disconnect()
+
+    def _reject_partial(self) -> None:
+        """Rejects a request that is not complete, and frees what has arrived of it."""
+        self._parser.clear()
+        self._owner.on_invalid_request(self, RequestErrorReason.OVERLOAD)
+        self._charge()
+
+    def charge_response(self, count: int) -> bool:
+        """Charges the bytes of a response that were received for this client.
+
+        Returns False if they may not be kept.
+        """
+        self._response_bytes = count
+        return self._charge()
+
+    @property
+    def _holder_state(self) -> HolderState:
+        if self._state is ConnectionState.RESPONDING:
+            return HolderState.RUNNING
+        if self._state is ConnectionState.READING and self._parser.has_partial_request:
+            return HolderState.RECEIVING
+        return HolderState.SENDING if self._send_buffer else HolderState.IDLE
+
+    def _compute_held_bytes(self) -> int:
+        request = self._request
+        running = REQUEST_COPIES * request.memory_bytes if request is not None else 0
+        unsent = len(self._send_buffer) + self._response_bytes
+        return self._parser.memory_bytes + running + unsent
+
+    def _charge(self) -> bool:
+        """Charges what is held now; returns whether the connection may go on.
+
+        Connections that are to yield to this one are given up.
+        """
+        if self._state is ConnectionState.CLOSED:
+            return False
+        now = self._loop.now()
+        victims = self._owner.memory.update(
+            self, self._compute_held_bytes(), self._holder_state, now
+        )
+        for connection in victims:
+            if connection is not self:
+                connection.give_up()
+        return self not in victims
+
     def close(self) -> None:
         """Closes the connection immediately."""
         if self._state is not ConnectionState.CLOSED:
@@ -161,6 +252,8 @@
         self._state = ConnectionState.CLOSED
         self._cancel_timer()
         self._loop.unwatch(self._socket.fileno())
+        self._parser.clear()
+        self._owner.memory.remove(self)
         self._owner.on_closed(self)
         return self._socket
 
@@ -230,6 +323,8 @@
         if not self._send_buffer:
             self.last_progress_at = self._loop.now()
         self._send_buffer += data
+        if len(self._send_buffer) >= MIN_CHARGED_BYTES and not self._charge():
+            self._loop.call_soon(self.give_up)
 
     def _linger(self) -> None:
         self._state = ConnectionState.LINGERING
@@ -258,12 +353,14 @@
         self.on_disconnect = self.on_drained = None
         self.has_begun_response = False
         self._request = None
+        self._response_bytes = 0
         if closes:
             self._linger()
             return
         self._state = ConnectionState.READING
         self._arm_timer(self._owner.limits.idle_timeout_s)
         self._loop.call_at_iteration_end(self._write)
+        self._charge()
         if self._parser.requests:
             self._loop.call_soon(self._dispatch_next_request)
         self._update_watch()
@@ -285,7 +382,7 @@
             data = b""
         if not data:
             self._handle_disconnect()
-        elif self._state is not ConnectionState.LINGERING:
+        elif self._state is not ConnectionState.LINGERING and not self._discards_input:
             self._parse(data, arrived_at)
 
     def _receive(self) -> tuple[bytes, float]:
@@ -321,6 +418,9 @@
                 return
             self._owner.on_invalid_request(self, error.reason)
             return
+        if not self._charge():
+            self._free_input()
+            return
         if self._parser.expects_continue and self._state is ConnectionState.READING:
             self._parser.expects_continue = False
             self._queue(_CONTINUE_RESPONSE)
@@ -333,6 +433,17 @@
         elif len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
             self._drop_pipelined_requests()
 
+    def _free_input(self) -> None:
+        """Frees what has arrived; a request that is being handled still gets its response."""
+        if self._state is ConnectionState.RESPONDING:
+            self._owner.on_overload(self, HolderState.RECEIVING, self._parser.memory_bytes)
+            self._drop_pipelined_requests()
+            self._parser.clear()
+            self._discards_input = True
+            self._charge()
+        else:
+            self.give_up()
+
     def _drop_pipelined_requests(self) -> None:
         if self._request is not None:
             self._request.keeps_alive = False
@@ -345,6 +456,12 @@
         self._cancel_timer()
         self._request = self._parser.requests.pop(0)
         self._state = ConnectionState.RESPONDING
+        if not self._charge():
+            # Nothing of the request has been handled yet.
+            self._owner.on_overload(self, HolderState.RECEIVING, self._compute_held_bytes())
+            self._request = None
+            self._reject_partial()
+            return
         self._owner.on_request(self, self._request)
 
     def _write(self) -> None:
--- a/src/mulberryrill/internal/http/listener.py
+++ b/src/mulberryrill/internal/http/listener.py
@@ -1,16 +1,26 @@
 """Listening sockets on the event loop."""
 
+import logging
 import select
 import socket
 from collections.abc import Callable
 
 from ..eventloop import EventLoop
+from ..events import Event
+from ..logs import log_event
 from .messages import HttpRequest, RequestError, RequestParser, encode_head
 from .sockets import RECEIVE_BYTES, open_listener, set_connection_options
 
 # Connections accepted in one iteration of the loop.
 MAX_ACCEPTS_PER_EVENT = 64
 MAX_PROBE_BYTES = 8192
+# A balancer and a collector of metrics keep a few connections; beyond this number the one that has
+# been silent longest is closed.
+MAX_PROBE_CONNECTIONS = 16
+# A listener that could not accept tries again after this time. Its socket stays readable, so an
+# event loop that went on watching it would spin.
+ACCEPT_RETRY_S = 0.1
+_LOGGER = logging.getLogger(__name__)
 
 
 class Listener:
@@ -30,6 +40,8 @@
         self._on_accept = on_accept
         self._reuse_port = reuse_port
         self._socket: socket.socket | None = None
+        # Frees a descriptor, if one is held for a client that does not use it.
+        self.on_exhausted: Callable[[], None] | None = None
 
     @property
     def port(self) -> int:
@@ -45,7 +57,11 @@
         if self._socket is None:
             self.open()
         assert self._socket is not None
-        self._loop.watch(self._socket.fileno(), select.EPOLLIN, self._accept)
+        self._watch()
+
+    def _watch(self) -> None:
+        if self._socket is not None:
+            self._loop.watch(self._socket.fileno(), select.EPOLLIN, self._accept)
 
     def close(self) -> None:
         """Stops listening; accepted connections stay open."""
@@ -66,12 +82,56 @@
         assert self._socket is not None
         try:
             sock, _ = self._socket.accept()
-        except OSError:
+        except (BlockingIOError, ConnectionAbortedError):
+            return False
+        except OSError as error:
+            self._pause(error)
             return False
         sock.setblocking(False)
         self._on_accept(sock)
         return True
 
+    def _pause(self, error: OSError) -> None:
+        """Stops accepting for a short time, for example because no descriptors are left."""
+        assert self._socket is not None
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.ENTRY_ACCEPT_FAILED,
+            f"connections cannot be accepted: {error}",
+            address=self._address,
+        )
+        self._loop.unwatch(self._socket.fileno())
+        self._loop.call_later(ACCEPT_RETRY_S, self._watch)
+        if self.on_exhausted is not None:
+            self.on_exhausted()
+
+
+class ProbeConnections:
+    """The connections to one port for probes, of which there are few."""
+
+    def __init__(
+        self, loop: EventLoop, respond: Callable[[HttpRequest], tuple[int, bytes]]
+    ) -> None:
+        """``respond`` returns the status and the body for a request."""
+        self._loop = loop
+        self._respond = respond
+        # In the order of their last request.
+        self._connections: dict[ProbeConnection, None] = {}
+
+    def add(self, sock: socket.socket) -> None:
+        """Serves a new connection."""
+        while len(self._connections) >= MAX_PROBE_CONNECTIONS:
+            next(iter(self._connections)).close()
+        connection = ProbeConnection(self._loop, sock, self._respond, self._on_request)
+        connection.on_closed = lambda: self._connections.pop(connection, None)
+        self._connections[connection] = None
+
+    def _on_request(self, connection: "ProbeConnection") -> None:
+        if connection in self._connections:
+            del self._connections[connection]
+            self._connections[connection] = None
+
 
 class ProbeConnection:
     """Responds to simple requests, such as readiness checks, on one persistent connection."""
@@ -81,10 +141,13 @@
         loop: EventLoop,
         sock: socket.socket,
         respond: Callable[[HttpRequest], tuple[int, bytes]],
+        on_request: Callable[["ProbeConnection"], None] = lambda connection: None,
     ) -> None:
         self._loop = loop
         self._socket = sock
         self._respond = respond
+        self._on_request = on_request
+        self.on_closed: Callable[[], object] = lambda: None
         self._parser = RequestParser(MAX_PROBE_BYTES, MAX_PROBE_BYTES)
         self._send_buffer = bytearray()
         set_connection_options(sock)
@@ -94,19 +157,20 @@
         try:
             # While a response is unsent no request is read, so the buffer holds one response.
             if not self._send_buffer and not self._read():
-                self._close()
+                self.close()
                 return
             self._write()
         except BlockingIOError:
             return
         except (OSError, RequestError):
-            self._close()
+            self.close()
 
     def _read(self) -> bool:
         """Reads requests and queues their responses; returns False at the end of the connection."""
         data = self._socket.recv(RECEIVE_BYTES)
         self._parser.feed(data)
         while self._parser.requests:
+            self._on_request(self)
             status, body = self._respond(self._parser.requests.pop(0))
             headers = [(b"content-length", b"%d" % len(body))]
             self._send_buffer += encode_head(status, headers) + body
@@ -122,6 +186,8 @@
         mask = select.EPOLLOUT if self._send_buffer else select.EPOLLIN
         self._loop.watch(self._socket.fileno(), mask, self._on_events)
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Closes the connection."""
         self._loop.unwatch(self._socket.fileno())
         self._socket.close()
+        self.on_closed()
--- a/src/mulberryrill/internal/http/messages.py
+++ b/src/mulberryrill/internal/http/messages.py
@@ -33,6 +33,12 @@
     }
 )
 CRLF = b"\r\n"
+# Bytes of a header line besides its name and value: a colon and CRLF.
+HEADER_OVERHEAD_BYTES = 3
+# Memory that a header takes beside its name and value: a tuple, two bytes objects and list entries.
+HEADER_MEMORY_BYTES = 200
+# A growing bytearray has an eighth more than it needs.
+BODY_GROWTH_FACTOR = 1.125
 LAST_CHUNK = b"0\r\n\r\n"
 REASON_PHRASES = {status.value: status.phrase.encode("ascii") for status in HTTPStatus}
 
@@ -43,6 +49,8 @@
     MALFORMED = 400
     BODY_TOO_LARGE = 413
     HEAD_TOO_LARGE = 431
+    # Too much is held for all clients together; the request has not been handled.
+    OVERLOAD = 503
 
 
 class RequestError(HttpError):
@@ -82,6 +90,13 @@
     is_http11: bool = True
     # When its first byte arrived, as far as known, in monotonic time.
     arrived_at: float | None = None
+    # Memory of the head.
+    head_memory_bytes: int = 0
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the request takes."""
+        return self.head_memory_bytes + int(BODY_GROWTH_FACTOR * len(self.body))
 
 
 @dataclass
@@ -113,6 +128,12 @@
         # Whether the client waits for "100 Continue" before it sends the body.
         self.expects_continue = False
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the requests that were not taken, and of the one that is not complete."""
+        partial = self._request.memory_bytes if self.has_partial_request else 0
+        return partial + sum(request.memory_bytes for request in self.requests)
+
     def feed(self, data: bytes, arrived_at: float | None = None) -> None:
         """Parses bytes and appends complete requests to ``requests``; raises RequestError.
 
@@ -129,6 +150,16 @@
         if self.has_partial_request and self._head_bytes > self._max_head_bytes:
             raise RequestError(RequestErrorReason.HEAD_TOO_LARGE)
 
+    def clear(self) -> None:
+        """Frees what has arrived. The parser cannot be used any more.
+
+        It refers to the ``httptools`` parser and is referred to by it, so without this its contents
+        would stay until the next run of the garbage collector.
+        """
+        self.requests.clear()
+        self._request = HttpRequest()
+        self.has_partial_request = False
+
     def on_message_begin(self) -> None:
         """Called by ``httptools`` at the first byte of a request."""
         self._request = HttpRequest(arrived_at=self._arrived_at)
@@ -138,12 +169,14 @@
     def on_url(self, url: bytes) -> None:
         """Called by ``httptools`` with the request target or a part of it."""
         self._request.target += url
+        self._request.head_memory_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by ``httptools`` with each header, and with each trailer after a chunked body."""
         # Trailers are dropped: routing and identity depend on headers only.
         if self._is_in_head:
             self._request.headers.append((name.lower(), value))
+            self._request.head_memory_bytes += len(name) + len(value) + HEADER_MEMORY_BYTES
 
     def on_headers_complete(self) -> None:
         """Called by ``httptools`` at the end of the head."""
@@ -152,7 +185,9 @@
         request.keeps_alive = self._parser.should_keep_alive()
         request.is_http11 = self._parser.get_http_version() == "1.1"
         self._is_in_head = False
-        head_bytes = sum(len(name) + len(value) + 4 for name, value in request.headers)
+        head_bytes = sum(
+            len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in request.headers
+        )
         self._head_bytes = 0
         if head_bytes + len(request.target) > self._max_head_bytes:
             self._fail(RequestErrorReason.HEAD_TOO_LARGE)
@@ -171,6 +206,8 @@
     def on_message_complete(self) -> None:
         """Called by ``httptools`` at the end of a request."""
         self.requests.append(self._request)
+        # Not kept here: the request may be dropped long before the next one begins.
+        self._request = HttpRequest()
         self._head_bytes = 0
         self.has_partial_request = False
         self.expects_continue = False
--- a/src/mulberryrill/internal/http/server.py
+++ b/src/mulberryrill/internal/http/server.py
@@ -21,6 +21,7 @@
 from werkzeug.wrappers import Request, Response
 
 from ..clock import SystemClock
+from ..core.memoryaccount import HolderState, MemoryAccount
 from ..core.serving.routetable import CallerLimits
 from ..eventloop import EventLoop
 from ..events import Event
@@ -30,6 +31,7 @@
 from .caller import MAX_BUFFERED_BYTES, InboundConnection
 from .listener import Listener
 from .messages import Header, HttpRequest, RequestErrorReason, encode_headers
+from .resources import find_account_limits
 from .tls import create_server_context
 
 Handler = Callable[[Request], Response]
@@ -94,6 +96,7 @@
         self.limits = CallerLimits(
             MAX_HEAD_BYTES, max_body_bytes, REQUEST_TIMEOUT_S, IDLE_TIMEOUT_S
         )
+        self.memory: MemoryAccount[InboundConnection] = MemoryAccount(find_account_limits(0, 0))
         self._listen = listen
         self._handler = handler
         self._threads = threads
@@ -199,9 +202,28 @@
                 "Head too large",
                 f"A request's head has at most {limits.max_head_bytes} bytes.",
             ),
+            RequestErrorReason.OVERLOAD: (
+                "Overloaded",
+                "Too much is held for clients; the request has not been handled.",
+            ),
         }[reason]
         connection.reject_request(*_encode_response(create_problem(reason.value, title, detail)))
 
+    def on_overload(
+        self, connection: InboundConnection, state: HolderState, held_bytes: int
+    ) -> None:
+        """Logs a client that is let go."""
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.ENTRY_CLIENT_LET_GO,
+            "too much is held for clients: one is let go",
+            client=connection.client_address,
+            state=state.value,
+            held_bytes=held_bytes,
+            held_for_all=self.memory.held_bytes,
+        )
+
     def on_closed(self, connection: InboundConnection) -> None:
         """Removes a connection that has ended."""
         self._connections.discard(connection)
--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -105,6 +105,7 @@
     RefusalReason.OVERLOADED: 503,
     RefusalReason.LIMITED: 503,
     RefusalReason.QUIET: 503,
+    RefusalReason.MEMORY: 503,
     RefusalReason.REJECTED_BY_TARGETS: 503,
     RefusalReason.EXPIRED: 503,
     RefusalReason.OUTCOME_UNKNOWN: 502,
@@ -118,6 +119,7 @@
     RequestErrorReason.MALFORMED: RefusalReason.MALFORMED,
     RequestErrorReason.BODY_TOO_LARGE: RefusalReason.BODY_TOO_LARGE,
     RequestErrorReason.HEAD_TOO_LARGE: RefusalReason.HEAD_TOO_LARGE,
+    RequestErrorReason.OVERLOAD: RefusalReason.MEMORY,
 }
 _DECIMAL_PATTERN = re.compile(rb"([0-9]{1,9}(\.[0-9]{0,40})?|\.[0-9]{1,40})([eE][+-]?[0-9]{1,2})?")
 # Longest part of an unreadable header that is logged.
--- a/tests/process/test_entry_crowds.py
+++ b/tests/process/test_entry_crowds.py
@@ -12,6 +12,7 @@
 import unittest
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from unittest import mock
 
 from tests.common.entry import HOST, LOCAL
 from tests.common.entryfleet import EntryFleet, EntryProcess
@@ -227,7 +228,8 @@
 class CalmTest(CrowdCase):
     def test_single_request_of_the_largest_size_is_served(self) -> None:
         """Guards against limits that a caller inside the configuration's limits meets."""
-        with self.run_process() as entry:
+        # The stand-in for a target accepts 100 header lines only.
+        with mock.patch("http.client._MAXHEADERS", MAX_HEAD_BYTES), self.run_process() as entry:
             for fields in (b"", build_short_lines()):
                 with socket.create_connection((LOCAL, entry.callers_port), timeout=5.0) as sock:
                     sock.sendall(build_head(f"Content-Length: {MAX_BODY_BYTES}\r\n") + fields)
