Treat a status outside 100 to 599 as no answer

Callers got 600 and 999 with a whole body as an answer. RFC 9110, section 15, calls such codes invalid. The parser of responses now rejects them, for calls as for the store, reports and orders, so callers get 502.

Result: four of the checks for invalid codes failed before. The tests of partial answers are kept beside it: a 200 without length that is reset while 60 KB or 4 MB are uploaded, a half-closed connection, and a reset inside an event of a stream passed before as well.

--- a/src/mulberryrill/internal/http/messages.py
+++ b/src/mulberryrill/internal/http/messages.py
@@ -40,6 +40,8 @@
 # A growing bytearray has an eighth more than it needs.
 BODY_GROWTH_FACTOR = 1.125
 LAST_CHUNK = b"0\r\n\r\n"
+# RFC 9110, section 15: other codes are invalid, and no response of a sound server.
+VALID_STATUSES = range(100, 600)
 REASON_PHRASES = {status.value: status.phrase.encode("ascii") for status in HTTPStatus}
 
 
@@ -286,6 +288,8 @@
         """Called by ``httptools`` at the end of the head."""
         response = self._response
         response.status = self._parser.get_status_code()
+        if response.status not in VALID_STATUSES:
+            raise HttpError(f"invalid status {response.status}", sent=True)
         if response.status < 200:
             return
         self._is_in_head = self.has_partial_head = False
