Charge and free header lines that are not complete

The HTTP parser keeps a header or trailer line until its end, and reports it only then. Until then the memory account did not know of it (1 byte was charged for a line of 60,000), and it stayed in memory after the connection had ended, until the garbage collector ran. On a machine of 128 MB with heads of 16 KiB, 2,925 connections could hold 47 MB that nothing bounded.

The bytes outside of bodies are now charged as received, and the parser is dropped with its contents when a connection ends.

--- a/src/mulberryrill/internal/http/messages.py
+++ b/src/mulberryrill/internal/http/messages.py
@@ -117,11 +117,17 @@
     def __init__(self, max_head_bytes: int, max_body_bytes: int) -> None:
         self._max_head_bytes = max_head_bytes
         self._max_body_bytes = max_body_bytes
-        self._parser = httptools.HttpRequestParser(self)
+        # None after ``clear``.
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._request = HttpRequest()
         # Bytes since the last end of a head, part of a body or end of a request. This includes
         # chunk extensions and trailers.
         self._head_bytes = 0
+        # Bytes outside of bodies since the last such end, or since the ``feed`` with that end. The
+        # ``httptools`` parser keeps a line that is not complete, and this is at least its length.
+        self._line_bytes = 0
+        self._has_ended_element = False
+        self._fed_body_bytes = 0
         self._is_in_head = True
         self._error_reason: RequestErrorReason | None = None
         self._arrived_at: float | None = None
@@ -133,7 +139,9 @@
     @property
     def memory_bytes(self) -> int:
         """Memory of the requests that were not taken, and of the one that is not complete."""
-        partial = self._request.memory_bytes if self.has_partial_request else 0
+        partial = 0
+        if self.has_partial_request:
+            partial = self._request.memory_bytes + self._line_bytes
         return partial + sum(request.memory_bytes for request in self.requests)
 
     def feed(self, data: bytes, arrived_at: float | None = None) -> None:
@@ -141,14 +149,18 @@
 
         ``arrived_at`` is when the bytes arrived, in monotonic time.
         """
+        assert self._parser is not None
         self._arrived_at = arrived_at
         self._head_bytes += len(data)
+        self._has_ended_element, self._fed_body_bytes = False, 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise RequestError(RequestErrorReason.MALFORMED) from error
         except (httptools.HttpParserError, RequestError) as error:
             raise RequestError(self._error_reason or RequestErrorReason.MALFORMED) from error
+        line_bytes = len(data) - self._fed_body_bytes
+        self._line_bytes = line_bytes + (0 if self._has_ended_element else self._line_bytes)
         if self.has_partial_request and self._head_bytes > self._max_head_bytes:
             raise RequestError(RequestErrorReason.HEAD_TOO_LARGE)
 
@@ -160,11 +172,13 @@
         """
         self.requests.clear()
         self._request = HttpRequest()
+        self._parser = None
         self.has_partial_request = False
 
     def on_message_begin(self) -> None:
         """Called by ``httptools`` at the first byte of a request."""
         self._request = HttpRequest(arrived_at=self._arrived_at)
+        self._line_bytes = 0
         self._is_in_head = True
         self.has_partial_request = True
 
@@ -182,6 +196,7 @@
 
     def on_headers_complete(self) -> None:
         """Called by ``httptools`` at the end of the head."""
+        assert self._parser is not None
         request = self._request
         request.method = self._parser.get_method()
         request.keeps_alive = self._parser.should_keep_alive()
@@ -190,7 +205,7 @@
         head_bytes = sum(
             len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in request.headers
         )
-        self._head_bytes = 0
+        self._head_bytes, self._has_ended_element = 0, True
         if head_bytes + len(request.target) > self._max_head_bytes:
             self._fail(RequestErrorReason.HEAD_TOO_LARGE)
         length = request.get(b"content-length")
@@ -200,7 +215,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by ``httptools`` with a part of the body."""
-        self._head_bytes = 0
+        self._head_bytes, self._has_ended_element = 0, True
+        self._fed_body_bytes += len(body)
         self._request.body += body
         if len(self._request.body) > self._max_body_bytes:
             self._fail(RequestErrorReason.BODY_TOO_LARGE)
@@ -210,7 +226,7 @@
         self.requests.append(self._request)
         # Not kept here: the request may be dropped long before the next one begins.
         self._request = HttpRequest()
-        self._head_bytes = 0
+        self._head_bytes, self._has_ended_element = 0, True
         self.has_partial_request = False
         self.expects_continue = False
 
