Leave memory for requests when idle connections crowd in

Idle connections are not chosen when the memory account is full. Where the descriptors allow more connections than the memory does (at 6 KB each), idle ones filled the account, and every new connection was closed at once. Connections as such may now take half of the memory for clients, so that the bound on connections, which closes those idle longest, is met first.

--- a/src/mulberryrill/internal/core/memoryaccount.py
+++ b/src/mulberryrill/internal/core/memoryaccount.py
@@ -26,6 +26,9 @@
 FILE_DESCRIPTORS = 200
 MAX_FILE_SHARE = 0.25
 MIN_CONNECTIONS = 16
+# Share of the memory for clients that the objects of open connections may take. Idle connections
+# are closed for new ones, but not for memory, so without this they could leave none for requests.
+MAX_CONNECTION_MEMORY_SHARE = 0.5
 # A client that sends or reads sound requests makes progress more often than this.
 STALL_S = 1.0
 # A full account is emptied to this share, so that not every further byte needs a new choice.
@@ -55,9 +58,13 @@
 def compute_limits(memory_bytes: int, descriptors: int) -> AccountLimits:
     """Returns the limits of a process that may use so much memory and so many descriptors."""
     files = min(FILE_DESCRIPTORS, int(MAX_FILE_SHARE * descriptors))
-    connections = int(CLIENT_DESCRIPTOR_SHARE * (descriptors - files))
+    max_bytes = int(CLIENT_MEMORY_SHARE * memory_bytes)
+    connections = min(
+        int(CLIENT_DESCRIPTOR_SHARE * (descriptors - files)),
+        int(MAX_CONNECTION_MEMORY_SHARE * max_bytes / CONNECTION_BYTES),
+    )
     return AccountLimits(
-        max_bytes=int(CLIENT_MEMORY_SHARE * memory_bytes),
+        max_bytes=max_bytes,
         max_connections=max(MIN_CONNECTIONS, connections),
     )
 
