Charge unsent response bytes for as long as they are unsent

The account was updated when a response was queued, before it was written, and not when the client had read it: every kept connection counted as one that does not read, with its last response. 20 idle connections that had read 100 KB each filled an account of 1 MB and were closed for it. A client that read steadily but slowly counted as stalled.

A response also counted twice when it was queued, and was closed with its connection before a byte was written if that did not fit: a call that its target had run got no response.

Writes of charged bytes now update the account, a target's bytes do not count again when they are queued, and the socket gets what it accepts before the rest is charged.

--- a/src/mulberryrill/internal/http/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -117,6 +117,8 @@
         self._discards_input = False
         # Response bytes that a target has sent and that are not queued yet.
         self._response_bytes = 0
+        # Whether unsent bytes are part of what is charged.
+        self._has_charged_unsent = False
         # When the socket last accepted bytes, or when the oldest unsent bytes were buffered.
         self.last_progress_at = loop.now()
         self.on_disconnect: Callable[[], None] | None = None
@@ -234,6 +236,7 @@
         if self._state is ConnectionState.CLOSED:
             return False
         now = self._loop.now()
+        self._has_charged_unsent = bool(self._send_buffer)
         victims = self._owner.memory.update(
             self, self._compute_held_bytes(), self._holder_state, now
         )
@@ -269,6 +272,8 @@
             (b"content-length", b"%d" % len(body)),
             *self._build_connection_headers(closes),
         ]
+        # What a target has sent is queued now, and must not count twice.
+        self._response_bytes = 0
         # A response to HEAD has the headers of the response to GET but no body.
         is_head = self._request is not None and self._request.method == b"HEAD"
         self._queue(encode_head(status, all_headers) + (b"" if is_head else body))
@@ -323,9 +328,25 @@
         if not self._send_buffer:
             self.last_progress_at = self._loop.now()
         self._send_buffer += data
+        if len(self._send_buffer) < MIN_CHARGED_BYTES:
+            return
+        if not self._watched_events & select.EPOLLOUT:
+            self._send_early()
         if len(self._send_buffer) >= MIN_CHARGED_BYTES and not self._charge():
             self._loop.call_soon(self.give_up)
 
+    def _send_early(self) -> None:
+        """Sends what the socket accepts, so that only the rest is charged.
+
+        An error shows again at the next attempt, where its callbacks can be called.
+        """
+        try:
+            sent = self._socket.send(self._send_buffer)
+        except OSError:
+            return
+        del self._send_buffer[:sent]
+        self.last_progress_at = self._loop.now()
+
     def _linger(self) -> None:
         self._state = ConnectionState.LINGERING
         self._arm_timer(LINGER_TIMEOUT_S)
@@ -478,6 +499,8 @@
         del self._send_buffer[:sent]
         if sent:
             self.last_progress_at = self._loop.now()
+            if self._has_charged_unsent and not self._charge():
+                self._loop.call_soon(self.give_up)
         if was_full and not self.is_buffer_full and self.on_drained is not None:
             self.on_drained()
         if not self._send_buffer and self._state is ConnectionState.LINGERING:
