Refuse complete requests that do not fit into the memory account

A request that was not complete was refused with 503 when the account was full; one that had arrived as a whole, as those of ordinary callers do, was dropped with its connection and without a response. A connection with a request that has not been handled now counts as receiving in both cases.

Result: the new test failed before.

--- a/src/mulberryrill/internal/http/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -201,7 +201,7 @@
             self._handle_disconnect()
 
     def _reject_partial(self) -> None:
-        """Rejects a request that is not complete, and frees what has arrived of it."""
+        """Rejects a request that has not been handled, and frees what has arrived of it."""
         self._parser.clear()
         self._owner.on_invalid_request(self, RequestErrorReason.OVERLOAD)
         self._charge()
@@ -218,7 +218,8 @@
     def _holder_state(self) -> HolderState:
         if self._state is ConnectionState.RESPONDING:
             return HolderState.RUNNING
-        if self._state is ConnectionState.READING and self._parser.has_partial_request:
+        has_request = self._parser.has_partial_request or bool(self._parser.requests)
+        if self._state is ConnectionState.READING and has_request:
             return HolderState.RECEIVING
         return HolderState.SENDING if self._send_buffer else HolderState.IDLE
 
