--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -122,6 +122,8 @@
     RequestErrorReason.OVERLOAD: RefusalReason.MEMORY,
 }
 _DECIMAL_PATTERN = re.compile(rb"([0-9]{1,9}(\.[0-9]{0,40})?|\.[0-9]{1,40})([eE][+-]?[0-9]{1,2})?")
+# As many digits as a target sends: longer times than the longest one are cut, not ignored.
+_SECONDS_PATTERN = re.compile(rb"([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]+)?")
 # Longest part of an unreadable header that is logged.
 MAX_LOGGED_BYTES = 40
 _PROMPT_PART_PATTERN = re.compile(r"([0-9a-fA-F]{1,64}):([0-9]{1,9})")
@@ -325,7 +327,9 @@
     """
     if value is None:
         return None, ()
-    seconds = float(value) if _DECIMAL_PATTERN.fullmatch(value.strip()) else None
+    seconds = float(value) if _SECONDS_PATTERN.fullmatch(value.strip()) else None
+    if seconds == float("inf"):
+        seconds = None
     if seconds is not None and seconds <= MAX_QUIET_S:
         return seconds, ()
     consequence = "ignored" if seconds is None else f"cut to {MAX_QUIET_S:.0f} s"
