Keep the mark of a leaving target for a time after its registration

The mark was kept for 600 s from the response that said so, and forgotten then at the first lapse of the registration, however long the target had been registered. After a departure that took longer, one lapse and a new registration of the same incarnation, or a restored copy of the store, brought it back. The time now counts from the lapse.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -34,8 +34,8 @@
 # What the registry lost when it came back from a copy is written again within this time.
 REWRITING_S = 10.0
 MAX_GONE_TARGETS = 5_000
-# A target that leaves is gone within this time of its last response. Until then a registration that
-# lapsed and was written again does not bring it back.
+# A target that leaves is gone within this time of its last response and of the lapse of its
+# registration. Until then a registration that is written again does not bring it back.
 LEAVING_RETENTION_S = 600.0
 
 
@@ -179,7 +179,8 @@
         self._registry_returned_at = float("-inf")
         self._earlier_return_at = float("-inf")
         self._restored_at = float("-inf")
-        # Incarnations whose own responses said that they leave, and when this was learned.
+        # Incarnations whose own responses said that they leave, and when they last did or were last
+        # registered.
         self._leaving: dict[TargetRun, float] = {}
         # Targets that are gone, with their last registered state and when they went, oldest first.
         self._gone: dict[TargetRun, tuple[RegistrationState, float]] = {}
@@ -342,8 +343,10 @@
     def prune_leaving(self, now: float) -> None:
         """Forgets marks of incarnations that are not registered any more."""
         live = {target.registration.run for target in self._targets.values()}
-        for run, marked_at in list(self._leaving.items()):
-            if run not in live and now - marked_at >= LEAVING_RETENTION_S:
+        for run, seen_at in list(self._leaving.items()):
+            if run in live:
+                self._leaving[run] = now
+            elif now - seen_at >= LEAVING_RETENTION_S:
                 del self._leaving[run]
 
     def list_usable(self, service: ServiceName) -> list[Target]:
