Count the waiting time of all connections of a backlog

After a long iteration the listener accepts 64 connections, and the rest in the following iterations. Those counted as just arrived, so a call on the 65th connection after a freeze of 1.2 s got 1.2 s too much. The same holds for connections that waited while no descriptors were left. The listener now keeps the earliest time for what it leaves in the backlog.

--- a/src/mulberryrill/internal/eventloop.py
+++ b/src/mulberryrill/internal/eventloop.py
@@ -8,7 +8,8 @@
 import threading
 import traceback
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from .clock import Clock
 from .events import Event
@@ -66,6 +67,15 @@
         """
         return self._earliest_arrival
 
+    @contextmanager
+    def count_arrivals_from(self, earliest: float) -> Iterator[None]:
+        """Sets ``earliest_arrival`` for a block that handles what an earlier iteration found."""
+        previous, self._earliest_arrival = self._earliest_arrival, earliest
+        try:
+            yield
+        finally:
+            self._earliest_arrival = previous
+
     @property
     def last_iteration_at(self) -> float:
         """When the loop last began an iteration, for health checks."""
--- a/src/mulberryrill/internal/http/listener.py
+++ b/src/mulberryrill/internal/http/listener.py
@@ -40,6 +40,8 @@
         self._on_accept = on_accept
         self._reuse_port = reuse_port
         self._socket: socket.socket | None = None
+        # Since when connections may have waited that an earlier iteration left in the backlog.
+        self._waiting_since = float("inf")
         # Frees a descriptor, if one is held for a client that does not use it.
         self.on_exhausted: Callable[[], None] | None = None
 
@@ -74,9 +76,21 @@
             self._socket = None
 
     def _accept(self, mask: int) -> None:
-        for _ in range(MAX_ACCEPTS_PER_EVENT):
-            if self._socket is None or not self._accept_one():
-                return
+        since = min(self._loop.earliest_arrival, self._waiting_since)
+        self._waiting_since = float("inf")
+        with self._loop.count_arrivals_from(since):
+            for _ in range(MAX_ACCEPTS_PER_EVENT):
+                if self._socket is None or not self._accept_one():
+                    return
+        if self._has_waiting():
+            self._waiting_since = since
+
+    def _has_waiting(self) -> bool:
+        if self._socket is None:
+            return False
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        return bool(poll.poll(0))
 
     def _accept_one(self) -> bool:
         assert self._socket is not None
@@ -101,6 +115,7 @@
             f"connections cannot be accepted: {error}",
             address=self._address,
         )
+        self._waiting_since = self._loop.earliest_arrival
         self._loop.unwatch(self._socket.fileno())
         self._loop.call_later(ACCEPT_RETRY_S, self._watch)
         if self.on_exhausted is not None:
