Withdraw a retry only if a target can take it

A call that had been turned away withdrew a retry before another target was looked for. When no target wanted calls, nothing was sent, but the budget was empty after a few calls, so later failures could not be repeated, and callers were told to return after 0.3 s instead of at the end of the quiet time. The target is now chosen first.

--- a/src/mulberryrill/internal/entry/run.py
+++ b/src/mulberryrill/internal/entry/run.py
@@ -188,7 +188,12 @@
         else:
             self._send_to_next_target()
 
-    def _send_to_next_target(self) -> None:
+    def _send_to_next_target(self, retry_of: RefusalReason | None = None) -> None:
+        """Sends the call to a target, or responds that none takes it.
+
+        ``retry_of`` is why the call ends if this is a retry and the budget has none left. A retry
+        is withdrawn only if a target can take it: otherwise none arrives anywhere.
+        """
         if self._attempt_count >= MAX_TOTAL_ATTEMPTS:
             self._give_up(RefusalReason.REJECTED_BY_TARGETS)
             return
@@ -197,6 +202,8 @@
             self._retry_after_s = plan.retry_after_s
             self.attempt_history.append(f"no target: {plan.detail}")
             self._give_up(plan.reason)
+        elif retry_of is not None and not self._owner.try_retry(self):
+            self._give_up(retry_of)
         else:
             self._start_attempt(plan)
 
@@ -321,17 +328,14 @@
         if outcome is Outcome.MISDIRECTED and attempt.plan.target.id in self.tried_targets:
             # The same target may run the call now that its version is known.
             self.tried_targets.remove(attempt.plan.target.id)
-        if self._owner.try_retry(self):
-            self._send_to_next_target()
-        else:
-            self._give_up(RefusalReason.REJECTED_BY_TARGETS)
+        self._send_to_next_target(RefusalReason.REJECTED_BY_TARGETS)
 
     def _retry_or_give_up(self, reason: RefusalReason) -> None:
         may_repeat = (
             self.call.route.is_repeatable and self._run_count < self.call.route.max_attempts
         )
-        if may_repeat and self.time_left_s > 0 and self._owner.try_retry(self):
-            self._send_to_next_target()
+        if may_repeat and self.time_left_s > 0:
+            self._send_to_next_target(reason)
         else:
             self._give_up(reason)
 
