Grant the reserve of retries while a process runs

The share of the reserve for a process's uptime was only looked at when a service got its first request. A process with requests from its start kept one retry, besides a tenth for each request, for as long as it ran. The share is now granted as the uptime grows, once; a larger reserve later is not granted at once, as before.

Result: the process test failed before.

--- a/src/mulberryrill/internal/core/retries.py
+++ b/src/mulberryrill/internal/core/retries.py
@@ -27,6 +27,19 @@
         self._credit_per_retry = round(1 / ratio)
         self._max_credit = self._compute_max_credit(reserve)
         self._credit = max(self._credit_per_retry, int(initial_share * self._max_credit))
+        self._share = initial_share
+        # Credit of a share that was granted and is not whole yet.
+        self._fraction = 0.0
+
+    def grant_share(self, share: float) -> None:
+        """Adds what is missing of this share of the reserve; shares granted before count."""
+        if share <= self._share:
+            return
+        self._fraction += (share - self._share) * self._max_credit
+        self._share = share
+        credit = int(self._fraction)
+        self._fraction -= credit
+        self._credit = min(self._credit + credit, self._max_credit)
 
     def _compute_max_credit(self, reserve: float) -> int:
         return max(self._credit_per_retry, round(reserve * self._credit_per_retry))
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -730,16 +730,17 @@
         # The share is not known until the instances are.
         share = 1 / len(self._state.instances) if self._state.has_peer_list else 0.0
         reserve = RETRY_BUDGET_SHARE * bounds.retry_reserve * share
+        granted = min(1.0, (self._loop.now() - self._started_at) / RETRY_WINDOW_S)
         budget = self._retry_budgets.get(service)
         if budget is None:
-            uptime_s = self._loop.now() - self._started_at
             budget = RetryBudget(
                 ratio=RETRY_BUDGET_SHARE * bounds.retry_ratio,
                 reserve=reserve,
-                initial_share=min(1.0, uptime_s / RETRY_WINDOW_S),
+                initial_share=granted,
             )
             self._retry_budgets[service] = budget
         budget.set_reserve(reserve)
+        budget.grant_share(granted)
         return budget
 
     def _get_pool(self, target: Target) -> ConnectionPool:
