Do not suspect the calls of a target that left as it had said

A ready target whose registration disappears counts as ended by one of the calls that wait for it. A target that had said in a response that it leaves counted so too unless the registry listed it as draining, so sound calls came closer to probation and quarantine. The mark now counts like draining.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -340,6 +340,10 @@
         self._leaving[run] = now
         return is_new
 
+    def is_leaving(self, run: TargetRun) -> bool:
+        """Whether a response of this incarnation has said that it leaves."""
+        return run in self._leaving
+
     def prune_leaving(self, now: float) -> None:
         """Forgets marks of incarnations that are not registered any more."""
         live = {target.registration.run for target in self._targets.values()}
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -369,9 +369,12 @@
         )
 
     def _report_lost(self, target: Target) -> None:
-        is_ready = target.registration.state is RegistrationState.READY
-        if is_ready and self.on_target_lost is not None:
-            self.on_target_lost(target.registration)
+        registration = target.registration
+        is_announced = registration.state is not RegistrationState.READY or self.targets.is_leaving(
+            registration.run
+        )
+        if not is_announced and self.on_target_lost is not None:
+            self.on_target_lost(registration)
 
     def apply_peer_ends(self, ends: list[TargetEnd]) -> None:
         """Adds ends of targets that a peer has seen."""
