Ignore quiet times of incarnations that have been replaced

One quiet time is kept for each target. A late 503 of an earlier process replaced the quiet time of the incarnation that lives, which then got calls on. Times of an incarnation that is not the registered one are ignored now.

Result: the new test failed before.

--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -533,7 +533,13 @@
         return is_new
 
     def record_quiet_time(self, run: TargetRun, seconds: float) -> None:
-        """Records the time for which a target wants no calls from this instance."""
+        """Records the time for which a target wants no calls from this instance.
+
+        One incarnation of a target counts: the registered one, if any is.
+        """
+        current = self.targets.get(run.target)
+        if current is not None and current.registration.run != run:
+            return
         if self.quiet_times.observe(run, seconds, self._loop.boottime()):
             log_event(
                 _LOGGER,
