Take a target's word for its departure with any proof of origin

The requirement names what is not the target's own response: another target's id, or none of Server-Stamp, Not-Run and the target's own id. A 421 with Not-Run, and a stamped response without the call's id, were left out as well, so a leaving target that answers so got calls on.

--- a/src/mulberryrill/platform/calls.py
+++ b/src/mulberryrill/platform/calls.py
@@ -224,10 +224,10 @@
         rate_limit = _parse_rate_limit(response.get(RATE_LIMIT))
         has_known_origin = kind not in (ResponseKind.MISDIRECTED, ResponseKind.UNVERIFIED)
         is_readable = rate_limit is not None or response.get(RATE_LIMIT) is None
-        # A rejection has no stamp; a misdirected call may have been answered by another target.
+        # A rejection has no stamp, and few responses name their target.
         is_own = not is_other_target and (
-            is_verified
-            or (response.get(NOT_RUN) is not None and response.status != 421)
+            response.get(SERVER_STAMP) is not None
+            or response.get(NOT_RUN) is not None
             or responding_target == plan.target.id
         )
         quiet_s: float | None = None
