Find all waiting data in one poll

A poll returned 1,023 descriptors at most. After a long iteration the data of further connections was found by the next poll and counted as just arrived, so their calls got the time back for which they had waited. A poll now returns all descriptors that are ready.

--- a/src/mulberryrill/internal/eventloop.py
+++ b/src/mulberryrill/internal/eventloop.py
@@ -192,18 +192,23 @@
         """Waits for events and determines since when their data may have been there."""
         started_at, previous_poll_at = self.now(), self._last_iteration_at
         if started_at - previous_poll_at >= MIN_DELAY_S:
-            events = self._epoll.poll(0.0)
+            events = self._poll_all(0.0)
             if events:
                 self._last_iteration_at = self.now()
                 self._earliest_arrival = previous_poll_at
                 return events
         timeout_s = self._compute_poll_timeout()
-        events = self._epoll.poll(timeout_s)
+        events = self._poll_all(timeout_s)
         now = self._last_iteration_at = self.now()
         was_stopped = now - started_at - timeout_s >= MIN_DELAY_S
         self._earliest_arrival = started_at if was_stopped else now
         return events
 
+    def _poll_all(self, timeout_s: float) -> list[tuple[int, int]]:
+        # All at once: what is left for the next poll would count as just arrived. By default a poll
+        # returns 1,023 descriptors at most. One is the loop's own.
+        return self._epoll.poll(timeout_s, len(self._callbacks_by_fd) + 1)
+
     def _compute_poll_timeout(self) -> float:
         if self._posted_tasks or self._soon_tasks or self._iteration_end_tasks:
             return 0.0
