Free requests that wait behind a running call when memory is short

A connection that runs a call is never chosen for another one's sake, and neither were the requests that its client had sent behind it. One client with a slow call and large bodies behind it held the whole account, and every other request was refused for as long as the call ran. Such requests now count separately and are dropped like others that have not been handled; the running call still gets its response, and its connection closes after it.

--- a/src/mulberryrill/internal/core/memoryaccount.py
+++ b/src/mulberryrill/internal/core/memoryaccount.py
@@ -74,6 +74,15 @@
     held_bytes: int
     state: HolderState
     progress_at: float
+    # Bytes of requests that wait behind a running call; they can be freed without ending it.
+    waiting_bytes: int = 0
+
+    @property
+    def freeable_bytes(self) -> int:
+        """Bytes that can be freed for another connection."""
+        if self.state is HolderState.RUNNING:
+            return self.waiting_bytes
+        return 0 if self.state is HolderState.IDLE else self.held_bytes
 
 
 HolderT = TypeVar("HolderT", bound=Hashable)
@@ -116,11 +125,18 @@
         return [*victims, *self._choose_for_memory(holder, now, victims)]
 
     def update(
-        self, holder: HolderT, held_bytes: int, state: HolderState, now: float
+        self,
+        holder: HolderT,
+        held_bytes: int,
+        state: HolderState,
+        now: float,
+        waiting_bytes: int = 0,
     ) -> list[HolderT]:
         """Replaces what a connection holds beside its own objects, which is progress.
 
-        Returns the connections to be closed. If this one is among them, its bytes are refused.
+        ``waiting_bytes`` of them belong to requests behind a running call. Returns the connections
+        to be closed; those that run a call free such requests only. If this one is among them, its
+        bytes are refused.
         """
         holding = self._holdings.get(holder)
         if holding is None:
@@ -129,6 +145,7 @@
         growth = total - holding.held_bytes
         self._held_bytes += growth
         holding.held_bytes, holding.state, holding.progress_at = total, state, now
+        holding.waiting_bytes = waiting_bytes
         return self._choose_for_memory(holder, now, []) if growth > 0 else []
 
     def remove(self, holder: HolderT) -> None:
@@ -150,10 +167,9 @@
             return []
         target = LOW_WATER_SHARE * self._limits.max_bytes
         candidates = [
-            (now - holding.progress_at < STALL_S, -holding.held_bytes, holder)
+            (now - holding.progress_at < STALL_S, -holding.freeable_bytes, holder)
             for holder, holding in self._holdings.items()
-            if holder not in closing
-            and holding.state in (HolderState.RECEIVING, HolderState.SENDING)
+            if holder not in closing and holding.freeable_bytes > 0
         ]
         victims = []
         for _, negative_bytes, holder in sorted(candidates, key=lambda c: c[:2]):
--- a/src/mulberryrill/internal/http/caller.py
+++ b/src/mulberryrill/internal/http/caller.py
@@ -236,16 +236,25 @@
         """
         if self._state is ConnectionState.CLOSED:
             return False
-        now = self._loop.now()
+        now, memory, state = self._loop.now(), self._owner.memory, self._holder_state
         self._has_charged_unsent = bool(self._send_buffer)
-        victims = self._owner.memory.update(
-            self, self._compute_held_bytes(), self._holder_state, now
-        )
+        waiting_bytes = self._parser.memory_bytes if state is HolderState.RUNNING else 0
+        victims = memory.update(self, self._compute_held_bytes(), state, now, waiting_bytes)
         for connection in victims:
             if connection is not self:
-                connection.give_up()
+                connection._yield_memory()
+        if self in victims and waiting_bytes:
+            self._free_input()
+            return memory.held_bytes <= memory.limits.max_bytes
         return self not in victims
 
+    def _yield_memory(self) -> None:
+        """Frees what is not needed for a running call, for another connection."""
+        if self._state is ConnectionState.RESPONDING:
+            self._free_input()
+        else:
+            self.give_up()
+
     def close(self) -> None:
         """Closes the connection immediately."""
         if self._state is not ConnectionState.CLOSED:
