Count the time of a restart towards the share of the retry reserve

Since the reserve of a new process grows with its uptime, a process had one retry in its first second, and calls that were turned away twice then ended with 503: two regression tests that need two retries failed. A process that ends takes a second at least until it serves again, in which nobody used its share; that second now counts, so the sum over restarts in a window still stays within one reserve.

--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -71,6 +71,9 @@
 # Operators count retries over spans of this length. A new process gets the part of its reserve for
 # the time that it has run: otherwise each of several quick restarts would bring a reserve.
 RETRY_WINDOW_S = 10.0
+# A process that has ended serves again after this time at the earliest, and nobody repeated calls
+# in its place meanwhile.
+MIN_RESTART_S = 1.0
 HOUSEKEEPING_INTERVAL_S = 1.0
 # Share of a target's connections that calls of all instances may use; the rest is left for cache
 # events, reports and instances that have just started.
@@ -730,7 +733,8 @@
         # The share is not known until the instances are.
         share = 1 / len(self._state.instances) if self._state.has_peer_list else 0.0
         reserve = RETRY_BUDGET_SHARE * bounds.retry_reserve * share
-        granted = min(1.0, (self._loop.now() - self._started_at) / RETRY_WINDOW_S)
+        served_s = MIN_RESTART_S + self._loop.now() - self._started_at
+        granted = min(1.0, served_s / RETRY_WINDOW_S)
         budget = self._retry_budgets.get(service)
         if budget is None:
             budget = RetryBudget(
