Place plain calls by expected completion

Cause: plain calls went to the target with the fewest running calls. The count shows neither how long calls take nor which target is slow, and it comes from reports that are late: all instances send to the target that was idle in the last one.

Change: each instance learns durations by service, route and method, and a speed factor for each target, from answered calls. Own running calls count with their remaining time; reported ones are taken as replaced by others as their report ages. Until eight durations are known, the number of running calls decides as before. Model calls are observed, their placement is not changed. Two gauges tell the prediction errors.

--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -3,7 +3,8 @@
 Model calls are placed by rendezvous hashing of their shared prompt part, so that all instances send
 the same prompt to the same engine without coordination. This keeps caches effective when the long
 prompts of many customers recur and together exceed one engine's memory. Calls without a prompt go
-to the least loaded target. Targets that fail, cool down or are cold are chosen last.
+where they are expected to end first, or to the least loaded target until durations are learned.
+Targets that fail, cool down or are cold are chosen last.
 """
 
 import random
@@ -12,6 +13,7 @@
 
 from ...ids import CustomerName, DataCentre, InstanceId, TargetId
 from ..rendezvous import rank_members, rank_weighted
+from .callcosts import CompletionEstimate
 from .routetable import Prompt, Service, StoreProfile
 from .targettable import MAX_FAILURE_RATE, Target
 
@@ -27,6 +29,9 @@
 MAX_COLD_CALLS_PER_SENDER = 2
 MIN_COLD_INTERVAL_S = 0.51
 
+# Returns when a call would end on each target, given the number of calls that run on each.
+CompletionEstimator = Callable[[list[Target], list[float]], list[CompletionEstimate]]
+
 
 @dataclass(frozen=True)
 class PlacementRequest:
@@ -92,18 +97,23 @@
         request: PlacementRequest,
         cold_rate: float,
         estimate_running_calls: Callable[[Target], float],
+        estimate_completions: CompletionEstimator | None = None,
     ) -> Target | None:
         """Returns the target for a call without a prompt; None if no target may take it now.
 
-        ``estimate_running_calls`` returns the number of calls running on a target.
+        ``estimate_running_calls`` returns the number of calls running on a target, and
+        ``estimate_completions`` when the call would end on each target; None: not known.
         """
         candidates = self.list_candidates(targets, request, cold_rate)
         if not candidates:
             return None
-        return min(
-            candidates,
-            key=lambda target: self._score_by_load(target, estimate_running_calls(target)),
-        )
+        running = [estimate_running_calls(target) for target in candidates]
+        if estimate_completions is None:
+            scores = list(map(self._score_by_load, candidates, running))
+        else:
+            estimates = estimate_completions(candidates, running)
+            scores = list(map(self._score_by_completion, candidates, estimates))
+        return candidates[min(range(len(candidates)), key=scores.__getitem__)]
 
     def list_candidates(
         self, targets: list[Target], request: PlacementRequest, cold_rate: float
@@ -136,10 +146,21 @@
         return healthy or [min(available, key=lambda target: target.failure_rate)]
 
     def _score_by_load(self, target: Target, running: float) -> tuple[float, float]:
-        is_remote = target.registration.data_centre != self._data_centre
-        load = running + (REMOTE_PENALTY if is_remote else 0.0)
+        load = running + self._get_remote_penalty(target)
         return load / max(1, target.registration.slots), self._random.random()
 
+    def _score_by_completion(
+        self, target: Target, estimate: CompletionEstimate
+    ) -> tuple[float, float]:
+        penalty_s = self._get_remote_penalty(target) * estimate.mean_call_s
+        slots = max(1, target.registration.slots)
+        return estimate.completion_s + penalty_s / slots, self._random.random()
+
+    def _get_remote_penalty(self, target: Target) -> float:
+        """Returns the running calls that the distance to a target counts as."""
+        is_remote = target.registration.data_centre != self._data_centre
+        return REMOTE_PENALTY if is_remote else 0.0
+
 
 def build_affinity_key(request: PlacementRequest) -> str:
     """Returns the hash key of a prompt: the last part that it shares with other calls.
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -55,6 +55,7 @@
     ResponseKind,
 )
 from .metrics import EntryMetrics
+from .plaincalls import CallCostTracker
 from .pool import ConnectionPool
 from .run import RETRY_AFTER_S, SILENT, CallHandler, PlacementRefusal
 from .state import EntryState
@@ -101,6 +102,7 @@
         self._placement = Placement(
             DataCentre(settings.data_centre), state.cold_pacer, self._random.getrandbits(32)
         )
+        self._call_costs = CallCostTracker(self._placement, state.loads, state.call_costs)
         self._pools: dict[TargetId, ConnectionPool] = {}
         self._idle_limits = IdleLimits()
         self._retry_budgets: dict[ServiceName, RetryBudget] = {}
@@ -165,7 +167,7 @@
             gauges[f"{holder_state.value}_bytes"] = held_bytes
         if (age_s := self._state.operator_records_age_s) is not None:
             gauges["configuration_age_seconds"] = age_s
-        return self._metrics.render(gauges)
+        return self._metrics.render(gauges | self._call_costs.gauges)
 
     def start(self) -> None:
         """Starts the periodic work."""
@@ -347,20 +349,15 @@
     def _choose_target(
         self, handler: CallHandler, service: Service, targets: list[Target]
     ) -> AttemptPlan | PlacementRefusal:
-        now = self._loop.now()
-        request = PlacementRequest(
-            handler.call.prompt, get_isolated_customer(handler.call), handler.tried_targets, now
-        )
+        isolated = get_isolated_customer(handler.call)
+        tried, now = handler.tried_targets, self._loop.now()
+        request = PlacementRequest(handler.call.prompt, isolated, tried, now)
         if handler.call.prompt is not None:
             return self._plan_model_call(handler, service, handler.call.prompt, targets, request)
-        loads = self._state.loads
-        target = self._placement.choose_least_loaded(
-            targets, request, service.cold_rate, lambda t: loads.estimate_running_calls(t.id, now)
-        )
+        target = self._call_costs.choose_target(handler.call, service, targets, request)
         if target is None:
-            return PlacementRefusal(
-                RefusalReason.NO_TARGET, f"{len(targets)} targets, none may take the call"
-            )
+            detail = f"{len(targets)} targets, none may take the call"
+            return PlacementRefusal(RefusalReason.NO_TARGET, detail)
         return AttemptPlan(target, handler.time_left_s, None, handler.last_event_id)
 
     def _plan_model_call(
@@ -447,6 +444,7 @@
         if cache is not None:
             attempt.is_prefill_pending = True
             self._state.loads.add_pending(target.id, handler.call.priority, cache.prefill_tokens)
+        self._call_costs.on_send(handler.call, attempt)
         self._state.loads.add_run(target.id, count_held_tokens(handler.call))
         pool = self._get_pool(target)
         max_idle_s = self._idle_limits.find_limit(target.registration.service, now)
@@ -481,6 +479,7 @@
         loads, priority = self._state.loads, handler.call.priority
         tokens = loads.estimate_tokens(plan.target.id, priority, plan.expected_wait_s)
         self._metrics.record_first_event(elapsed)
+        self._call_costs.on_first_event(attempt, self._loop.now())
         loads.observe(plan.target.id, priority, tokens, elapsed)
         self._end_prefill(handler, attempt)
 
@@ -501,6 +500,7 @@
         self._metrics.record_attempt(target.registration.service, outcome.value)
         self._end_prefill(handler, attempt)
         self._state.loads.remove_run(target.id, count_held_tokens(handler.call))
+        self._call_costs.on_end(attempt, outcome, now)
         has_later_version = self._update_version(handler, attempt)
         self._crash_watch.on_attempt_end(handler.call, attempt, outcome)
         if outcome is Outcome.ANSWERED:
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -11,6 +11,7 @@
 from ..core.quarantine import Quarantine
 from ..core.serving.cacheindex import CacheIndex, RemoteClock
 from ..core.serving.cachevalidity import ValidParts, VersionTimes
+from ..core.serving.callcosts import CallCosts
 from ..core.serving.crashcauses import CrashCauses, TargetEnd
 from ..core.serving.heartbeats import HeartbeatLog
 from ..core.serving.loads import LoadTable
@@ -156,6 +157,7 @@
         self.quiet_times = QuietTimes()
         self.cache_index = CacheIndex()
         self.loads = LoadTable()
+        self.call_costs = CallCosts()
         self.cache_sharing = CacheSharing(self.cache_index, instance, loop.boottime)
         self.target_updates = TargetUpdates(self.targets)
         self.engine_clock = RemoteClock()
@@ -627,9 +629,13 @@
         return self._is_store_reachable is not False
 
     def remove_expired_targets(self) -> None:
-        """Removes expired targets that have not registered again in time."""
+        """Removes expired targets that have not registered again in time.
+
+        The speeds of targets that are gone or have started again are discarded, too.
+        """
         for target in self.targets.expire(self._loop.now()):
             self._log_target(target, "removed: no registration since the registry is back", "")
+        self.call_costs.prune({target.id: target.registration for target in self.targets.targets})
 
     def _log_target(self, target: TargetId, state: str, address: str) -> None:
         log_event(
