--- a/src/mulberryrill/internal/core/serving/callcosts.py
+++ b/src/mulberryrill/internal/core/serving/callcosts.py
@@ -56,6 +56,9 @@
 # Assumed age of peers' reports: half of the interval at which they are sent, their way, and the
 # time until they are read.
 REPORT_AGE_S = 0.2
+# Remaining times of a target's own calls are added up again when one begins or ends, and after this
+# time; adding them up for 100 targets with each choice took 3 ms.
+REMAINING_REFRESH_S = 0.01
 # Methods are named by callers, so the number of kinds of calls has to be bounded.
 MAX_CALL_GROUPS = 1_024
 _MAX_LOG_SPEED = math.log(MAX_SPEED_FACTOR)
@@ -218,6 +221,8 @@
     _speeds: dict[tuple[CostKind, TargetId], _TargetSpeed] = field(default_factory=dict)
     # In the order of sending.
     _running: dict[TargetId, dict[RunningCall, None]] = field(default_factory=dict)
+    # Remaining seconds of own calls on each target, and when they were added up.
+    _remaining: dict[TargetId, tuple[float, float]] = field(default_factory=dict)
     _errors: dict[CostKind, float] = field(default_factory=dict)
 
     def start(
@@ -237,14 +242,17 @@
                 call.wait_s = (call.crowding - 1.0) * duration_s
             call.predicted_s = call.wait_s + duration_s
         self._running.setdefault(registration.target, {})[call] = None
+        self._remaining.pop(registration.target, None)
         return call
 
     def record_first_event(self, call: RunningCall, now: float) -> None:
         """Records that the target has finished the prefill of a model call."""
+        self._remaining.pop(call.run.target, None)
         call.first_event_at = now
 
     def end(self, call: RunningCall, is_complete: bool, now: float) -> None:
         """Removes a call; learns from it if ``is_complete``: it was run and answered completely."""
+        self._remaining.pop(call.run.target, None)
         running = self._running.get(call.run.target, {})
         running.pop(call, None)
         if not running:
@@ -302,8 +310,11 @@
 
     def get_speed_factor(self, registration: Registration, group: CallGroup, now: float) -> float:
         """Returns how many times longer than on other targets of the service calls take here."""
-        speed = self._speeds.get((group.kind, registration.target))
-        if speed is None or speed.run != registration.run:
+        return self._find_speed_factor(group.kind, registration.run, now)
+
+    def _find_speed_factor(self, kind: CostKind, run: TargetRun, now: float) -> float:
+        speed = self._speeds.get((kind, run.target))
+        if speed is None or speed.run != run:
             return 1.0
         return math.exp(speed.read(now))
 
@@ -319,13 +330,22 @@
         Own calls count with their remaining time, also those of the other kind, and ``peers`` calls
         of other instances with the mean duration.
         """
-        factor = self.get_speed_factor(registration, group, now)
-        own = self._running.get(registration.target, {})
+        own = self._running.get(registration.target)
+        mean_s = self._get_mean_duration(group)
+        if not own:
+            return peers * mean_s
+        untracked = max(0, len(own) - MAX_TRACKED_CALLS) + peers
+        return self._sum_remaining(registration.target, own, now) + untracked * mean_s
+
+    def _sum_remaining(self, target: TargetId, own: dict[RunningCall, None], now: float) -> float:
+        cached = self._remaining.get(target)
+        if cached is not None and 0.0 <= now - cached[0] < REMAINING_REFRESH_S:
+            return cached[1]
         remaining_s = sum(
-            self._estimate_remaining(call, factor, now) for call in islice(own, MAX_TRACKED_CALLS)
+            self._estimate_remaining(call, now) for call in islice(own, MAX_TRACKED_CALLS)
         )
-        untracked = max(0, len(own) - MAX_TRACKED_CALLS) + peers
-        return remaining_s + untracked * self._get_mean_duration(group)
+        self._remaining[target] = now, remaining_s
+        return remaining_s
 
     def estimate_completions(
         self, registrations: list[Registration], running: list[float], group: CallGroup, now: float
@@ -375,13 +395,14 @@
             )
         return estimates
 
-    def _estimate_remaining(self, call: RunningCall, factor: float, now: float) -> float:
+    def _estimate_remaining(self, call: RunningCall, now: float) -> float:
         sample = self._find_learned(call.group)
         since = call.started_at + call.wait_s
         if call.group.kind is CostKind.MODEL:
             since = call.first_event_at if call.first_event_at is not None else now
         if sample is None:
             return self._get_mean_duration(call.group) * call.size
+        factor = self._find_speed_factor(call.group.kind, call.run, now)
         elapsed_s = max(0.0, now - since) / factor
         return sample.estimate_remaining(elapsed_s / call.size) * call.size
 
--- a/tests/process/test_entry.py
+++ b/tests/process/test_entry.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from mulberryrill.internal.core.serving.callcosts import MIN_SAMPLES, CostKind
 from mulberryrill.internal.events import Event
 from mulberryrill.internal.schema.log_pb2 import QuarantineEntry
 from mulberryrill.platform.follower import INSTANCE_TOPICS
@@ -621,6 +622,21 @@
         self.assertIn("mulberryrill_entry_targets 1", text)
         self.assertRegex(text, r"mulberryrill_entry_configuration_age_seconds [0-9.e-]+\n")
 
+    def test_errors_of_predicted_durations_are_shown(self) -> None:
+        """Guards against attempts that the learned durations are not told of."""
+        self.deployment.add_target("t1", "desk", answer_plain)
+        self.deployment.add_target("t2", "lm", answer_stream)
+        self.deployment.wait_ready()
+        for _ in range(MIN_SAMPLES):
+            self.deployment.call("/get/")
+            self.deployment.call("/plan/", "POST", b"p", **PROMPT_HEADERS)
+        self.assertNotIn("prediction_error", self.deployment.read_metrics())
+        self.deployment.call("/get/")
+        self.deployment.call("/plan/", "POST", b"p", **PROMPT_HEADERS)
+        text = self.deployment.read_metrics()
+        for kind in CostKind:
+            self.assertRegex(text, rf"mulberryrill_entry_{kind.value}_prediction_error [0-9.e-]+\n")
+
     def test_refusal_names_request_and_age_of_the_configuration(self) -> None:
         """Without them nobody can tell which configuration refused a request, and why."""
         self.deployment.wait_ready()
