Choose stores by the room they have left, with the model's token size

Cause: one token counted as 18 KB whatever the model (there 328 KB), so no store seemed efficient for any part, and all parts went to the stores with the shortest setup until they seemed full. A store tells of a part a second after its room was reserved, so many instances then chose the last room that it seemed to have, and the saves were dropped.

Change: the configuration's token size decides which stores are efficient; stores are chosen in proportion to the room that is left, eight times that for efficient ones. Logs of attempts name the stores to which parts are saved.

--- a/src/mulberryrill/internal/core/serving/cacheindex.py
+++ b/src/mulberryrill/internal/core/serving/cacheindex.py
@@ -13,17 +13,18 @@
 from typing import NamedTuple
 
 from ...ids import CustomerName, WeightVersion
-from ..rendezvous import choose_member
+from ..rendezvous import choose_member, rank_weighted
 from .cachevalidity import ValidParts
-from .placement import rank_stores
-from .routetable import Service
+from .routetable import DEFAULT_TOKEN_BYTES, Service
 
 # A store whose last response is older may have restarted and may be receiving the same part again.
 STORE_FRESHNESS_S = 1.6
 # Parts are cached in blocks of this many tokens; an incomplete last block is not cached.
 TOKENS_PER_BLOCK = 16
-# Size of one token's KV cache entry; used only to compare transfer times with setup times.
-KV_BITS_PER_TOKEN = 18_432 * 8
+# A store whose setup takes no longer than the transfer itself is preferred as if it had so many
+# times the room that it has.
+EFFICIENT_STORE_PREFERENCE = 8.0
+BITS_PER_BYTE = 8
 # An offset that drops by more than this is not a network delay: this instance was suspended.
 MAX_OBSERVATION_DELAY_S = 1.5
 # Cost of fetching a token as a share of the cost of prefilling it.
@@ -268,15 +269,19 @@
     parts: tuple[tuple[str, int], ...],
     now: float,
     valid: ValidParts,
+    token_bytes: int = DEFAULT_TOKEN_BYTES,
 ) -> PromptSources:
-    """Finds where a prompt's parts are cached, and a store for each part that no store has."""
+    """Finds where a prompt's parts are cached, and a store for each part that no store has.
+
+    ``token_bytes`` is the size of a token's KV cache entry.
+    """
     shared = []
     for part, tokens in parts[:-1]:
         key = CacheKey(salt, part)
         engines = _list_valid_engines(index, key, tokens, now, valid)
         in_stores = index.list_holders(key, tokens, HolderKind.STORE, now)
         needs_saving = valid.allows_saving and not in_stores
-        save = _choose_store(index, stores, key, tokens, now) if needs_saving else None
+        save = _choose_store(index, stores, key, tokens, token_bytes, now) if needs_saving else None
         valid_stores = [
             a for a in in_stores if index.was_held_before(a, key, valid.in_stores_before)
         ]
@@ -345,21 +350,32 @@
 
 
 def _choose_store(
-    index: CacheIndex, stores: list[Service], key: CacheKey, tokens: int, now: float
+    index: CacheIndex,
+    stores: list[Service],
+    key: CacheKey,
+    tokens: int,
+    token_bytes: int,
+    now: float,
 ) -> str | None:
     """Returns the address of a store with room for the part, or None.
 
-    Stores whose setup takes longer than the transfer itself are used only if no other has room:
-    otherwise many short parts occupy a slow store's link for their setup times and delay the long
-    parts that only that store has room for.
+    Stores are chosen in proportion to the room that they have left, and in the same order by all
+    instances that see about the same, so that a part is not saved twice. A store tells of a part a
+    second after its room was reserved; one that fills up gets less and less until then, instead of
+    many parts at once for the last room that it seems to have.
+
+    Stores whose setup takes longer than the transfer itself get fewer parts: many short ones occupy
+    such a store's link for their setup times and delay long ones.
     """
-    ranked = [s for s in rank_stores(key.part, stores) if index.is_fresh(s.address, now)]
-    with_room = [s for s in ranked if index.count_tokens(s.address) + tokens <= s.cache_tokens]
-    efficient = [
-        s
-        for s in with_room
-        if s.transfer_setup_s <= tokens * KV_BITS_PER_TOKEN / max(1.0, s.link_bits_per_s)
-    ]
-    for store in efficient or sorted(with_room, key=lambda store: store.transfer_setup_s):
-        return store.address
-    return None
+    bits = tokens * token_bytes * BITS_PER_BYTE
+    weights = {}
+    for service in stores:
+        store = service.store
+        if store is None or not index.is_fresh(store.address, now):
+            continue
+        room = store.cache_tokens - index.count_tokens(store.address)
+        if room >= tokens:
+            is_efficient = store.transfer_setup_s <= bits / max(1.0, store.link_bits_per_s)
+            weights[store.address] = room * (EFFICIENT_STORE_PREFERENCE if is_efficient else 1.0)
+    ranked = rank_weighted(key.part, weights)
+    return ranked[0] if ranked else None
--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 
 from ...ids import CustomerName, DataCentre, InstanceId, TargetId
-from ..rendezvous import rank_members, rank_weighted
-from .routetable import Prompt, Service, StoreProfile
+from ..rendezvous import rank_members
+from .routetable import Prompt
 from .targettable import MAX_FAILURE_RATE, Target
 
 # A prompt stays on an engine that is expected to respond at most this much later than the fastest.
@@ -154,13 +154,6 @@
     return f"{isolated_customer}/{part_id}"
 
 
-def rank_stores(part: str, stores: list[Service]) -> list[StoreProfile]:
-    """Returns the stores in a part's order of preference, weighted by capacity."""
-    profiles = {s.store.address: s.store for s in stores if s.store is not None}
-    weights = {address: float(store.cache_tokens) for address, store in profiles.items()}
-    return [profiles[address] for address in rank_weighted(part, weights)]
-
-
 def choose_engine(waits: list[float]) -> int:
     """Returns the index of the engine for a call, given the expected seconds to a first event.
 
--- a/src/mulberryrill/internal/core/serving/routetable.py
+++ b/src/mulberryrill/internal/core/serving/routetable.py
@@ -54,6 +54,10 @@
         )
 
 
+# Used where the configuration does not state the size of a token's KV cache entry.
+DEFAULT_TOKEN_BYTES = 18_432
+
+
 @dataclass(frozen=True)
 class EngineProfile:
     """Capacity of each model engine of a service."""
@@ -63,6 +67,8 @@
     cache_tokens: int
     # Concurrent event polls that an engine holds open, over all instances.
     max_event_polls: int
+    # Size of one token's KV cache entry.
+    token_bytes: int = DEFAULT_TOKEN_BYTES
 
 
 @dataclass(frozen=True)
--- a/src/mulberryrill/internal/entry/dialect.py
+++ b/src/mulberryrill/internal/entry/dialect.py
@@ -117,8 +117,10 @@
             return target
         fetch = ",".join(address or "-" for address in self.cache.fetch)
         wait_ms = round(self.expected_wait_s * 1000)
+        save = ",".join(address or "-" for address in self.cache.save)
         restriction = f" ({self.cache.restriction})" if self.cache.restriction else ""
-        return f"{target} salt={self.cache.salt} fetch={fetch}{restriction} expected={wait_ms}ms"
+        transfers = f"fetch={fetch} save={save}{restriction}"
+        return f"{target} salt={self.cache.salt} {transfers} expected={wait_ms}ms"
 
 
 class ResponseKind(Enum):
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -23,7 +23,7 @@
 )
 from ..core.serving.placement import Placement, PlacementRequest, choose_engine
 from ..core.serving.probation import TRIAL_RETRY_DELAY_S, ProbationRefusal
-from ..core.serving.routetable import CallerLimits, Prompt, Service
+from ..core.serving.routetable import DEFAULT_TOKEN_BYTES, CallerLimits, Prompt, Service
 from ..core.serving.streamorigins import OriginSource
 from ..core.serving.targettable import Registration, Target
 from ..eventloop import EventLoop
@@ -689,8 +689,15 @@
         assert table is not None
         if salt not in sources:
             valid = self._state.find_valid_parts(prompt.model, version)
+            engine = handler.service.engine if handler.service is not None else None
             sources[salt] = find_sources(
-                cache, table.list_stores(), salt, prompt.parts, self._loop.boottime(), valid
+                cache,
+                table.list_stores(),
+                salt,
+                prompt.parts,
+                self._loop.boottime(),
+                valid,
+                engine.token_bytes if engine is not None else DEFAULT_TOKEN_BYTES,
             )
         address = target.registration.address
         return estimate_prefill_tokens(cache, sources[salt], prompt.prompt_tokens, address)
--- a/src/mulberryrill/platform/records.py
+++ b/src/mulberryrill/platform/records.py
@@ -13,6 +13,7 @@
 
 from ..errors import CorruptRecordError
 from ..internal.core.serving.routetable import (
+    DEFAULT_TOKEN_BYTES,
     CallerLimits,
     CallKind,
     Customer,
@@ -196,6 +197,7 @@
         slots=item.get_integer("slots", 1),
         cache_tokens=item.get_integer("kv_capacity", 0),
         max_event_polls=item.get_integer("max_inflight", 0),
+        token_bytes=item.get_integer("kv_token_bytes", 0) or DEFAULT_TOKEN_BYTES,
     )
 
 
