Fill in the limits of the entry template in the test of fractional bounds

The template states limits.memory_mb and limits.max_fds since the tests of crowds; the test did not fill them in and had failed with a KeyError since.

--- a/tests/regressions/test_fractional_bounds_stop_the_start.py
+++ b/tests/regressions/test_fractional_bounds_stop_the_start.py
@@ -24,6 +24,8 @@
     "listen.ready": "10.1.0.1:8001",
     "internal_ports.0": "8002",
     "platform.address": "10.0.0.1:80",
+    "limits.memory_mb": "128",
+    "limits.max_fds": "4100",
 }
 BOUND_VALUES = {"drain_ms": "2500.5", "grace_s": "8.5", "retry_slack": "37.142857142857146"}
 
