Accept fractional limits in the settings of entry processes

The platform fills numbers into the template as it has them; a fraction in limits.memory_mb or limits.max_fds stopped the start with "expected a whole number", as fractional bounds had before. Both are doubles now.

--- a/src/mulberryrill/internal/http/resources.py
+++ b/src/mulberryrill/internal/http/resources.py
@@ -10,10 +10,10 @@
 DEFAULT_DESCRIPTORS = 1_024
 
 
-def find_account_limits(memory_mb: int, descriptors: int) -> AccountLimits:
+def find_account_limits(memory_mb: float, descriptors: float) -> AccountLimits:
     """Returns the limits for clients from the settings; 0 stands for what the system allows."""
-    memory_bytes = memory_mb * BYTES_PER_MB or _find_memory_bytes()
-    return compute_limits(memory_bytes, descriptors or _find_descriptors())
+    memory_bytes = int(memory_mb * BYTES_PER_MB) or _find_memory_bytes()
+    return compute_limits(memory_bytes, int(descriptors) or _find_descriptors())
 
 
 def _find_memory_bytes() -> int:
--- a/tests/regressions/test_fractional_bounds_stop_the_start.py
+++ b/tests/regressions/test_fractional_bounds_stop_the_start.py
@@ -24,8 +24,8 @@
     "listen.ready": "10.1.0.1:8001",
     "internal_ports.0": "8002",
     "platform.address": "10.0.0.1:80",
-    "limits.memory_mb": "128",
-    "limits.max_fds": "4100",
+    "limits.memory_mb": "128.5",
+    "limits.max_fds": "4100.0",
 }
 BOUND_VALUES = {"drain_ms": "2500.5", "grace_s": "8.5", "retry_slack": "37.142857142857146"}
 
@@ -57,6 +57,10 @@
         self.assertAlmostEqual(bounds.retry_reserve, 37.142857142857146)
         self.assertEqual(bounds.cold_reserve, 1.5)
 
+    def test_fractional_limits_are_read_as_they_are(self) -> None:
+        settings = self.load(BOUND_VALUES)
+        self.assertEqual((settings.memory_mb, settings.max_descriptors), (128.5, 4100.0))
+
     def test_non_finite_and_negative_bounds_are_refused(self) -> None:
         for number in ("inf", "nan", "-1"):
             with self.subTest(number=number), self.assertRaises(SettingsError) as caught:
