Check quiet times, departures and deadlines in the fault runs

Cause: the stand-ins never sent Retry-After or Server-Leaving, and nobody compared the Deadline-Ms of targets with what callers still wait. The fault runs could not see that an instance ignores them.

Change: targets have the options quiet_s and is_leaving, and the fault "invalid status". The runs draw quiet times of one target or of a whole service, departures that only the header tells, SIGINT and a configuration during a stop.

--- a/benches/entryfaults.py
+++ b/benches/entryfaults.py
@@ -2,7 +2,8 @@
 
 All faults come from outside the processes: signals; links that are delayed, paused, cut or reset; a
 store that is unavailable, compacts its topics, drops responses or comes back from an older copy;
-and targets that crash, reject, hang, break, name limits or are replaced.
+and targets that reject, hang, break, send invalid statuses, name limits, ask for quiet, say that
+they leave or are replaced.
 """
 
 import random
@@ -11,13 +12,21 @@
 import subprocess
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager
 from pathlib import Path
 
 from tests.common.entry import CUSTOMER
 from tests.common.entryfleet import EntryFleet, EntryProcess, FleetCaller, FleetTarget, TargetFault
 from tests.common.links import LinkState
-from tests.common.promises import GRACE_S, STORE, CallKind, get_unplanned_name
+from tests.common.promises import (
+    DRAIN_BOUND_S,
+    GRACE_S,
+    STORE,
+    CallKind,
+    get_link_name,
+    get_process_name,
+    get_unplanned_name,
+)
 
 from .randomwork import RandomWork, Step
 
@@ -25,6 +34,7 @@
 KINDS = [CallKind.GET, CallKind.PAY, CallKind.PAY, CallKind.STREAM, CallKind.RESUMABLE]
 MAX_FAULT_S = 4.0
 MAX_LIMITED_S = 12.0
+MAX_QUIET_S = 5.0
 # Age of the copy from which the store comes back.
 MAX_COPY_AGE_S = 6.0
 # A process must exit at most this long after its grace period.
@@ -67,6 +77,8 @@
             ("more targets", self._disturb_target),
             ("replacements", self._replace_target),
             ("limits", self._limit_target),
+            ("quiet times", self._ask_for_quiet),
+            ("departures", self._announce_departure),
             ("restores", self._restore_store),
         ]
 
@@ -138,6 +150,11 @@
         self._fleet.set_desired_version()
         self.count("weight versions set")
 
+    def _disturb_instance(self, entry: EntryProcess) -> AbstractContextManager[None]:
+        """Records an unplanned restart or freeze of an instance."""
+        name = entry.name
+        return self._disturb(name, get_unplanned_name(name), get_process_name(name))
+
     @contextmanager
     def _disturb(self, *names: str) -> Iterator[None]:
         for name in names:
@@ -173,13 +190,13 @@
         self._fleet.wait_ready(entry)
 
     def _kill(self, entry: EntryProcess, generator: random.Random) -> None:
-        with self._disturb(entry.name, get_unplanned_name(entry.name)):
+        with self._disturb_instance(entry):
             entry.kill()
             self.pause(generator, 0.0, 2.0)
             entry.start()
 
     def _pause(self, entry: EntryProcess, generator: random.Random) -> None:
-        with self._disturb(entry.name, get_unplanned_name(entry.name)):
+        with self._disturb_instance(entry):
             entry.send_signal(signal.SIGSTOP)
             if generator.random() < 0.3:
                 entry.send_signal(signal.SIGHUP)
@@ -187,12 +204,14 @@
             entry.send_signal(signal.SIGCONT)
 
     def _stop_planned(self, entry: EntryProcess, generator: random.Random) -> None:
-        with self._disturb(entry.name):
+        with self._disturb(entry.name, get_process_name(entry.name)):
             was_ready = entry.is_ready()
             entry.send_signal(signal.SIGTERM)
             if generator.random() < 0.3:
                 self.pause(generator, 0.0, 1.0)
-                entry.send_signal(generator.choice([signal.SIGTERM, signal.SIGHUP]))
+                entry.send_signal(generator.choice([signal.SIGTERM, signal.SIGINT, signal.SIGHUP]))
+            if generator.random() < 0.3:
+                self._fleet.publish_configuration()
             self._wait_for_exit(entry, was_ready)
             entry.start()
 
@@ -215,7 +234,7 @@
             self._fleet.checker.add_violation("FAULT", f"{entry.name} stopped with code {code}")
 
     def _stop_then_kill(self, entry: EntryProcess, generator: random.Random) -> None:
-        with self._disturb(entry.name, get_unplanned_name(entry.name)):
+        with self._disturb_instance(entry):
             entry.send_signal(signal.SIGTERM)
             self.pause(generator, 0.0, 2.0)
             entry.kill()
@@ -223,7 +242,7 @@
 
     def _flap(self, entry: EntryProcess, generator: random.Random) -> None:
         """Kills a process twice, the second time while it starts, and pauses the next one."""
-        with self._disturb(entry.name, get_unplanned_name(entry.name)):
+        with self._disturb_instance(entry):
             for _ in range(2):
                 entry.kill()
                 entry.start()
@@ -279,7 +298,7 @@
         state = generator.choice(LINK_FAULTS)
         self.count(f"target link {state.value}")
         assert target.link is not None
-        with self._disturb(target.name):
+        with self._disturb(target.name, get_link_name(target.name)):
             target.link.set_state(state)
             self.pause(generator, 0.2, MAX_FAULT_S)
             target.link.set_state(LinkState.OPEN)
@@ -296,6 +315,32 @@
         target.rate_limit = None
         self._fleet.checker.record_limit(name, None)
 
+    def _ask_for_quiet(self, generator: random.Random) -> None:
+        """Lets a target, or all of its service, ask for quiet at every call for some seconds."""
+        self.pause(generator, 0.5, 3.0)
+        targets = [generator.choice(self._fleet.targets)]
+        if generator.random() < 0.3:
+            service = targets[0].service
+            targets = [target for target in self._fleet.targets if target.service == service]
+        self.count("one asks for quiet" if len(targets) == 1 else "service asks for quiet")
+        for target in targets:
+            target.quiet_s = generator.uniform(0.0, MAX_QUIET_S)
+        self.pause(generator, 0.2, MAX_FAULT_S)
+        for target in targets:
+            target.quiet_s = None
+
+    def _announce_departure(self, generator: random.Random) -> None:
+        """Lets a target say that it leaves, without a change of its registration, then ends it."""
+        self.pause(generator, 0.5, 2.0)
+        target = generator.choice(self._fleet.targets)
+        name = target.name
+        self.count("departure announced")
+        target.is_leaving = True
+        self.pause(generator, DRAIN_BOUND_S, DRAIN_BOUND_S + MAX_FAULT_S)
+        # Another fault may have replaced the target meanwhile.
+        if target.name == name:
+            self._start_replacement(target, generator)
+
     def _restore_store(self, generator: random.Random) -> None:
         """Lets the store come back from an older copy; what it lost is written again later."""
         self.pause(generator, 1.0, 5.0)
@@ -325,7 +370,7 @@
             self._start_replacement(target, generator)
         else:
             self.count("target lost")
-            with self._disturb(old):
+            with self._disturb(old, get_link_name(old)):
                 assert target.link is not None
                 target.link.set_state(generator.choice([LinkState.RESET, LinkState.PAUSED]))
                 self.pause(generator, 0.5, 2.0)
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -90,6 +90,11 @@
 
             do_POST = do_DELETE = do_GET  # noqa: N815
 
+            def end_headers(self) -> None:
+                for name, value in standin.list_common_headers():
+                    self.send_header(name, value)
+                super().end_headers()
+
         self._server = _Server((LOCAL, self.port), Handler)
         threading.Thread(target=self._server.serve_forever, args=(0.01,), daemon=True).start()
 
@@ -102,6 +107,10 @@
     def handle(self, request: RequestHandler) -> None:
         raise AssertionError("subclasses of StandinServer must override handle")
 
+    def list_common_headers(self) -> list[tuple[str, str]]:
+        """Returns the headers that every response gets."""
+        return []
+
 
 @dataclass(frozen=True)
 class StoreCopy:
@@ -337,6 +346,25 @@
         # Version of the target's own software, as it registers.
         self.software = "v1"
         self.loads_on_order = True
+        # Whether every response says that the target leaves.
+        self.is_leaving = False
+        # Seconds of quiet that the target asks for at every call, without running it; None: none.
+        self.quiet_s: float | None = None
+
+    def list_common_headers(self) -> list[tuple[str, str]]:
+        return [("Server-Leaving", "1")] if self.is_leaving else []
+
+    def serve(self, request: RequestHandler, call: ReceivedCall) -> None:
+        """Handles a call with the target's behaviour, or asks for quiet."""
+        if self.quiet_s is not None:
+            self.ask_for_quiet(request, call, self.quiet_s)
+        else:
+            self.behaviour(self, request, call)
+
+    def ask_for_quiet(self, request: RequestHandler, call: ReceivedCall, quiet_s: float) -> None:
+        """Rejects a call and asks its sender for no calls for some seconds."""
+        request_id = call.headers.get("request-id", "")
+        request.reply(503, Not_Run="1", Request_Id=request_id, Retry_After=f"{quiet_s:.3f}")
 
     def build_origin_headers(self, call: ReceivedCall) -> dict[str, str]:
         """Returns the headers that identify the target and the weights of a response."""
@@ -380,7 +408,7 @@
             headers = {name.lower(): value for name, value in request.headers.items()}
             call = ReceivedCall(request.command, request.path, headers, body)
             self.received_calls.append(call)
-            self.behaviour(self, request, call)
+            self.serve(request, call)
 
     def _handle_report(self, request: RequestHandler) -> None:
         report = {
--- a/tests/common/entryfleet.py
+++ b/tests/common/entryfleet.py
@@ -29,6 +29,7 @@
     ReceivedCall,
     RequestHandler,
     TargetStandin,
+    answer_plain,
     create_configuration,
     find_port,
 )
@@ -63,6 +64,8 @@
     CallKind.RESUMABLE: ("POST", "/plan/"),
 }
 ROUTE_TIMEOUT_S = 2.0
+# RFC 9110, section 15: statuses are 100 to 599.
+INVALID_STATUS = 999
 ENTRY_SCRIPT = Path(__file__).resolve().parents[2] / "deploy" / "entry.py"
 
 
@@ -75,13 +78,14 @@
     HANG = "hang"
     SLOW = "slow"
     WITHOUT_STAMP = "unsigned"
+    INVALID_STATUS = "invalid status"
 
 
 class FleetTarget(TargetStandin):
     """A target whose responses contain the ids of the request and of the run."""
 
     def __init__(self, name: str, service: str, data_centre: str, checker: PromiseChecker) -> None:
-        super().__init__(name, lambda target, request, call: self.serve(request, call))
+        super().__init__(name, answer_plain)
         self.service = service
         self.data_centre = data_centre
         self.fault = TargetFault.NONE
@@ -105,13 +109,20 @@
     def serve(self, request: RequestHandler, call: ReceivedCall) -> None:
         """Runs a call, or rejects it, according to the fault."""
         headers = call.headers
+        # Another incarnation may take over while the call is served.
+        name = self.name
         request_id = headers.get("request-id", "")
         self.received_calls.clear()
-        if headers.get("expect-instance", self.name) != self.name:
+        if headers.get("expect-instance", name) != name:
             request.reply(421, b"", Not_Run="1", Request_Id=request_id)
             return
         self.on_call(call)
-        self._checker.record_arrival(request_id, self.name)
+        self._checker.record_arrival(request_id, name, headers.get("deadline-ms"))
+        if (quiet_s := self.quiet_s) is not None:
+            answered_at = time.monotonic()
+            self.ask_for_quiet(request, call, quiet_s)
+            self._checker.record_quiet_time(request_id, name, quiet_s, answered_at)
+            return
         if self.fault is TargetFault.REJECT:
             request.reply(503, b"", Not_Run="1", Request_Id=request_id)
             return
@@ -119,8 +130,8 @@
             time.sleep(CRASH_DELAY_S)
             self.on_crash(self)
             return
-        stamp = f"{self.name}/{next(self._run_numbers)}"
-        self._checker.record_run(request_id, self.name, stamp, headers.get("tenant"))
+        stamp = f"{name}/{next(self._run_numbers)}"
+        self._checker.record_run(request_id, name, stamp, headers.get("tenant"))
         delay_factor = SLOW_FACTOR if self.fault is TargetFault.SLOW else self.slow_factor
         if self.fault is TargetFault.HANG:
             time.sleep(HANG_S)
@@ -133,6 +144,9 @@
             origin_headers["Server_Limit"] = str(self.rate_limit)
         if self.fault is TargetFault.WITHOUT_STAMP:
             del origin_headers["Server_Stamp"]
+        if self.fault is TargetFault.INVALID_STATUS:
+            request.reply(INVALID_STATUS, f"{request_id}:{stamp}".encode(), **origin_headers)
+            return
         if "/get/" in call.path or "/pay/" in call.path:
             time.sleep(PLAIN_CALL_DURATION_S * delay_factor)
             if self.fault is TargetFault.BREAK:
@@ -279,6 +293,7 @@
         ]
         self._target_numbers = itertools.count(1)
         self._crash_lock = threading.Lock()
+        self._publish_lock = threading.Lock()
         self.targets = [self._create_target(n) for n in range(targets)]
 
     def start(self) -> None:
@@ -345,6 +360,8 @@
     def replace_target(self, target: FleetTarget, service: str, *, is_cold: bool) -> None:
         """Replaces a target by a new one at its address and deletes the old registry entry."""
         old = target.name
+        # Before the name changes, so that no response of the new target says that it leaves.
+        target.is_leaving = False
         target.name = f"t{next(self._target_numbers)}"
         target.service = service
         target.orders = []
@@ -358,12 +375,13 @@
 
     def publish_configuration(self) -> None:
         """Writes a configuration with the API keys that are still valid."""
-        self.configuration_version += 1
-        tenants = [{"name": CUSTOMER, "api_keys": self.keys}]
-        configuration = create_configuration(
-            self.configuration_version, tenants=tenants, **self.configuration_changes
-        )
-        self.store.put("keyed.op", "config", configuration)
+        with self._publish_lock:
+            self.configuration_version += 1
+            tenants = [{"name": CUSTOMER, "api_keys": self.keys}]
+            configuration = create_configuration(
+                self.configuration_version, tenants=tenants, **self.configuration_changes
+            )
+            self.store.put("keyed.op", "config", configuration)
 
     def set_desired_version(self) -> None:
         """Makes the next version of the weights the desired one."""
@@ -438,9 +456,11 @@
             headers |= {"Model": MODEL, "Token-Usage": "1000,16", "Prefix-Hash": "aa:500,bb:300"}
         self._connection.request(method, path, b"{}" if method == "POST" else None, headers)
         response = self._connection.getresponse()
+        target = (response.getheader("server-stamp") or "").partition("/")[0]
         if response.getheader("server-limit") is not None:
-            target = (response.getheader("server-stamp") or "").partition("/")[0]
             self._fleet.checker.record_told_limit(record.request_id, target)
+        if target and response.getheader("server-leaving") == "1":
+            self._fleet.checker.record_told_leaving(record.request_id, target)
         body = response.read()
         stamp = response.getheader("server-stamp")
         matches_target = (
--- a/tests/common/promises.py
+++ b/tests/common/promises.py
@@ -24,6 +24,12 @@
 # window, from LIMIT_CONTACT_S after it was first named.
 LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_RESERVE = 4.0, 1.5, 5
 LIMIT_CONTACT_S, LIMIT_TOLD_S = 3.0, 0.5
+# A quiet time binds from QUIET_FROM_S after the response that asks for it.
+QUIET_FROM_S, MAX_QUIET_CALLS = 0.5, 2
+# Calls whose Deadline-Ms ends over DEADLINE_SLACK_S after their caller's own time are a violation
+# only if there are more than MAX_LONG_DEADLINES, and more than this share of them and of the calls
+# that were sent once more over DEADLINE_SLACK_S after the first time.
+DEADLINE_SLACK_S, MAX_LONG_DEADLINES, MAX_LONG_SHARE = 0.5, 20, 0.2
 # For a call that is not repeatable, these mean that it has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Late responses are a violation only if they are more than half of the undisturbed calls that
@@ -66,6 +72,8 @@
     timeout_s: float
     key: str
     runs: list[TargetRun] = field(default_factory=list)
+    # When a target first got the call.
+    arrived_at: float | None = None
     status: int | None = None
     ended_at: float | None = None
 
@@ -91,6 +99,16 @@
     arrivals: deque[tuple[float, CallRecord]] = field(default_factory=deque)
 
 
+@dataclass
+class QuietTime:
+    """The time for which a target has asked an instance for no calls."""
+
+    answered_at: float
+    begins_at: float
+    ends_at: float
+    arrivals: int = 0
+
+
 class Disturbances:
     """Records when faults or planned stops affect instances, targets and the store; thread-safe."""
 
@@ -114,15 +132,17 @@
             if self._active_counts[name] == 0:
                 self._intervals[name].append((self._started_at.pop(name), time.monotonic()))
 
-    def is_undisturbed(self, name: str, start: float, end: float) -> bool:
+    def is_undisturbed(
+        self, name: str, start: float, end: float, margin_s: float = MIN_UNDISTURBED_S
+    ) -> bool:
         """Returns whether nothing disturbed ``name`` between two times.
 
-        The ``MIN_UNDISTURBED_S`` before ``start`` are checked as well.
+        The ``margin_s`` before ``start`` are checked as well.
         """
         with self._lock:
             if self._active_counts[name] and self._started_at[name] < end:
                 return False
-            start -= MIN_UNDISTURBED_S
+            start -= margin_s
             return not any(
                 begin < end and start < finish for begin, finish in self._intervals[name]
             )
@@ -136,6 +156,16 @@
     return f"{instance} unplanned"
 
 
+def get_process_name(instance: str) -> str:
+    """Returns the name under which restarts and freezes of an instance are recorded, not cuts."""
+    return f"{instance} process"
+
+
+def get_link_name(target: str) -> str:
+    """Returns the name under which disturbances of a target's connections are recorded."""
+    return f"{target} link"
+
+
 class PromiseChecker:
     """Receives observations from any thread and collects violations."""
 
@@ -150,6 +180,11 @@
         self._cold_until: dict[str, float] = {}
         self._orders: dict[str, LastOrder] = {}
         self._limits: dict[str, TargetLimit] = {}
+        # Of each target and instance.
+        self._quiet_times: dict[tuple[str, str], list[QuietTime]] = defaultdict(list)
+        self._told_leaving_at: dict[tuple[str, str], float] = {}
+        self._long_deadlines: list[str] = []
+        self._late_repeat_count = 0
         self._lost_calls: list[str] = []
         self._recent_runs: dict[str, deque[float]] = defaultdict(deque)
         self._timed_call_count = 0
@@ -189,25 +224,44 @@
             if limit is not None:
                 limit.told_at.setdefault(self._calls[request_id].instance, time.monotonic())
 
-    def record_arrival(self, request_id: str, target: str) -> None:
-        """Records and checks a call that a target gets, also if it rejects it."""
+    def record_quiet_time(
+        self, request_id: str, target: str, seconds: float, answered_at: float
+    ) -> None:
+        """Records that a target has asked the instance of a call for ``seconds`` without calls.
+
+        ``answered_at`` is a time just before the response.
+        """
+        begins_at = time.monotonic() + QUIET_FROM_S
+        with self._lock:
+            call = self._calls.get(request_id)
+            if call is not None:
+                quiet = QuietTime(answered_at, begins_at, answered_at + seconds)
+                self._quiet_times[target, call.instance].append(quiet)
+                self.counts["quiet times"] += 1
+
+    def record_told_leaving(self, request_id: str, target: str) -> None:
+        """Records that an instance has passed on a response that says that a target leaves."""
+        with self._lock:
+            key = target, self._calls[request_id].instance
+            if key not in self._told_leaving_at:
+                self._told_leaving_at[key] = time.monotonic()
+                self.counts["departures passed on"] += 1
+
+    def record_arrival(self, request_id: str, target: str, deadline_ms: str | None) -> None:
+        """Records and checks a call that a target gets, also if it rejects it.
+
+        ``deadline_ms`` is the value of its ``Deadline-Ms``.
+        """
         now = time.monotonic()
         with self._lock:
-            limit, call = self._limits.get(target), self._calls.get(request_id)
-            if limit is None or call is None:
-                return
-            if limit.told_at.get(call.instance, now) + LIMIT_TOLD_S <= now:
-                limit.arrivals.append((now, call))
-            while limit.arrivals and now - limit.arrivals[0][0] >= LIMIT_WINDOW_S:
-                limit.arrivals.popleft()
-            if now < limit.named_at + LIMIT_CONTACT_S:
+            call = self._calls.get(request_id)
+            if call is None:
                 return
-            count = sum(
-                self._disturbances.is_undisturbed(other.instance, arrived_at, now)
-                for arrived_at, other in limit.arrivals
-            )
-            if count > LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S + LIMIT_RESERVE:
-                self._add_violation("LIMIT", f"{target} got {count} calls, limit {limit.rate:.1f}")
+            self.counts["arrivals"] += 1
+            self._check_limit(call, target, now)
+            self._check_quiet(call, target, now)
+            self._check_leaving(call, target, now)
+            self._check_deadline(call, target, deadline_ms, now)
 
     def record_order(self, target: str, holder: str, fence: int) -> None:
         """Records and checks an order that a target received."""
@@ -256,7 +310,9 @@
             call.status, call.ended_at = status, now
             self.counts[f"{call.kind.value} {status}"] += 1
             self._check_time(call, now)
-            if status < 300:
+            if not 100 <= status <= 599:
+                self._add_violation("MIXED", f"{request_id} got the invalid status {status}")
+            elif status < 300:
                 stamps = {run.stamp for run in call.runs}
                 if stamp not in stamps or not matches_target:
                     self._add_violation(
@@ -292,6 +348,14 @@
                     f"{len(self._late_calls)} of {self._timed_call_count} late: "
                     f"{self._late_calls[:5]}",
                 )
+            count = len(self._long_deadlines)
+            counted = count + self._late_repeat_count
+            if count > MAX_LONG_DEADLINES and count > MAX_LONG_SHARE * counted:
+                self._add_violation(
+                    "BUDGET",
+                    f"Deadline-Ms too long in {count} of {counted} calls: "
+                    f"{self._long_deadlines[:5]}",
+                )
 
     def add_violation(self, promise: str, message: str) -> None:
         """Adds a violation that the fault run itself has detected."""
@@ -328,6 +392,72 @@
                 f"{call.request_id} reached {target} {late_s:.2f} s after it began to drain",
             )
 
+    def _check_limit(self, call: CallRecord, target: str, now: float) -> None:
+        limit = self._limits.get(target)
+        if limit is None:
+            return
+        if limit.told_at.get(call.instance, now) + LIMIT_TOLD_S <= now:
+            limit.arrivals.append((now, call))
+        while limit.arrivals and now - limit.arrivals[0][0] >= LIMIT_WINDOW_S:
+            limit.arrivals.popleft()
+        if now < limit.named_at + LIMIT_CONTACT_S:
+            return
+        count = sum(
+            self._disturbances.is_undisturbed(other.instance, arrived_at, now)
+            for arrived_at, other in limit.arrivals
+        )
+        if count > LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S + LIMIT_RESERVE:
+            self._add_violation("LIMIT", f"{target} got {count} calls, limit {limit.rate:.1f}")
+
+    def _is_calm(self, names: list[str], start: float, end: float) -> bool:
+        """Returns whether nothing disturbed any name between two times, without a margin."""
+        return all(self._disturbances.is_undisturbed(name, start, end, 0.0) for name in names)
+
+    def _check_quiet(self, call: CallRecord, target: str, now: float) -> None:
+        names = [call.instance, get_link_name(target)]
+        key = target, call.instance
+        self._quiet_times[key] = [quiet for quiet in self._quiet_times[key] if now < quiet.ends_at]
+        for quiet in self._quiet_times[key]:
+            if now < quiet.begins_at or not self._is_calm(names, quiet.answered_at, now):
+                continue
+            quiet.arrivals += 1
+            if quiet.arrivals == MAX_QUIET_CALLS + 1:
+                self._add_violation(
+                    "BUDGET",
+                    f"{call.request_id} is call {quiet.arrivals} from {call.instance} to {target}, "
+                    f"{now - quiet.answered_at:.2f} s after it asked for "
+                    f"{quiet.ends_at - quiet.answered_at:.2f} s of quiet",
+                )
+
+    def _check_leaving(self, call: CallRecord, target: str, now: float) -> None:
+        told_at = self._told_leaving_at.get((target, call.instance))
+        if told_at is None or call.sent_at <= told_at + DRAIN_BOUND_S:
+            return
+        if self._is_calm([get_process_name(call.instance)], told_at, now):
+            self._add_violation(
+                "DRAIN",
+                f"{call.request_id} reached {target}, sent {call.sent_at - told_at:.2f} s after "
+                f"{call.instance} had passed on that it leaves",
+            )
+
+    def _check_deadline(
+        self, call: CallRecord, target: str, deadline_ms: str | None, now: float
+    ) -> None:
+        first_at = now if call.arrived_at is None else call.arrived_at
+        call.arrived_at = first_at
+        if deadline_ms is None or not deadline_ms.isdigit():
+            self._add_violation("BUDGET", f"{call.request_id} has the deadline {deadline_ms}")
+            return
+        names = [get_process_name(call.instance), get_link_name(target)]
+        if not self._is_calm(names, call.sent_at, now):
+            return
+        excess_s = now + int(deadline_ms) / 1000 - (call.sent_at + call.timeout_s)
+        if excess_s > DEADLINE_SLACK_S:
+            self._long_deadlines.append(f"{call.request_id} {excess_s:.2f} s")
+        elif now > first_at + DEADLINE_SLACK_S:
+            self._late_repeat_count += 1
+            self.counts["late repeats"] += 1
+
     def _check_cold(self, target: str, now: float) -> None:
         if now > self._cold_until.get(target, 0.0):
             return
