Check a platform configuration before it is sent

Cause: operators learnt of a mistake in a configuration only from refused calls, or from instances that went on with the version before.

Change: mulberryrill-check FILE [--in-force FILE] [--format json] reports what cannot be parsed with file, line, field and remedy; routes that never match; limits that contradict each other; and what differs from the version in force, where a version that does not grow is an error. It sends nothing and prints no API key. Exit codes: 0 no errors, 1 errors, 2 wrong usage or an unreadable file. The checks have no I/O (core/serving/configurationcheck.py); the platform's names and the lines of fields are in platform/configurationfields.py. parse_configuration reads the same document as the checks; its error names the first problem and how many more there are.

--- a/src/mulberryrill/platform/records.py
+++ b/src/mulberryrill/platform/records.py
@@ -6,12 +6,15 @@
 import json
 import math
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from functools import partial
+from typing import Any, TypeVar
 
 from google.protobuf.message import DecodeError
 
 from ..errors import CorruptRecordError
+from ..internal.core.serving.configurationcheck import ConfigurationDocument, KeyedCustomer
 from ..internal.core.serving.routetable import (
     CallerLimits,
     CallKind,
@@ -55,6 +58,8 @@
     struct.error,
 )
 
+_Parsed = TypeVar("_Parsed")
+
 
 @dataclass(frozen=True)
 class DesiredVersion:
@@ -64,14 +69,38 @@
     version: WeightVersion
 
 
+@dataclass(frozen=True)
+class FieldProblem:
+    """Why a field of a record cannot be parsed."""
+
+    # Names and indices from the record's name on, such as "config.routes[0].host".
+    field: str
+    text: str
+    remedy: str
+    # Counted from 1, if the text is not JSON.
+    line: int | None = None
+
+    def __str__(self) -> str:
+        return f"{self.field} {self.text}"
+
+
+class InvalidFieldsError(CorruptRecordError):
+    """Fields of a record are missing or have a wrong type."""
+
+    def __init__(self, *problems: FieldProblem) -> None:
+        more = f" (and {len(problems) - 1} more)" if len(problems) > 1 else ""
+        super().__init__(f"{problems[0]}{more}")
+        self.problems = problems
+
+
 class _JsonObject:
-    """Reads the fields of one JSON object; raises CorruptRecordError for a wrong type."""
+    """Reads the fields of one JSON object; raises InvalidFieldsError for a wrong type."""
 
     def __init__(self, value: object, name: str) -> None:
         if not isinstance(value, dict):
-            raise CorruptRecordError(f"{name} is not an object")
+            raise _report(name, "is not an object", "write fields in braces")
         self._value: dict[str, Any] = value
-        self._name = name
+        self.name = name
 
     def has(self, name: str) -> bool:
         return self._value.get(name) is not None
@@ -79,7 +108,8 @@
     def get_string(self, name: str, default: str | None = None) -> str:
         value = self._value.get(name, default)
         if not isinstance(value, str) or (default is None and not value):
-            raise CorruptRecordError(f"{self._name}.{name} is missing, empty or not a string")
+            problem = "is missing, empty or not a string"
+            raise _report(f"{self.name}.{name}", problem, "give a text in quotes")
         return value
 
     def get_number(self, name: str, default: float | None = None) -> float:
@@ -90,67 +120,111 @@
             or abs(value) > MAX_NUMBER
             or math.isnan(value)
         ):
-            raise CorruptRecordError(f"{self._name}.{name} is not a number")
+            raise _report(
+                f"{self.name}.{name}", "is not a number", f"give one of at most {MAX_NUMBER:g}"
+            )
         return value
 
     def get_integer(self, name: str, default: int | None = None) -> int:
         value = self.get_number(name, default)
         if not isinstance(value, int):
-            raise CorruptRecordError(f"{self._name}.{name} is not an integer")
+            problem = "is not an integer"
+            raise _report(f"{self.name}.{name}", problem, "give one without fraction or exponent")
         return value
 
     def get_boolean(self, name: str) -> bool:
         value = self._value.get(name, False)
         if not isinstance(value, bool):
-            raise CorruptRecordError(f"{self._name}.{name} is not a boolean")
+            raise _report(f"{self.name}.{name}", "is not a boolean", "give true or false")
         return value
 
     def get_objects(self, name: str) -> list["_JsonObject"]:
         values = self._value.get(name) or []
         if not isinstance(values, list):
-            raise CorruptRecordError(f"{self._name}.{name} is not a list")
-        return [_JsonObject(value, f"{self._name}.{name}[{i}]") for i, value in enumerate(values)]
+            raise _report(f"{self.name}.{name}", "is not a list", "write objects in brackets")
+        return [_JsonObject(value, f"{self.name}.{name}[{i}]") for i, value in enumerate(values)]
 
     def get_strings(self, name: str) -> list[str]:
         values = self._value.get(name) or []
         if not isinstance(values, list) or not all(isinstance(value, str) for value in values):
-            raise CorruptRecordError(f"{self._name}.{name} is not a list of strings")
+            problem = "is not a list of strings"
+            raise _report(f"{self.name}.{name}", problem, "write texts in quotes in brackets")
         return values
 
     def get_object(self, name: str) -> "_JsonObject":
-        return _JsonObject(self._value.get(name), f"{self._name}.{name}")
+        return _JsonObject(self._value.get(name), f"{self.name}.{name}")
+
+
+def _report(field: str, text: str, remedy: str) -> InvalidFieldsError:
+    return InvalidFieldsError(FieldProblem(field, text, remedy))
 
 
 def _parse_object(value: bytes, name: str) -> _JsonObject:
     try:
         return _JsonObject(json.loads(value), name)
     except (ValueError, RecursionError) as error:
-        raise CorruptRecordError(f"{name} is not JSON: {error}") from error
+        line = error.lineno if isinstance(error, json.JSONDecodeError) else None
+        remedy = "correct the text at this place"
+        problem = FieldProblem(name, f"is not JSON: {error}", remedy, line)
+        raise InvalidFieldsError(problem) from error
 
 
 def parse_configuration(value: bytes) -> RouteTable:
     """Parses a configuration; raises CorruptRecordError."""
-    document = _parse_object(value, CONFIGURATION_KEY)
-    customers = document.get_objects("tenants")
+    document = parse_configuration_document(value)
     return RouteTable(
-        version=document.get_integer("version"),
-        routes=tuple(_parse_route(item) for item in document.get_objects("routes")),
-        services={s.name: s for s in map(_parse_service, document.get_objects("services"))},
+        version=document.version,
+        routes=document.routes,
+        services={service.name: service for service in document.services},
         customers_by_api_key={
-            key: customer
-            for item in customers
-            for customer in [_parse_customer(item)]
-            for key in item.get_strings("api_keys")
+            key: item.customer for item in document.customers for key in item.api_keys
         },
-        requires_api_keys=document.has("tenants"),
-        limits=(
-            _parse_limits(document.get_object("limits"))
-            if document.has("limits")
-            else CallerLimits()
-        ),
+        requires_api_keys=document.requires_api_keys,
+        limits=document.limits,
     )
 
 
+def parse_configuration_document(value: bytes) -> ConfigurationDocument:
+    """Parses a configuration with all that it repeats.
+
+    Raises InvalidFieldsError with the first problem of each part and of each item of its lists.
+    """
+    document = _parse_object(value, CONFIGURATION_KEY)
+    problems: list[FieldProblem] = []
+    version = _collect(problems, lambda: document.get_integer("version"))
+    routes = _parse_list(problems, document, "routes", _parse_route)
+    services = _parse_list(problems, document, "services", _parse_service)
+    customers = _parse_list(problems, document, "tenants", _parse_keyed_customer)
+    limits: CallerLimits | None = CallerLimits()
+    if document.has("limits"):
+        limits = _collect(problems, lambda: _parse_limits(document.get_object("limits")))
+    if problems or version is None or limits is None:
+        raise InvalidFieldsError(*problems)
+    return ConfigurationDocument(
+        version, routes, services, customers, document.has("tenants"), limits
+    )
+
+
+def _collect(problems: list[FieldProblem], parse: Callable[[], _Parsed]) -> _Parsed | None:
+    """Parses a part; returns None and adds to the problems if it is invalid."""
+    try:
+        return parse()
+    except InvalidFieldsError as error:
+        problems.extend(error.problems)
+        return None
+
+
+def _parse_list(
+    problems: list[FieldProblem],
+    document: _JsonObject,
+    name: str,
+    parse: Callable[[_JsonObject], _Parsed],
+) -> tuple[_Parsed, ...]:
+    items = _collect(problems, lambda: document.get_objects(name)) or []
+    parsed = (_collect(problems, partial(parse, item)) for item in items)
+    return tuple(item for item in parsed if item is not None)
+
+
 def _parse_route(item: _JsonObject) -> Route:
     if item.has("split"):
         weighted_services = tuple(
@@ -162,7 +236,8 @@
     try:
         kind = CallKind(item.get_string("kind"))
     except ValueError as error:
-        raise CorruptRecordError(f"unknown kind of route: {error}") from error
+        remedy = "give one of " + ", ".join(kind.value for kind in CallKind)
+        raise _report(f"{item.name}.kind", f"is unknown: {error}", remedy) from error
     return Route(
         name=item.get_string("name"),
         host=item.get_string("host").lower(),
@@ -218,6 +293,10 @@
     )
 
 
+def _parse_keyed_customer(item: _JsonObject) -> KeyedCustomer:
+    return KeyedCustomer(_parse_customer(item), tuple(item.get_strings("api_keys")))
+
+
 def _parse_limits(item: _JsonObject) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
