--- a/src/mulberryrill/platform/configurationfields.py
+++ b/src/mulberryrill/platform/configurationfields.py
@@ -25,6 +25,7 @@
         "address": "kv_store_addr",
         "data_centre": "zone",
         "cache_tokens": "kv_capacity",
+        "token_bytes": "kv_token_bytes",
         "link_bits_per_s": "link_mbps",
         "transfer_setup_s": "first_ms",
         "max_event_polls": "max_inflight",
--- a/tests/unit/test_check_command.py
+++ b/tests/unit/test_check_command.py
@@ -183,6 +183,7 @@
         configuration["services"].append(build_store_service("10.0.0.1:80"))
         configuration["tenants"][0] |= {"priority": 1, "isolated": False}
         configuration["services"][1]["cold_start_s"] = 1
+        configuration["services"][1]["engine"]["kv_token_bytes"] = 18_432
         text = ConfigurationText(json.dumps(configuration, indent=1).encode())
         paths: list[tuple[str | int, ...]] = [("version",), ("customers", 0, "api_keys", 0)]
         paths += [("routes", 0, field.name) for field in fields(Route)]
--- a/tests/unit/test_serving_configurationcheck.py
+++ b/tests/unit/test_serving_configurationcheck.py
@@ -195,7 +195,7 @@
                 ("routes", GET, "services"): "changes from 'desk' with weight 1 to 'desk' with "
                 "weight 1, 'lm' with weight 0.5",
                 ("services", 0, "engine"): "changes from none to slots 2, cache_tokens 0, "
-                "max_event_polls 0",
+                "max_event_polls 0, token_bytes 18432",
                 ("services", 1, "engine", "cache_tokens"): "changes from 90000 to 5",
                 ("customers", 0, "customer", "priority"): "changes from none to 3",
                 ("customers", 0, "api_keys"): "2 API keys are added and 1 removed",
