--- /dev/null
+++ b/src/mulberryrill/internal/core/serving/versionevidence.py
@@ -0,0 +1,223 @@
+"""Evidence that a new software version is worse than the old one, from counts of their answers.
+
+Pattern: a bad version fails, or answers several times slower, on a part of its calls, perhaps on
+one route only. Disturbances of the platform hit both versions at the same time and say nothing.
+
+Bad answers are compared by route in windows of time. If the new version is no worse, the bad
+answers of a window fall on its calls at most in proportion to their number. For that hypothesis
+each ``theta`` gives a product of ``theta ** new_bad / (1 + share * (theta - 1)) ** all_bad`` over
+all windows, whose expectation never exceeds 1 (the hypergeometric distribution is dominated by the
+binomial one in convex order). By Ville's inequality, such a product ever reaches ``1 / error``
+with a probability of ``error`` at most, however often it is looked at.
+
+In a window with few calls of the old version, its rate since the order stands for them. The stated
+error then assumes that bad answers do not become ``BASELINE_FACTOR`` times as frequent for other
+reasons.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+# Probability of a false rollback over all routes and both kinds of bad answers of one order.
+FALSE_ROLLBACK_ERROR = 5e-4
+# Probability that a version passes on a route although it is worse there by MIN_EXCESS_RATE.
+FALSE_PASS_ERROR = 0.01
+MIN_EXCESS_RATE = 0.1
+# The same for all routes together, which decides where single routes have too few calls, and for
+# each route when little time is left: a good version that is not done in time is a failure, too.
+LATE_FALSE_PASS_ERROR = 0.05
+# Factors by which a bad version may be worse; the evidence is the mean over them.
+THETAS = (3.0, 10.0, 30.0)
+# Without calls of the old version, the new one may have this rate of bad answers, or this multiple
+# of the old version's rate since the order.
+BASELINE_RATE = 0.02
+BASELINE_FACTOR = 3.0
+MIN_GOOD_RATE = 0.005
+# From this value on, evidence that is not sufficient for a rollback keeps the share from growing.
+SUSPICION = math.log(20.0)
+
+
+@dataclass
+class RouteCounts:
+    """Ended calls of one route by version, with those answered badly and slowly."""
+
+    old_calls: int = 0
+    old_bad: int = 0
+    old_slow: int = 0
+    new_calls: int = 0
+    new_bad: int = 0
+    new_slow: int = 0
+
+    def add(self, other: "RouteCounts") -> None:
+        """Adds the calls of another count."""
+        for name in COUNT_NAMES:
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+
+    def subtract(self, other: "RouteCounts") -> "RouteCounts":
+        """Returns the calls that have ended since an earlier count; never negative."""
+        return RouteCounts(
+            **{name: max(0, getattr(self, name) - getattr(other, name)) for name in COUNT_NAMES}
+        )
+
+
+COUNT_NAMES = ("old_calls", "old_bad", "old_slow", "new_calls", "new_bad", "new_slow")
+
+
+@dataclass
+class _Comparison:
+    """The test of one kind of bad answers on one route."""
+
+    log_values: list[float] = field(default_factory=lambda: [0.0] * len(THETAS))
+
+    @property
+    def log_evidence(self) -> float:
+        """Natural logarithm of the mean product."""
+        peak = max(self.log_values)
+        total = sum(math.exp(value - peak) for value in self.log_values)
+        return peak + math.log(total / len(self.log_values))
+
+    def add(self, calls: tuple[int, int], bad: tuple[int, int], old_rate: float) -> None:
+        """Adds a window; ``calls`` and ``bad`` are those of the old and the new version."""
+        (old_calls, new_calls), (old_bad, new_bad) = calls, bad
+        if not new_calls:
+            return
+        share = new_calls / (old_calls + new_calls)
+        baseline = min(1.0, max(BASELINE_RATE, BASELINE_FACTOR * old_rate))
+        for position, theta in enumerate(THETAS):
+            if new_calls > old_calls:
+                expected = new_calls * math.log1p(baseline * (theta - 1))
+            else:
+                expected = (old_bad + new_bad) * math.log1p(share * (theta - 1))
+            self.log_values[position] += new_bad * math.log(theta) - expected
+
+
+@dataclass
+class _RouteEvidence:
+    # Logarithm that the evidence on this route must reach for a rollback.
+    threshold: float
+    total: RouteCounts = field(default_factory=RouteCounts)
+    bad: _Comparison = field(default_factory=_Comparison)
+    slow: _Comparison = field(default_factory=_Comparison)
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """The strongest evidence against the new version."""
+
+    route: str
+    kind: str
+    log_evidence: float
+    threshold: float
+    counts: RouteCounts
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether the evidence is sufficient for a rollback."""
+        return self.log_evidence >= self.threshold
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the evidence keeps the share from growing."""
+        return self.log_evidence >= SUSPICION
+
+    def describe(self) -> str:
+        """Returns the route, the counts of both versions and the evidence, for logs."""
+        counts = self.counts
+        old, new = (
+            (counts.old_bad, counts.new_bad)
+            if self.kind == "bad"
+            else (counts.old_slow, counts.new_slow)
+        )
+        return (
+            f"route {self.route}: {new} of {counts.new_calls} {self.kind} at the new version,"
+            f" {old} of {counts.old_calls} at the old; evidence {self.log_evidence:.1f},"
+            f" rolled back from {self.threshold:.1f}"
+        )
+
+
+class VersionEvidence:
+    """Compares a new version with the old one by route, in windows that the caller closes."""
+
+    def __init__(self) -> None:
+        self._routes: dict[str, _RouteEvidence] = {}
+        self._window: dict[str, RouteCounts] = {}
+
+    def add(self, counts: Mapping[str, RouteCounts]) -> None:
+        """Adds ended calls by route to the present window."""
+        for route, count in counts.items():
+            self._window.setdefault(route, RouteCounts()).add(count)
+
+    def close_window(self) -> None:
+        """Evaluates the calls since the last window."""
+        window, self._window = self._window, {}
+        for route, count in window.items():
+            if count == RouteCounts():
+                continue
+            evidence = self._routes.get(route)
+            if evidence is None:
+                evidence = self._routes[route] = _RouteEvidence(self._compute_threshold())
+            total = evidence.total
+            calls = (count.old_calls, count.new_calls)
+            bad, slow = (count.old_bad, count.new_bad), (count.old_slow, count.new_slow)
+            evidence.bad.add(calls, bad, _estimate_rate(total.old_bad, total.old_calls))
+            evidence.slow.add(calls, slow, _estimate_rate(total.old_slow, total.old_calls))
+            total.add(count)
+
+    def _compute_threshold(self) -> float:
+        """Returns the threshold of a further route: the errors of all routes and kinds add up."""
+        number = len(self._routes) + 1
+        return math.log(2 * number * (number + 1) / FALSE_ROLLBACK_ERROR)
+
+    def find_worst(self) -> Verdict | None:
+        """Returns the strongest evidence, in relation to its threshold; None: no call ended."""
+        verdicts = [
+            Verdict(route, kind, comparison.log_evidence, evidence.threshold, evidence.total)
+            for route, evidence in self._routes.items()
+            for kind, comparison in (("bad", evidence.bad), ("slow", evidence.slow))
+        ]
+        return max(verdicts, key=lambda v: v.log_evidence - v.threshold, default=None)
+
+    def has_passed(self, min_route_calls: float, *, is_late: bool) -> bool:
+        """Whether the new version has passed in all, and on each route with so many calls.
+
+        A sequential probability ratio test of "as the old version" against "worse by
+        MIN_EXCESS_RATE", with FALSE_PASS_ERROR; the calls of both versions count for the number.
+        """
+        totals = [evidence.total for evidence in self._routes.values()]
+        error = LATE_FALSE_PASS_ERROR if is_late else FALSE_PASS_ERROR
+        return _passes(_sum(totals), LATE_FALSE_PASS_ERROR) and all(
+            _passes(total, error)
+            for total in totals
+            if total.old_calls + total.new_calls >= min_route_calls
+        )
+
+    def sum_calls(self) -> RouteCounts:
+        """Returns the calls of all routes."""
+        return _sum(evidence.total for evidence in self._routes.values())
+
+
+def _sum(counts: Iterable[RouteCounts]) -> RouteCounts:
+    total = RouteCounts()
+    for count in counts:
+        total.add(count)
+    return total
+
+
+def _estimate_rate(bad: int, calls: int) -> float:
+    return (bad + 0.5) / (calls + 1) if calls else 0.0
+
+
+def _passes(total: RouteCounts, error: float) -> bool:
+    kinds = ((total.old_bad, total.new_bad), (total.old_slow, total.new_slow))
+    return all(_compute_pass_value(total, *bad) >= math.log(1 / error) for bad in kinds)
+
+
+def _compute_pass_value(total: RouteCounts, old_bad: int, new_bad: int) -> float:
+    """Returns the log likelihood ratio of the old version's rate against a worse one."""
+    good_rate = max(MIN_GOOD_RATE, min(0.8, _estimate_rate(old_bad, total.old_calls)))
+    bad_rate = good_rate + MIN_EXCESS_RATE
+    good_calls = total.new_calls - new_bad
+    return good_calls * math.log((1 - good_rate) / (1 - bad_rate)) + new_bad * math.log(
+        good_rate / bad_rate
+    )
