Block a version whose order came while another one ran

Cause: after the first order had ended, the version of a second order that had been ignored got an equal part of all calls at once. Change: such a version gets nothing until an order for it is accepted. Half of the instances must be heard before all calls move, not more than half: one of two may be gone.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -36,8 +36,9 @@
 MAX_COUNTS_AGE_S = 2.0
 # All instances have had no call at old targets for this long before the order is done.
 DRAINED_S = 0.5
-# Instances that cannot report directly have seen that all calls move within this time.
-MOVE_NOTICE_S = 10.0
+# Instances that do not report directly have read that all calls move within this time: usually at
+# once, and later if the instance that reads for their data centre has just fallen silent.
+MOVE_NOTICE_S = 5.0
 # An instance whose records of the store are older than this gives the new version the least.
 MAX_RECORDS_AGE_S = 3.0
 # The next instance in rank writes a decision if it is not in the store after this time.
@@ -369,7 +370,7 @@
                 reason = "all calls have moved, and those at old targets have ended"
                 return Decision(status, None, reason)
             return None
-        hears_most = 2 * len(self._list_recent(instances, now)) > len(instances)
+        hears_most = 2 * len(self._list_recent(instances, now)) >= len(instances)
         if progress >= FULL_FROM and hears_most and self.has_passed(bounds, progress):
             mark = replace(self.mark, stage=Stage.FULL)
             return Decision(None, mark, "as good as the old version on all routes")
@@ -442,6 +443,8 @@
         if current is not None and current.order == order and current.is_running:
             return None
         if current is not None and current.is_running:
+            if not current.is_old(order.version) and order.version != current.order.version:
+                self._blocked.setdefault(order.service, set()).add(order.version)
             return IgnoredReason.OTHER_ORDER
         status = self._statuses.get(order.service)
         has_ended = current is not None and current.order.version == order.version
@@ -449,6 +452,7 @@
             has_ended = has_ended or (status.state is not RolloutState.RUNNING and not is_initial)
         if has_ended:
             return IgnoredReason.HAS_ENDED
+        self._blocked.get(order.service, set()).discard(order.version)
         old = frozenset(registered) - {order.version}
         rollout = Rollout(order, now, not is_initial, old if old and not is_initial else None)
         self._rollouts[order.service] = rollout
@@ -520,12 +524,8 @@
             rollout.ordered_at = now - max(0, unix_ms - mark.ordered_ms) / MS_PER_S
 
     def is_blocked(self, service: ServiceName, version: SoftwareVersion) -> bool:
-        """Whether a version gets nothing, because its rollout was or is to be rolled back."""
+        """Whether a version gets nothing: it is rolled back, or its order was ignored."""
         if version in self._blocked.get(service, ()):
             return True
         rollout = self._rollouts.get(service)
         return rollout is not None and rollout.order.version == version and rollout.is_blocked
-
-    def has_blocked(self, service: ServiceName) -> bool:
-        """Whether any version of a service gets nothing."""
-        return service in self._blocked or service in self._rollouts
