Carry out orders to roll out a software version

Cause: orders in the operators' topic were not read; targets of any version got an equal part of the calls as soon as they registered. Change: the records of orders, statuses and stages in platform/; statuses are followed once an order is known. entry/versionchoice.py chooses the version of a call and counts outcomes by route and version, which peers get in their reports while an order runs; entry/rollouts.py judges and writes. Bounds expose_share, expose_slack and rollback_ms in the settings, with defaults. Events 1188, 1189 and three gauges. Measured: tests.process.test_entry_rollouts, 12 tests; before the removal of a lost instance from the stand-in's group and the rule of half of the instances, the takeover of a good version failed.

--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -161,6 +161,7 @@
             "quiet_targets": self._state.quiet_times.count(self._loop.boottime()),
             "configuration_version": table.version if table is not None else 0,
         }
+        gauges |= self._state.version_choice.compute_gauges()
         for holder_state, held_bytes in self._memory.sum_by_state().items():
             gauges[f"{holder_state.value}_bytes"] = held_bytes
         if (age_s := self._state.operator_records_age_s) is not None:
@@ -448,6 +449,7 @@
             attempt.is_prefill_pending = True
             self._state.loads.add_pending(target.id, handler.call.priority, cache.prefill_tokens)
         self._state.loads.add_run(target.id, count_held_tokens(handler.call))
+        self._state.version_choice.record_send(target, is_first=not handler.used_connections)
         pool = self._get_pool(target)
         max_idle_s = self._idle_limits.find_limit(target.registration.service, now)
         connection = pool.acquire(
@@ -501,6 +503,7 @@
         self._metrics.record_attempt(target.registration.service, outcome.value)
         self._end_prefill(handler, attempt)
         self._state.loads.remove_run(target.id, count_held_tokens(handler.call))
+        self._state.version_choice.record_outcome(handler.call.route.name, attempt, outcome)
         has_later_version = self._update_version(handler, attempt)
         self._crash_watch.on_attempt_end(handler.call, attempt, outcome)
         if outcome is Outcome.ANSWERED:
@@ -607,7 +610,12 @@
 
         While streams are not recorded, new ones begin at the default version: it needs no record.
         """
-        reachable = self._list_reachable_targets(service)
+        reachable = self._state.version_choice.list_allowed(
+            service.name,
+            self._list_reachable_targets(service),
+            is_bound=handler.software is not None,
+            is_repeat=bool(handler.used_connections),
+        )
         if handler.software is not None:
             return [t for t in reachable if t.registration.software == handler.software]
         if handler.call.route.is_resumable and self._state.origin_records.is_failing:
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -41,6 +41,7 @@
 from .cachesharing import CacheSharing
 from .originrecords import OriginRecords, decode_origin, encode_origin
 from .targetupdates import TargetUpdates, find_leaving_run
+from .versionchoice import VersionChoice
 
 # Reports are sent at this interval, or less often if there are many peers, so that an instance
 # receives at most MAX_REPORTS_PER_S reports per second.
@@ -170,6 +171,11 @@
         """Versions of streams to tell and to learn."""
         ...
 
+    @property
+    def version_choice(self) -> VersionChoice:
+        """Counts of the rollouts in force to tell and to learn."""
+        ...
+
     def list_recent_versions(self) -> list[NamedVersion]:
         """Returns the recently named model versions with their ages."""
         ...
@@ -190,6 +196,7 @@
         self._publisher = self._context.socket(zmq.PUB)
         self._subscriber = self._context.socket(zmq.SUB)
         self._connected: set[str] = set()
+        self._connected_instances = {local_peer.instance}
         self._is_closed = False
         self.on_log_feed: Callable[[InstanceId, LogFeed], None] | None = None
         self.on_log_request: Callable[[InstanceId, LogRequest], None] | None = None
@@ -236,12 +243,17 @@
         if len(others) > MAX_MESH_PEERS:
             others = [peer for peer in others if peer.data_centre == self._local_peer.data_centre]
         addresses = {peer.address for peer in others}
+        self._connected_instances = {self._local_peer.instance, *(p.instance for p in others)}
         for address in addresses - self._connected:
             self._subscriber.connect(f"tcp://{address}")
         for address in self._connected - addresses:
             self._subscriber.disconnect(f"tcp://{address}")
         self._connected = addresses
 
+    def list_connected(self, instances: Iterable[InstanceId]) -> list[InstanceId]:
+        """Returns those of the instances whose reports this one gets, and itself."""
+        return [i for i in instances if i in self._connected_instances]
+
     def publish_end(self, end: TargetEnd, is_proven: bool) -> None:
         """Tells peers of a target's end at once: others may run the call that ended it."""
         report = self._build_report()
@@ -271,6 +283,7 @@
         self._add_crashes(report, now)
         self._add_limits(report, now)
         report.begun_streams.extend(map(encode_origin, self._state.origin_records.pop_news()))
+        report.rollouts.extend(self._state.version_choice.pop_reports(now))
         has_content = (
             report.loads.targets
             or report.caches
@@ -283,6 +296,7 @@
             or report.begun_streams
             or report.wants_ends
             or report.tells_all_ends
+            or report.rollouts
         )
         if has_content or now - self._last_sent_at >= IDLE_REPORT_INTERVAL_S:
             self._last_sent_at = now
@@ -415,6 +429,7 @@
         for limit in report.named_limits:
             self._state.apply_peer_limit(_decode_limit(limit, boottime))
         self._must_retell_ends |= report.wants_ends
+        self._state.version_choice.apply_reports(InstanceId(report.instance), report.rollouts)
         self._state.origin_records.apply_peer_origins(map(decode_origin, report.begun_streams))
         self._apply_ends(report)
 
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -19,6 +19,13 @@
 from ..core.serving.placement import ColdPacer
 from ..core.serving.quiettimes import QuietTimes
 from ..core.serving.readtiming import plan_waiting_reads
+from ..core.serving.rollouts import (
+    IgnoredReason,
+    RolloutMark,
+    RolloutOrder,
+    Rollouts,
+    RolloutStatus,
+)
 from ..core.serving.routetable import RouteTable
 from ..core.serving.streamorigins import DefaultVersion, StreamOrigins
 from ..core.serving.targetlimits import LimitNews, TargetLimits
@@ -41,6 +48,7 @@
 from .originrecords import OriginRecords
 from .peers import EndNews, Peer, compute_report_interval
 from .targetupdates import TargetUpdates
+from .versionchoice import VersionChoice
 
 # An instance that has just started learns within this time from its peers for how long the current
 # model versions have been in force. Until then it uses targets with older versions, too.
@@ -113,6 +121,22 @@
         """The default software version of a service was written; None: it was deleted."""
         ...
 
+    def on_rollout_order(self, order: RolloutOrder, is_initial: bool) -> None:
+        """An operator ordered a software version; ``is_initial`` as for model versions."""
+        ...
+
+    def on_rollout_ignored(self, service: ServiceName, reason: IgnoredReason) -> None:
+        """An operator's order cannot be carried out."""
+        ...
+
+    def on_rollout_status(self, service: ServiceName, status: RolloutStatus | None) -> None:
+        """The status of a service's rollout was written; None: it was deleted."""
+        ...
+
+    def on_rollout_mark(self, service: ServiceName, mark: RolloutMark | None) -> None:
+        """How much of a service may move was written; None: it was deleted."""
+        ...
+
     def on_peers(self, peers: list[Peer]) -> None:
         """The list of live entry instances, including this one, was read."""
         ...
@@ -162,6 +186,8 @@
         self.crash_causes = CrashCauses()
         self.stream_origins = StreamOrigins(loop.boottime())
         self.origin_records = OriginRecords(loop, self, instance)
+        self.rollouts = Rollouts()
+        self.version_choice = VersionChoice(loop, self, instance, bounds)
         self.quarantine = Quarantine()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self.local_instances: tuple[InstanceId, ...] = (instance,)
@@ -368,6 +394,65 @@
             era=default.era if default is not None else None,
         )
 
+    def on_rollout_order(self, order: RolloutOrder, is_initial: bool) -> None:
+        """Begins to move a service to a software version, or logs why not."""
+        registered = self.targets.count_versions(order.service)
+        now = self._loop.boottime()
+        reason = self.rollouts.set_order(order, registered, now, is_initial=is_initial)
+        if reason is not None:
+            self.on_rollout_ignored(order.service, reason, order)
+
+    def on_rollout_ignored(
+        self, service: ServiceName, reason: IgnoredReason, order: RolloutOrder | None = None
+    ) -> None:
+        """Logs why an order is not carried out."""
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.ENTRY_ROLLOUT_IGNORED,
+            f"rollout order ignored: {reason.value}",
+            service=service,
+            version=order.version if order is not None else None,
+            duration_s=order.duration_s if order is not None else None,
+        )
+
+    def on_rollout_status(self, service: ServiceName, status: RolloutStatus | None) -> None:
+        """Applies the state of a service's rollout."""
+        self.rollouts.set_status(service, status)
+        self._log_rollout(service, f"state {status.state.value}" if status else "no state")
+        self._adopt_rollout(service)
+
+    def on_rollout_mark(self, service: ServiceName, mark: RolloutMark | None) -> None:
+        """Applies how much of a service may move."""
+        unix_ms = int(self._loop.wall() * MS_PER_S)
+        self.rollouts.set_mark(service, mark, self._loop.boottime(), unix_ms)
+        self._log_rollout(service, f"stage {mark.stage.value}" if mark else "no stage")
+        self._adopt_rollout(service)
+
+    def _adopt_rollout(self, service: ServiceName) -> None:
+        rollout, unix_ms = self.rollouts.get(service), int(self._loop.wall() * MS_PER_S)
+        reason = self.rollouts.adopt_running(service, self._loop.boottime(), unix_ms)
+        if reason is not None and rollout is not None:
+            self.on_rollout_ignored(service, reason, rollout.order)
+
+    def _log_rollout(self, service: ServiceName, step: str) -> None:
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return
+        progress = rollout.compute_progress(self._loop.boottime())
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.ENTRY_ROLLOUT_STEP,
+            f"rollout has {step} in the store",
+            service=service,
+            version=rollout.order.version,
+            progress=round(progress, 2),
+            evidence=rollout.describe_evidence(),
+            sent=rollout.sent_calls,
+            sent_new=rollout.sent_new,
+        )
+
     def _report_lost(self, target: Target) -> None:
         is_ready = target.registration.state is RegistrationState.READY
         if is_ready and self.on_target_lost is not None:
--- /dev/null
+++ b/src/mulberryrill/internal/entry/versionchoice.py
@@ -0,0 +1,317 @@
+"""Chooses the software version that a call begins at while versions are rolled out.
+
+Counts the outcomes of attempts by route and version, and shares them with the other instances.
+Without an order nothing is counted but the calls that run at each version.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from ..core.serving.rollouts import (
+    MAX_RECORDS_AGE_S,
+    ExposureBounds,
+    InstanceCounts,
+    Rollout,
+    Rollouts,
+    RolloutState,
+)
+from ..core.serving.targettable import Target, TargetRun, TargetTable
+from ..core.serving.versionevidence import COUNT_NAMES, RouteCounts
+from ..eventloop import EventLoop
+from ..ids import InstanceId, ServiceName, SoftwareVersion
+from ..schema.peers_pb2 import RolloutCounts as RolloutCountsMessage
+from ..schema.settings_pb2 import EntryBounds
+from .attempt import Attempt, Outcome
+
+# What holds if the settings name no bounds.
+DEFAULT_EXPOSURE_SHARE = 0.1
+DEFAULT_EXPOSURE_SLACK = 50.0
+DEFAULT_ROLLBACK_MS = 5000.0
+# Several answers that break off at one target within this time have one cause.
+BREAK_INTERVAL_S = 0.5
+# An answer is slow if it takes this multiple of the old version's usual time, and at least so long.
+SLOW_FACTOR = 3.0
+MIN_SLOW_S = 0.05
+# Weight of the newest answer in the old version's usual time.
+TIME_SMOOTHING_FACTOR = 0.05
+# Peers are told of counts at this interval.
+COUNTS_INTERVAL_S = 0.2
+MIN_ERROR_STATUS = 500
+MS_PER_S = 1000
+
+
+class VersionState(Protocol):
+    """What is needed from the state of this instance."""
+
+    @property
+    def rollouts(self) -> Rollouts:
+        """The orders that are known."""
+        ...
+
+    @property
+    def targets(self) -> TargetTable:
+        """The registered targets."""
+        ...
+
+    @property
+    def instances(self) -> tuple[InstanceId, ...]:
+        """All live instances."""
+        ...
+
+    @property
+    def has_peer_list(self) -> bool:
+        """Whether the list of the live instances has been read."""
+        ...
+
+    @property
+    def operator_records_age_s(self) -> float | None:
+        """Seconds since the operators' records were last found to be the newest; None: never."""
+        ...
+
+
+@dataclass
+class _RouteTimes:
+    """The old version's usual time on a route, of this instance's calls."""
+
+    usual_s: float | None = None
+
+    def is_slow(self, elapsed_s: float) -> bool:
+        return self.usual_s is not None and elapsed_s > max(MIN_SLOW_S, SLOW_FACTOR * self.usual_s)
+
+    def record(self, elapsed_s: float) -> None:
+        # A bounded step: single slow answers must not raise the usual time.
+        if self.usual_s is None:
+            self.usual_s = elapsed_s
+        bounded_s = min(elapsed_s, SLOW_FACTOR * self.usual_s)
+        self.usual_s += TIME_SMOOTHING_FACTOR * (bounded_s - self.usual_s)
+
+
+@dataclass
+class _ServiceTraffic:
+    running: Counter[SoftwareVersion] = field(default_factory=Counter)
+    times: dict[str, _RouteTimes] = field(default_factory=dict)
+    broke_at: dict[TargetRun, float] = field(default_factory=dict)
+
+
+class VersionChoice:
+    """Used on the event loop's thread only."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        state: VersionState,
+        instance: InstanceId,
+        bounds: EntryBounds,
+        get_random: Callable[[], float] = random.random,
+    ) -> None:
+        """``bounds`` may change later; ``get_random`` returns numbers from 0 to 1."""
+        self._loop = loop
+        self._state = state
+        self._instance = instance
+        self._bounds = bounds
+        self._get_random = get_random
+        self._process = round(loop.wall() * MS_PER_S)
+        self._services: dict[ServiceName, _ServiceTraffic] = {}
+        self._reported_at = float("-inf")
+        self._report_number = 0
+
+    @property
+    def bounds(self) -> ExposureBounds:
+        """What a bad version may get."""
+        return ExposureBounds(
+            self._bounds.expose_share or DEFAULT_EXPOSURE_SHARE,
+            self._bounds.expose_slack or DEFAULT_EXPOSURE_SLACK,
+        )
+
+    @property
+    def is_current(self) -> bool:
+        """Whether what this instance knows of the store is recent."""
+        age_s = self._state.operator_records_age_s
+        return age_s is not None and age_s <= MAX_RECORDS_AGE_S
+
+    def list_allowed(
+        self,
+        service: ServiceName,
+        targets: list[Target],
+        *,
+        is_bound: bool,
+        is_repeat: bool,
+    ) -> list[Target]:
+        """Returns those of the targets at which a call may begin or go on.
+
+        ``is_bound``: the call goes on with a stream, at the version that began it. ``is_repeat``:
+        an attempt at the call has failed, so it does not go to a version on trial.
+        """
+        rollouts = self._state.rollouts
+        rollout = rollouts.get(service)
+        if rollout is None:
+            return targets
+        allowed = [t for t in targets if not rollouts.is_blocked(service, t.registration.software)]
+        if is_bound:
+            return allowed
+        now, version = self._loop.boottime(), rollout.order.version
+        if not rollout.is_in_force(now):
+            return self._leave_out_stopped(rollout, allowed)
+        new = [t for t in allowed if t.registration.software == version]
+        old = [t for t in allowed if rollout.is_old(t.registration.software)]
+        if not self._has_old(rollout):
+            return new
+        has_moved = rollout.has_moved(self.is_current)
+        if has_moved or (not is_repeat and self._may_use_new(rollout)):
+            return new or old
+        return old
+
+    def _leave_out_stopped(self, rollout: Rollout, targets: list[Target]) -> list[Target]:
+        """Leaves out the targets that stop when a rollout is done; their records go later."""
+        version = rollout.order.version
+        registered = self._state.targets.count_versions(rollout.order.service)
+        if rollout.state is not RolloutState.DONE or version not in registered:
+            return targets
+        return [t for t in targets if not rollout.is_old(t.registration.software)]
+
+    def _may_use_new(self, rollout: Rollout) -> bool:
+        # The budget is not divided among too few instances while they are not known.
+        instances = len(self._state.instances) if self._state.has_peer_list else 0
+        return rollout.may_use_new(
+            self._get_random(), self.bounds, instances, self.is_current, self._loop.boottime()
+        )
+
+    def _has_old(self, rollout: Rollout) -> bool:
+        """Whether any target of an old version may get calls: without one, the new one serves."""
+        usable = self._state.targets.list_usable(rollout.order.service)
+        return any(rollout.is_old(target.registration.software) for target in usable)
+
+    def record_send(self, target: Target, *, is_first: bool) -> None:
+        """Counts a call that is sent to a target; ``is_first``: for the first time."""
+        service, version = target.registration.service, target.registration.software
+        self._get_traffic(service).running[version] += 1
+        rollout = self._state.rollouts.get(service)
+        if rollout is not None and rollout.is_running:
+            rollout.record_send(version, is_first)
+
+    def record_outcome(self, route: str, attempt: Attempt, outcome: Outcome) -> None:
+        """Counts the outcome of an attempt; to be called once for each that was sent."""
+        registration = attempt.plan.target.registration
+        service, version = registration.service, registration.software
+        traffic = self._get_traffic(service)
+        traffic.running[version] -= 1
+        if traffic.running[version] <= 0:
+            del traffic.running[version]
+        rollout = self._state.rollouts.get(service)
+        if rollout is None or not rollout.is_running:
+            return
+        if outcome in (Outcome.NOT_SENT, Outcome.WITHDRAWN):
+            rollout.record_unsent()
+            return
+        now = self._loop.now()
+        elapsed_s = now - attempt.started_at
+        times = traffic.times.setdefault(route, _RouteTimes())
+        is_late = outcome is Outcome.CANCELLED and attempt.was_unanswered
+        if outcome not in (Outcome.ANSWERED, Outcome.ERROR, Outcome.BROKEN) and not is_late:
+            return  # It says nothing of the version, or it is not known how it would have ended.
+        if outcome is Outcome.BROKEN and self._has_just_broken(traffic, registration.run, now):
+            return
+        is_bad = outcome is Outcome.BROKEN or _is_error(attempt, outcome)
+        is_slow = is_late or (
+            times.is_slow(elapsed_s) and not attempt.plan.target.is_cold(now) and not is_bad
+        )
+        if outcome is Outcome.ANSWERED and rollout.is_old(version):
+            times.record(elapsed_s)
+        rollout.record_outcome(route, version, is_bad, is_slow)
+
+    def _has_just_broken(self, traffic: _ServiceTraffic, run: TargetRun, now: float) -> bool:
+        """Whether another answer of the target broke off a moment ago, for the same reason."""
+        if now - traffic.broke_at.get(run, float("-inf")) < BREAK_INTERVAL_S:
+            return True
+        traffic.broke_at[run] = now
+        return False
+
+    def count_running_old(self, rollout: Rollout) -> int:
+        """Returns this instance's calls that run at targets of old versions."""
+        running = self._get_traffic(rollout.order.service).running
+        return sum(count for version, count in running.items() if rollout.is_old(version))
+
+    def collect_own_counts(self) -> list[InstanceCounts]:
+        """Returns this instance's counts of the rollouts that run, and applies them here."""
+        self._report_number += 1
+        collected = []
+        for rollout in self._state.rollouts.rollouts:
+            if not rollout.is_running or rollout.state is None:
+                continue
+            counts = InstanceCounts(
+                rollout.order.service,
+                rollout.order.version,
+                self._process,
+                self._report_number,
+                rollout.has_moved(self.is_current),
+                self.count_running_old(rollout),
+                {route: RouteCounts(**vars(count)) for route, count in rollout.own_counts.items()},
+            )
+            rollout.apply_report(self._instance, counts, self._loop.boottime())
+            collected.append(counts)
+        return collected
+
+    def pop_reports(self, now: float) -> list[RolloutCountsMessage]:
+        """Returns the counts of which peers are to be told now."""
+        if not self._state.rollouts.has_orders or now - self._reported_at < COUNTS_INTERVAL_S:
+            return []
+        self._reported_at = now
+        return [encode_counts(counts) for counts in self.collect_own_counts()]
+
+    def apply_reports(self, instance: InstanceId, reports: Iterable[RolloutCountsMessage]) -> None:
+        """Applies a peer's counts."""
+        for report in reports:
+            rollout = self._state.rollouts.get(ServiceName(report.service))
+            if rollout is not None:
+                rollout.apply_report(instance, decode_counts(report), self._loop.boottime())
+
+    def compute_gauges(self) -> dict[str, float]:
+        """Returns the number of rollouts that run, and their calls since the orders."""
+        running = [r for r in self._state.rollouts.rollouts if r.is_running]
+        return {
+            "rollouts": len(running),
+            "rollout_calls": sum(r.sent_calls for r in running),
+            "rollout_new_version_calls": sum(r.sent_new for r in running),
+        }
+
+    def _get_traffic(self, service: ServiceName) -> _ServiceTraffic:
+        return self._services.setdefault(service, _ServiceTraffic())
+
+
+def _is_error(attempt: Attempt, outcome: Outcome) -> bool:
+    is_server_error = attempt.response is not None and attempt.response.status >= MIN_ERROR_STATUS
+    return outcome is Outcome.ERROR and is_server_error
+
+
+def encode_counts(counts: InstanceCounts) -> RolloutCountsMessage:
+    """Encodes an instance's counts."""
+    message = RolloutCountsMessage(
+        service=counts.service,
+        version=counts.version,
+        process=counts.process,
+        number=counts.number,
+        is_moved=counts.is_moved,
+        running_old=counts.running_old,
+    )
+    for route, count in counts.routes.items():
+        message.routes.add(route=route, **vars(count))
+    return message
+
+
+def decode_counts(message: RolloutCountsMessage) -> InstanceCounts:
+    """Decodes an instance's counts."""
+    return InstanceCounts(
+        ServiceName(message.service),
+        SoftwareVersion(message.version),
+        message.process,
+        message.number,
+        message.is_moved,
+        message.running_old,
+        {
+            item.route: RouteCounts(**{name: getattr(item, name) for name in COUNT_NAMES})
+            for item in message.routes
+        },
+    )
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -14,11 +14,14 @@
     plan_periodic_reads,
     plan_waiting_reads,
 )
+from ..internal.core.serving.rollouts import RolloutMark, RolloutStatus
 from ..internal.core.serving.streamorigins import DefaultVersion
 from ..internal.entry.feedsharing import FeedSharing, LogPeers
 from ..internal.entry.peers import Peer
+from ..internal.entry.rollouts import WriteCallback
 from ..internal.entry.state import StoreObserver
 from ..internal.entry.topicfollower import TopicFollower
+from ..internal.entry.versionchoice import DEFAULT_ROLLBACK_MS
 from ..internal.eventloop import EventLoop
 from ..internal.events import Event
 from ..internal.ids import DataCentre, InstanceId, Offset, ServiceName, StoreEra
@@ -26,8 +29,8 @@
 from ..internal.schema.log_pb2 import QuarantineEntry
 from ..internal.schema.peers_pb2 import LogFeed, LogRequest
 from ..internal.schema.settings_pb2 import EntryBounds
-from .store import OPERATOR_TOPIC, QUARANTINE_TOPIC, REGISTRY_TOPIC, StoreClient
-from .topichandlers import InstanceRecords, OperatorRecords, RegistryRecords
+from .store import OPERATOR_TOPIC, QUARANTINE_TOPIC, REGISTRY_TOPIC, STATUS_TOPIC, StoreClient
+from .topichandlers import InstanceRecords, OperatorRecords, RegistryRecords, StatusRecords
 
 MS_PER_S = 1000
 # Calls that end targets are refused everywhere within this time, also if the instance that reads
@@ -64,7 +67,7 @@
         self._local_peer = local_peer
         self._sharing = {
             topic: FeedSharing(topic, local_peer.instance, loop.boottime, peers)
-            for topic in (OPERATOR_TOPIC, REGISTRY_TOPIC, QUARANTINE_TOPIC)
+            for topic in (OPERATOR_TOPIC, REGISTRY_TOPIC, QUARANTINE_TOPIC, STATUS_TOPIC)
         }
         self._transit_clocks: dict[InstanceId, TransitClock] = {}
         self._group_generation = 0
@@ -83,7 +86,7 @@
             store,
             OPERATOR_TOPIC,
             lambda: plan_waiting_reads(bounds.configuration_ms / MS_PER_S),
-            OperatorRecords(observer),
+            OperatorRecords(observer, self._follow_statuses),
             partial(self._on_store_reachability, OPERATOR_TOPIC),
             self._sharing[OPERATOR_TOPIC],
             logs_records=True,
@@ -110,7 +113,19 @@
             self._sharing[QUARANTINE_TOPIC],
             logs_records=True,
         )
-        self._followers = (
+        self._status_records = StatusRecords(store, observer, self._sharing[STATUS_TOPIC])
+        self._status_follower = TopicFollower(
+            loop,
+            store,
+            STATUS_TOPIC,
+            lambda: plan_waiting_reads((bounds.rollback_ms or DEFAULT_ROLLBACK_MS) / MS_PER_S),
+            self._status_records,
+            lambda is_reachable, detail: None,
+            self._sharing[STATUS_TOPIC],
+            logs_records=True,
+        )
+        # The statuses of rollouts are followed once an order is known.
+        self._followers: tuple[TopicFollower, ...] = (
             self._operator_follower,
             self._registry_follower,
             self._instance_follower,
@@ -122,6 +137,31 @@
             follower.start()
         self._join_group()
 
+    def _follow_statuses(self) -> None:
+        if self._status_follower not in self._followers and not self._is_closed:
+            self._followers += (self._status_follower,)
+            self._status_follower.start()
+
+    def write_rollout_status(
+        self, service: ServiceName, status: RolloutStatus, done: WriteCallback
+    ) -> bool:
+        """Writes a status unless there are others that are not known here; False: none are."""
+        expected_end = self._status_follower.next_offset
+        if expected_end is None:
+            return False
+        self._status_records.write(service, status, expected_end, done)
+        return True
+
+    def write_rollout_mark(
+        self, service: ServiceName, mark: RolloutMark, done: WriteCallback
+    ) -> bool:
+        """Writes how much may move unless there are records that are not known; False: none are."""
+        expected_end = self._instance_follower.next_offset
+        if expected_end is None:
+            return False
+        self._instance_records.write_mark(service, mark, expected_end, done)
+        return True
+
     def close(self) -> None:
         """Stops reading."""
         self._is_closed = True
--- a/src/mulberryrill/platform/records.py
+++ b/src/mulberryrill/platform/records.py
@@ -12,6 +12,13 @@
 from google.protobuf.message import DecodeError
 
 from ..errors import CorruptRecordError
+from ..internal.core.serving.rollouts import (
+    RolloutMark,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    Stage,
+)
 from ..internal.core.serving.routetable import (
     CallerLimits,
     CallKind,
@@ -42,6 +49,9 @@
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 MODEL_VERSION_PREFIX = "version/"
+# Orders in the operators' topic, statuses in the topic of statuses, and what the instances note of
+# a rollout in their own topic, all by service.
+ROLLOUT_PREFIX = "rollout/"
 # Times in milliseconds and counts are far smaller; larger integers do not fit into a float.
 MAX_NUMBER = 1e15
 # What the decoding of a response or record with arbitrary content can raise.
@@ -289,3 +299,61 @@
     return DesiredVersion(
         ModelName(item.get_string("model")), WeightVersion(item.get_integer("version"))
     )
+
+
+def parse_rollout_order(value: bytes) -> RolloutOrder:
+    """Parses an order to move a service to a software version; raises CorruptRecordError.
+
+    A duration that is no number is returned as one: the order is ignored with this reason.
+    """
+    item = _parse_object(value, "rollout order")
+    try:
+        duration_s = item.get_number("duration_s")
+    except CorruptRecordError:
+        duration_s = math.nan
+    return RolloutOrder(
+        ServiceName(item.get_string("service")),
+        SoftwareVersion(item.get_string("target")),
+        duration_s,
+    )
+
+
+def parse_rollout_status(value: bytes) -> RolloutStatus:
+    """Parses the status of a rollout; raises CorruptRecordError."""
+    item = _parse_object(value, "rollout status")
+    try:
+        state = RolloutState(item.get_string("state"))
+    except ValueError as error:
+        raise CorruptRecordError(f"rollout status: {error}") from error
+    return RolloutStatus(state, SoftwareVersion(item.get_string("target")))
+
+
+def encode_rollout_status(status: RolloutStatus) -> bytes:
+    """Encodes the status of a rollout."""
+    return json.dumps({"state": status.state.value, "target": status.version}).encode()
+
+
+def parse_rollout_mark(value: bytes) -> RolloutMark:
+    """Parses how much may move in a rollout; raises CorruptRecordError."""
+    item = _parse_object(value, "rollout mark")
+    try:
+        stage = Stage(item.get_string("stage"))
+    except ValueError as error:
+        raise CorruptRecordError(f"rollout mark: {error}") from error
+    return RolloutMark(
+        SoftwareVersion(item.get_string("target")),
+        stage,
+        item.get_integer("ordered_ms"),
+        item.get_number("duration_s"),
+    )
+
+
+def encode_rollout_mark(mark: RolloutMark) -> bytes:
+    """Encodes how much may move in a rollout."""
+    item = {
+        "target": mark.version,
+        "stage": mark.stage.value,
+        "ordered_ms": mark.ordered_ms,
+        "duration_s": mark.duration_s,
+    }
+    return json.dumps(item).encode()
--- a/src/mulberryrill/platform/store.py
+++ b/src/mulberryrill/platform/store.py
@@ -37,6 +37,8 @@
 QUARANTINE_TOPIC = "keyed.quarantine"
 # Keys with this prefix in the same topic: the default software version of each service.
 DEFAULT_VERSION_PREFIX = "software/"
+# What the system tells operators: the status of each service's rollout.
+STATUS_TOPIC = "keyed.status"
 # The entry instances' own log of the software versions that began streams.
 STREAM_TOPIC = "streams"
 PARTITION = 0
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -5,6 +5,7 @@
 from ..internal.entry.cachewatch import CacheEventReader
 from ..internal.entry.ordering import OrderTask
 from ..internal.entry.peers import PeerExchange
+from ..internal.entry.rollouts import RolloutTask
 from ..internal.entry.state import EntryState
 from ..internal.eventloop import EventLoop
 from ..internal.schema.settings_pb2 import EntrySettings
@@ -51,11 +52,15 @@
         self._order_task = OrderTask(
             loop, clock, state, instance, self._order_client, bounds.order_lease_ms / 1000
         )
+        self._rollout_task = RolloutTask(
+            loop, state, instance, self._follower, peers.list_connected
+        )
 
     def start(self) -> None:
         """Starts to follow the store, send due orders, read cache events and free cached parts."""
         self._follower.start()
         self._order_task.start()
+        self._rollout_task.start()
         self._cache_reader.start()
         self._cache_cleaner.start()
 
--- a/src/mulberryrill/platform/topichandlers.py
+++ b/src/mulberryrill/platform/topichandlers.py
@@ -1,11 +1,12 @@
 """Reports the records of each topic of the platform's store as the product's own types."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from ..errors import CorruptRecordError, StoreCallError
 from ..internal.core.serving.keyedrecords import KeyedRecord
+from ..internal.core.serving.rollouts import IgnoredReason, RolloutMark, RolloutStatus
 from ..internal.core.serving.streamorigins import DefaultVersion
 from ..internal.core.serving.targettable import Registration
 from ..internal.entry.feedsharing import FeedSharing
@@ -20,14 +21,20 @@
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
     MODEL_VERSION_PREFIX,
+    ROLLOUT_PREFIX,
     encode_default_version,
+    encode_rollout_mark,
+    encode_rollout_status,
     parse_configuration,
     parse_default_version,
     parse_desired_version,
     parse_quarantine_entry,
     parse_registration,
+    parse_rollout_mark,
+    parse_rollout_order,
+    parse_rollout_status,
 )
-from .store import DEFAULT_VERSION_PREFIX, QUARANTINE_TOPIC, StoreClient
+from .store import DEFAULT_VERSION_PREFIX, QUARANTINE_TOPIC, STATUS_TOPIC, StoreClient
 
 # An entry of the quarantine is written again after a failure, so often and after this time.
 MAX_APPEND_ATTEMPTS = 60
@@ -36,10 +43,14 @@
 
 
 class OperatorRecords:
-    """Implements ``TopicHandler``: configurations, evacuations and desired model versions."""
+    """Implements ``TopicHandler``: configurations, evacuations, model versions and rollouts."""
 
-    def __init__(self, observer: StoreObserver) -> None:
+    def __init__(
+        self, observer: StoreObserver, on_rollout_order: Callable[[], None] = lambda: None
+    ) -> None:
+        """``on_rollout_order`` is called with each order to roll out a software version."""
         self._observer = observer
+        self._on_rollout_order = on_rollout_order
         self._has_records = False
 
     def on_newest(self, records: tuple[KeyedRecord, ...]) -> None:
@@ -62,9 +73,22 @@
             elif record.key.startswith(MODEL_VERSION_PREFIX) and record.value is not None:
                 desired = parse_desired_version(record.value)
                 self._observer.on_desired_version(desired.model, desired.version, is_initial)
+            elif record.key.startswith(ROLLOUT_PREFIX):
+                self._apply_rollout(record, is_initial)
         except CorruptRecordError as error:
             _log_corrupt(record, error)
 
+    def _apply_rollout(self, record: KeyedRecord, is_initial: bool) -> None:
+        service = ServiceName(record.key.removeprefix(ROLLOUT_PREFIX))
+        if record.value is None:
+            self._observer.on_rollout_ignored(service, IgnoredReason.WITHDRAWN)
+            return
+        order = parse_rollout_order(record.value)
+        if order.service != service:
+            raise CorruptRecordError(f"rollout order of {service} names {order.service}")
+        self._on_rollout_order()
+        self._observer.on_rollout_order(order, is_initial)
+
     def on_restored(
         self, records: tuple[KeyedRecord, ...], carried: tuple[KeyedRecord, ...]
     ) -> None:
@@ -173,6 +197,17 @@
 
         self._store.append_keyed(QUARANTINE_TOPIC, key, value, expected_end, on_result)
 
+    def write_mark(
+        self,
+        service: ServiceName,
+        mark: RolloutMark,
+        expected_end: Offset,
+        done: Callable[[Offset | StoreCallError], None],
+    ) -> None:
+        """Writes how much of a service may move if the topic ends at ``expected_end``."""
+        key, value = ROLLOUT_PREFIX + service, encode_rollout_mark(mark)
+        self._store.append_keyed(QUARANTINE_TOPIC, key, value, expected_end, done)
+
     def append(self, key: str, value: bytes, attempt: int = 1) -> None:
         """Writes an entry for all instances, or nothing to delete it; repeats a failed write."""
 
@@ -208,6 +243,11 @@
                 default = None if record.value is None else parse_default_version(record.value)
                 self._observer.on_default_version(service, default)
                 return
+            if record.key.startswith(ROLLOUT_PREFIX):
+                service = ServiceName(record.key.removeprefix(ROLLOUT_PREFIX))
+                mark = None if record.value is None else parse_rollout_mark(record.value)
+                self._observer.on_rollout_mark(service, mark)
+                return
             entry = None if record.value is None else parse_quarantine_entry(record.value)
         except CorruptRecordError as error:
             _log_corrupt(record, error)
@@ -231,6 +271,69 @@
         """Nothing to do: failed writes are repeated."""
 
 
+class StatusRecords:
+    """Implements ``TopicHandler``: the status of each service's rollout.
+
+    Only entry instances write it, so they also write again what a restored store has lost.
+    """
+
+    def __init__(self, store: StoreClient, observer: StoreObserver, sharing: FeedSharing) -> None:
+        self._store = store
+        self._observer = observer
+        self._sharing = sharing
+
+    def write(
+        self,
+        service: ServiceName,
+        status: RolloutStatus,
+        expected_end: Offset,
+        done: Callable[[Offset | StoreCallError], None],
+    ) -> None:
+        """Writes a status if the topic ends at ``expected_end``."""
+        key, value = ROLLOUT_PREFIX + service, encode_rollout_status(status)
+        self._store.append_keyed(STATUS_TOPIC, key, value, expected_end, done)
+
+    def on_newest(self, records: tuple[KeyedRecord, ...]) -> None:
+        for record in records:
+            self.on_record(record)
+
+    def on_record(self, record: KeyedRecord) -> None:
+        if not record.key.startswith(ROLLOUT_PREFIX):
+            return
+        service = ServiceName(record.key.removeprefix(ROLLOUT_PREFIX))
+        try:
+            status = None if record.value is None else parse_rollout_status(record.value)
+        except CorruptRecordError as error:
+            _log_corrupt(record, error)
+            return
+        self._observer.on_rollout_status(service, status)
+
+    def on_restored(
+        self, records: tuple[KeyedRecord, ...], carried: tuple[KeyedRecord, ...]
+    ) -> None:
+        """What this instance knows counts; what was lost is written again."""
+        carried_keys = {record.key for record in carried}
+        self.on_newest(tuple(record for record in records if record.key not in carried_keys))
+        for record in carried:
+            if self._sharing.is_reader() and record.key.startswith(ROLLOUT_PREFIX):
+                self._store.append_keyed(
+                    STATUS_TOPIC, record.key, record.value or b"", None, self._on_result
+                )
+
+    @staticmethod
+    def _on_result(result: Offset | StoreCallError) -> None:
+        if isinstance(result, StoreCallError):
+            log_event(
+                _LOGGER, logging.WARNING, Event.LOG_APPEND_FAILED, f"rollout status: {result}"
+            )
+
+    def on_carried(self, records: tuple[KeyedRecord, ...]) -> None:
+        self.on_newest(records)
+
+    def on_settled(self, records: tuple[KeyedRecord, ...]) -> None:
+        """Nothing to do: a state that has been reached counts, whatever the store holds."""
+
+
 def _try_parse_registration(record: KeyedRecord) -> Registration | None:
     if record.value is None:
         return None
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -177,6 +177,12 @@
                 self._topics[topic] += [r for r in lost.get(topic, []) if r[0] not in written]
             self._changed.notify_all()
 
+    def remove_member(self, instance: str) -> None:
+        """Removes a member from all groups, as if it had not joined again in time."""
+        with self._changed:
+            self._members = {m: t for m, t in self._members.items() if m.split("|")[0] != instance}
+            self._generation += 1
+
     def get_values(self, topic: str) -> dict[str, bytes]:
         """Returns the newest value of each key of a topic."""
         with self._changed:
