Give starting instances the time of an order, and no evidence from before

Cause: an instance that read the stage of a rollout before the order counted the order's time from its own start. It also compared the totals that its peers had reported until then as if they were of one moment, although the new version's share had changed. Change: the time comes from the stage record in either order; earlier totals let a version pass but are no evidence against it.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -278,12 +278,16 @@
                 earlier = last.counts.routes
         self.reports[instance] = _Report(counts, now)
         none = RouteCounts()
-        self.evidence.add(
-            {
-                route: count.subtract(earlier.get(route, none))
-                for route, count in counts.routes.items()
-            }
-        )
+        ended = {
+            route: count.subtract(earlier.get(route, none))
+            for route, count in counts.routes.items()
+        }
+        if last is None and not self.is_witness:
+            # The share was another one at times before this instance started, so these calls
+            # cannot be compared as if they were of one window.
+            self.evidence.add_earlier(ended)
+        else:
+            self.evidence.add(ended)
 
     def judge(self, now: float) -> Verdict | None:
         """Evaluates the counts; returns the evidence if it has just become sufficient."""
@@ -430,6 +434,7 @@
         order: RolloutOrder,
         registered: Counter[SoftwareVersion],
         now: float,
+        unix_ms: int,
         *,
         is_initial: bool,
     ) -> IgnoredReason | None:
@@ -457,7 +462,7 @@
         rollout = Rollout(order, now, not is_initial, old if old and not is_initial else None)
         self._rollouts[order.service] = rollout
         self._apply_status(rollout)
-        self._apply_mark(rollout, now, None)
+        self._apply_mark(rollout, now, unix_ms)
         return None
 
     def set_status(self, service: ServiceName, status: RolloutStatus | None) -> None:
@@ -511,7 +516,7 @@
         if rollout is not None:
             self._apply_mark(rollout, now, unix_ms)
 
-    def _apply_mark(self, rollout: Rollout, now: float, unix_ms: int | None) -> None:
+    def _apply_mark(self, rollout: Rollout, now: float, unix_ms: int) -> None:
         mark = self._marks.get(rollout.order.service)
         if mark is None or mark.version != rollout.order.version:
             return
@@ -520,7 +525,7 @@
         rollout.mark = mark
         if mark.stage is Stage.FULL:
             rollout.moved_at = now
-        if not rollout.is_witness and unix_ms is not None:
+        if not rollout.is_witness:
             rollout.ordered_at = now - max(0, unix_ms - mark.ordered_ms) / MS_PER_S
 
     def is_blocked(self, service: ServiceName, version: SoftwareVersion) -> bool:
--- a/src/mulberryrill/internal/core/serving/versionevidence.py
+++ b/src/mulberryrill/internal/core/serving/versionevidence.py
@@ -148,15 +148,27 @@
         for route, count in counts.items():
             self._window.setdefault(route, RouteCounts()).add(count)
 
+    def add_earlier(self, counts: Mapping[str, RouteCounts]) -> None:
+        """Adds calls of an unknown time: they let a version pass, but are no evidence against it.
+
+        Without calls of the old version since, they also state its usual rate of bad answers.
+        """
+        for route, count in counts.items():
+            if count != RouteCounts():
+                self._get_route(route).total.add(count)
+
+    def _get_route(self, route: str) -> _RouteEvidence:
+        if route not in self._routes:
+            self._routes[route] = _RouteEvidence(self._compute_threshold())
+        return self._routes[route]
+
     def close_window(self) -> None:
         """Evaluates the calls since the last window."""
         window, self._window = self._window, {}
         for route, count in window.items():
             if count == RouteCounts():
                 continue
-            evidence = self._routes.get(route)
-            if evidence is None:
-                evidence = self._routes[route] = _RouteEvidence(self._compute_threshold())
+            evidence = self._get_route(route)
             total = evidence.total
             calls = (count.old_calls, count.new_calls)
             bad, slow = (count.old_bad, count.new_bad), (count.old_slow, count.new_slow)
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -397,8 +397,8 @@
     def on_rollout_order(self, order: RolloutOrder, is_initial: bool) -> None:
         """Begins to move a service to a software version, or logs why not."""
         registered = self.targets.count_versions(order.service)
-        now = self._loop.boottime()
-        reason = self.rollouts.set_order(order, registered, now, is_initial=is_initial)
+        now, unix_ms = self._loop.boottime(), int(self._loop.wall() * MS_PER_S)
+        reason = self.rollouts.set_order(order, registered, now, unix_ms, is_initial=is_initial)
         if reason is not None:
             self.on_rollout_ignored(order.service, reason, order)
 
