Relay counts of rollouts between data centres

Cause: with more than 17 instances, reports stay in their data centre, so each one judged a version by its own calls, and a rollout was done only after the longest timeout had passed. Change: two instances of each data centre, by rendezvous hashing, send its counts on a topic of their own, to which the other data centres subscribe while an order runs.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -322,9 +322,16 @@
         min_calls = MIN_PROOF_CALLS / max(bounds.share, 0.001)
         return self.evidence.has_passed(min_calls, is_late=is_late)
 
+    def find_recent(self, instance: InstanceId, now: float) -> InstanceCounts | None:
+        """Returns an instance's counts if it is heard."""
+        report = self.reports.get(instance)
+        if report is None or now - report.received_at > MAX_COUNTS_AGE_S:
+            return None
+        return report.counts
+
     def _list_recent(self, instances: Collection[InstanceId], now: float) -> list[InstanceCounts]:
-        reports = [self.reports[i] for i in instances if i in self.reports]
-        return [r.counts for r in reports if now - r.received_at <= MAX_COUNTS_AGE_S]
+        found = [self.find_recent(instance, now) for instance in instances]
+        return [counts for counts in found if counts is not None]
 
     def _is_drained(
         self, instances: Collection[InstanceId], hears_all: bool, longest_call_s: float, now: float
@@ -357,7 +364,7 @@
     ) -> Decision | None:
         """Returns what is to be written to the store now, or None.
 
-        ``instances`` report directly; ``hears_all``: there are no others.
+        ``instances`` report; ``hears_all``: there are no others.
         """
         version = self.order.version
         if not self.is_running:
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -15,6 +15,7 @@
 import zmq
 from google.protobuf.message import DecodeError
 
+from ..core.rendezvous import rank_members
 from ..core.serving.crashcauses import CrashCauses, SuspectCall, TargetEnd, Trait
 from ..core.serving.loads import IDLE_REPORT_INTERVAL_S, LoadReport, LoadTable, build_report
 from ..core.serving.namedversions import NamedVersion
@@ -52,6 +53,9 @@
 RECEIVE_INTERVAL_S = 0.05
 # With more peers than this, instances connect only to peers in their own data centre.
 MAX_MESH_PEERS = 16
+# Instances of each other data centre that send the counts of rollouts from there, if there are too
+# many peers to connect to all.
+RELAYS_PER_DATA_CENTRE = 2
 HIGH_WATER_MARK = 100
 # A connection that sends a larger message is closed. Full cache contents of all holders are the
 # largest messages, about 1 MB.
@@ -70,6 +74,8 @@
 # ZeroMQ topic, the first frame of a message: its recipient, or this value for all peers. A message
 # to one peer is not sent to the others, as they do not subscribe to its topic.
 TOPIC_ALL = b"*"
+# Counts of rollouts for other data centres.
+TOPIC_RELAY = b"#"
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
 _LOGGER = logging.getLogger(__name__)
@@ -196,7 +202,13 @@
         self._publisher = self._context.socket(zmq.PUB)
         self._subscriber = self._context.socket(zmq.SUB)
         self._connected: set[str] = set()
-        self._connected_instances = {local_peer.instance}
+        # Instances whose counts of rollouts arrive, directly or by relays; addresses of the relays
+        # of other data centres, and whether this instance is a relay of its own one.
+        self._heard_instances = {local_peer.instance}
+        self._relay_subscriber = self._context.socket(zmq.SUB)
+        self._relays: set[str] = set()
+        self._connected_relays: set[str] = set()
+        self._relayed_instances: list[InstanceId] = []
         self._is_closed = False
         self.on_log_feed: Callable[[InstanceId, LogFeed], None] | None = None
         self.on_log_request: Callable[[InstanceId, LogRequest], None] | None = None
@@ -217,13 +229,15 @@
 
     def start(self) -> None:
         """Opens the sockets; raises zmq.ZMQError."""
-        for sock in (self._publisher, self._subscriber):
+        for sock in (self._publisher, self._subscriber, self._relay_subscriber):
             sock.setsockopt(zmq.LINGER, 0)
             sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
             sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         self._publisher.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
-        self._subscriber.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
-        self._subscriber.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        for sock in (self._subscriber, self._relay_subscriber):
+            sock.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+            sock.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._relay_subscriber.setsockopt(zmq.SUBSCRIBE, TOPIC_RELAY)
         self._subscriber.setsockopt(zmq.SUBSCRIBE, TOPIC_ALL)
         self._subscriber.setsockopt(zmq.SUBSCRIBE, _encode_topic(self._local_peer.instance))
         self._publisher.bind(f"tcp://{self._local_peer.address}")
@@ -235,6 +249,7 @@
         self._is_closed = True
         self._publisher.close()
         self._subscriber.close()
+        self._relay_subscriber.close()
         self._context.term()
 
     def set_peers(self, peers: list[Peer]) -> None:
@@ -243,16 +258,41 @@
         if len(others) > MAX_MESH_PEERS:
             others = [peer for peer in others if peer.data_centre == self._local_peer.data_centre]
         addresses = {peer.address for peer in others}
-        self._connected_instances = {self._local_peer.instance, *(p.instance for p in others)}
+        self._heard_instances = {self._local_peer.instance, *(p.instance for p in peers)}
+        self._choose_relays(peers, is_mesh=len(others) == len(self._heard_instances) - 1)
         for address in addresses - self._connected:
             self._subscriber.connect(f"tcp://{address}")
         for address in self._connected - addresses:
             self._subscriber.disconnect(f"tcp://{address}")
         self._connected = addresses
 
-    def list_connected(self, instances: Iterable[InstanceId]) -> list[InstanceId]:
-        """Returns those of the instances whose reports this one gets, and itself."""
-        return [i for i in instances if i in self._connected_instances]
+    def _choose_relays(self, peers: list[Peer], *, is_mesh: bool) -> None:
+        """Chooses by which instances the counts of rollouts go between data centres."""
+        self._relays, self._relayed_instances = set(), []
+        if is_mesh:
+            return
+        by_data_centre: dict[DataCentre, dict[InstanceId, str]] = {}
+        for peer in peers:
+            by_data_centre.setdefault(peer.data_centre, {})[peer.instance] = peer.address
+        for data_centre, addresses in by_data_centre.items():
+            relays = rank_members(f"relay/{data_centre}", addresses)[:RELAYS_PER_DATA_CENTRE]
+            if data_centre != self._local_peer.data_centre:
+                self._relays |= {addresses[instance] for instance in relays}
+            elif self._local_peer.instance in relays:
+                self._relayed_instances = sorted(addresses)
+
+    def _connect_relays(self) -> None:
+        """Connects to the relays of other data centres while a software version is rolled out."""
+        wanted = self._relays if self._state.version_choice.is_counting else set()
+        for address in wanted - self._connected_relays:
+            self._relay_subscriber.connect(f"tcp://{address}")
+        for address in self._connected_relays - wanted:
+            self._relay_subscriber.disconnect(f"tcp://{address}")
+        self._connected_relays = set(wanted)
+
+    def list_heard(self, instances: Iterable[InstanceId]) -> list[InstanceId]:
+        """Returns those of the instances whose counts of rollouts arrive, and this one."""
+        return [instance for instance in instances if instance in self._heard_instances]
 
     def publish_end(self, end: TargetEnd, is_proven: bool) -> None:
         """Tells peers of a target's end at once: others may run the call that ended it."""
@@ -283,7 +323,7 @@
         self._add_crashes(report, now)
         self._add_limits(report, now)
         report.begun_streams.extend(map(encode_origin, self._state.origin_records.pop_news()))
-        report.rollouts.extend(self._state.version_choice.pop_reports(now))
+        self._add_rollouts(report, now)
         has_content = (
             report.loads.targets
             or report.caches
@@ -302,6 +342,18 @@
             self._last_sent_at = now
             self._send(report)
 
+    def _add_rollouts(self, report: PeerReport, now: float) -> None:
+        """Adds the counts of rollouts, and sends those of the data centre to the other ones."""
+        self._connect_relays()
+        report.rollouts.extend(self._state.version_choice.pop_reports(now))
+        if report.rollouts and self._relayed_instances:
+            relayed = self._build_report()
+            relayed.is_relay = True
+            relayed.rollouts.extend(
+                self._state.version_choice.list_relayed(self._relayed_instances)
+            )
+            self._send(relayed, TOPIC_RELAY)
+
     def _add_version_ages(self, report: PeerReport, now: float) -> None:
         if now - self._version_ages_sent_at < VERSION_AGES_INTERVAL_S:
             return
@@ -365,9 +417,14 @@
 
     def _receive(self) -> None:
         """Handles all messages that have arrived."""
+        self._receive_from(self._subscriber)
+        if self._connected_relays:
+            self._receive_from(self._relay_subscriber)
+
+    def _receive_from(self, subscriber: "zmq.Socket[bytes]") -> None:
         while not self._is_closed:
             try:
-                frames = self._subscriber.recv_multipart(zmq.NOBLOCK)
+                frames = subscriber.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
             try:
@@ -393,6 +450,9 @@
         if report.has_only_ends:
             self._apply_ends(report)
             return
+        if report.is_relay:
+            self._apply_rollouts(report)
+            return
         if not (report.feeds or report.requests or report.answers_request):
             self._apply_loads(report)
         if report.data_centre != self._local_peer.data_centre:
@@ -429,10 +489,13 @@
         for limit in report.named_limits:
             self._state.apply_peer_limit(_decode_limit(limit, boottime))
         self._must_retell_ends |= report.wants_ends
-        self._state.version_choice.apply_reports(InstanceId(report.instance), report.rollouts)
+        self._apply_rollouts(report)
         self._state.origin_records.apply_peer_origins(map(decode_origin, report.begun_streams))
         self._apply_ends(report)
 
+    def _apply_rollouts(self, report: PeerReport) -> None:
+        self._state.version_choice.apply_reports(InstanceId(report.instance), report.rollouts)
+
     def _apply_ends(self, report: PeerReport) -> None:
         boottime = self._loop.boottime()
         proved = [end for end in report.target_ends if not end.is_unproven]
--- a/src/mulberryrill/internal/entry/rollouts.py
+++ b/src/mulberryrill/internal/entry/rollouts.py
@@ -101,14 +101,14 @@
         state: RolloutTaskState,
         instance: InstanceId,
         store: RolloutStore,
-        list_connected: Callable[[Iterable[InstanceId]], list[InstanceId]],
+        list_heard: Callable[[Iterable[InstanceId]], list[InstanceId]],
     ) -> None:
-        """``list_connected`` returns the instances whose counts come directly, with this one."""
+        """``list_heard`` returns the instances whose counts arrive, with this one."""
         self._loop = loop
         self._state = state
         self._instance = instance
         self._store = store
-        self._list_connected = list_connected
+        self._list_heard = list_heard
         self._next_write_at: dict[ServiceName, float] = {}
         # Orders whose reason to be ignored has been logged.
         self._logged: set[tuple[RolloutOrder, IgnoredReason]] = set()
@@ -138,11 +138,11 @@
         verdict = rollout.judge(now)
         if verdict is not None:
             self._log_step(rollout, f"worse than the old version: {verdict.describe()}")
-        connected = self._list_connected(self._state.instances)
+        heard = self._list_heard(self._state.instances)
         decision = rollout.decide(
             self._state.version_choice.bounds,
-            connected,
-            len(connected) == len(self._state.instances),
+            heard,
+            len(heard) == len(self._state.instances),
             self._find_longest_call(order.service),
             now,
             int(self._loop.wall() * MS_PER_S),
--- a/src/mulberryrill/internal/entry/versionchoice.py
+++ b/src/mulberryrill/internal/entry/versionchoice.py
@@ -132,6 +132,11 @@
         age_s = self._state.operator_records_age_s
         return age_s is not None and age_s <= MAX_RECORDS_AGE_S
 
+    @property
+    def is_counting(self) -> bool:
+        """Whether any rollout is running."""
+        return any(rollout.is_running for rollout in self._state.rollouts.rollouts)
+
     def list_allowed(
         self,
         service: ServiceName,
@@ -261,12 +266,28 @@
         self._reported_at = now
         return [encode_counts(counts) for counts in self.collect_own_counts()]
 
+    def list_relayed(self, instances: Iterable[InstanceId]) -> list[RolloutCountsMessage]:
+        """Returns the recent counts of these instances, for those that do not get them directly."""
+        now = self._loop.boottime()
+        relayed = []
+        for rollout in self._state.rollouts.rollouts:
+            if not rollout.is_running:
+                continue
+            for instance in instances:
+                counts = rollout.find_recent(instance, now)
+                if counts is not None:
+                    message = encode_counts(counts)
+                    message.instance = instance
+                    relayed.append(message)
+        return relayed
+
     def apply_reports(self, instance: InstanceId, reports: Iterable[RolloutCountsMessage]) -> None:
-        """Applies a peer's counts."""
+        """Applies counts that a peer has sent; one without an instance is its own."""
         for report in reports:
             rollout = self._state.rollouts.get(ServiceName(report.service))
             if rollout is not None:
-                rollout.apply_report(instance, decode_counts(report), self._loop.boottime())
+                counter = InstanceId(report.instance) if report.instance else instance
+                rollout.apply_report(counter, decode_counts(report), self._loop.boottime())
 
     def compute_gauges(self) -> dict[str, float]:
         """Returns the number of rollouts that run, and their calls since the orders."""
--- a/src/mulberryrill/platform/tasks.py
+++ b/src/mulberryrill/platform/tasks.py
@@ -52,9 +52,7 @@
         self._order_task = OrderTask(
             loop, clock, state, instance, self._order_client, bounds.order_lease_ms / 1000
         )
-        self._rollout_task = RolloutTask(
-            loop, state, instance, self._follower, peers.list_connected
-        )
+        self._rollout_task = RolloutTask(loop, state, instance, self._follower, peers.list_heard)
 
     def start(self) -> None:
         """Starts to follow the store, send due orders, read cache events and free cached parts."""
--- a/tests/process/test_entry_rollouts.py
+++ b/tests/process/test_entry_rollouts.py
@@ -6,8 +6,10 @@
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
+from unittest import mock
 
 from mulberryrill.internal.core.rendezvous import rank_members
+from mulberryrill.internal.entry import peers
 from mulberryrill.internal.entry.program import EntryProgram
 from mulberryrill.internal.ids import ServiceName, SoftwareVersion
 from mulberryrill.internal.schema.settings_pb2 import EntrySettings
@@ -114,6 +116,22 @@
     def count_calls(self, deployment: EntryDeployment, name: str) -> int:
         return sum(len(t.received_calls) for t in deployment.targets if t.name.startswith(name))
 
+    def add_instance(
+        self, deployment: EntryDeployment, name: str, data_centre: str = "z1"
+    ) -> EntryProgram:
+        """Starts another instance and waits until both know each other."""
+        settings = EntrySettings()
+        settings.CopyFrom(deployment.settings)
+        settings.instance, settings.data_centre = name, data_centre
+        for kind in ("callers", "readiness", "peer", "metrics"):
+            setattr(settings, f"{kind}_address", f"{LOCAL}:{find_port()}")
+        program = EntryProgram(settings, PlatformDialect(), PlatformTasks)
+        program.start()
+        self.addCleanup(program.abort)
+        programs = (deployment.program, program)
+        wait_for(lambda: all(len(p.state.instances) == 2 for p in programs))
+        return program
+
 
 class RolloutTest(RolloutCase):
     """Guards against orders that are not carried out, or that move calls to a bad version."""
@@ -239,28 +257,43 @@
             self.assertEqual(self.count_calls(deployment, "new"), calls)
 
 
+class DataCentresTest(RolloutCase):
+    """Guards against counts that stay in one data centre of a site with many instances."""
+
+    def check(self, answer, state: str) -> None:
+        with mock.patch.object(peers, "MAX_MESH_PEERS", 0), self.run_service() as deployment:
+            # All calls go to the first instance; the second one writes what it learns of them.
+            name = choose_higher_ranked(deployment.settings.instance)
+            second = self.add_instance(deployment, name, "z2")
+            self.order(deployment)
+            self.add_new(deployment, answer)
+            self.wait_for_state(deployment, state)
+            rollout = second.state.rollouts.get(SERVICE)
+            assert rollout is not None
+            self.assertGreater(rollout.evidence.sum_calls().new_calls, 0)
+            self.assertEqual(set(rollout.reports), {"front-1", name})
+
+    def test_good_version_is_done(self) -> None:
+        self.check(answer_plain, "done")
+
+    def test_bad_version_is_rolled_back(self) -> None:
+        self.check(answer_badly, "rolled_back")
+
+
 class TakeoverTest(RolloutCase):
     """Guards against a rollout that nobody ends because the instance that would is gone."""
 
     def check(self, answer, state: str) -> None:
         with self.run_service() as deployment:
-            settings = EntrySettings()
-            settings.CopyFrom(deployment.settings)
             # The first instance of the other tests is second in rank.
-            settings.instance = choose_higher_ranked(deployment.settings.instance)
-            for name in ("callers", "readiness", "peer", "metrics"):
-                setattr(settings, f"{name}_address", f"{LOCAL}:{find_port()}")
-            second = EntryProgram(settings, PlatformDialect(), PlatformTasks)
-            second.start()
-            self.addCleanup(second.abort)
-            programs = (deployment.program, second)
-            wait_for(lambda: all(len(p.state.instances) == 2 for p in programs))
+            name = choose_higher_ranked(deployment.settings.instance)
+            second = self.add_instance(deployment, name)
             self.order(deployment)
-            wait_for(lambda: all(p.state.rollouts.get(SERVICE) for p in programs))
+            wait_for(lambda: second.state.rollouts.get(SERVICE) is not None)
             self.add_new(deployment, answer)
             self.wait_for_state(deployment, "running")
             second.abort()
-            deployment.store.remove_member(settings.instance)
+            deployment.store.remove_member(name)
             self.wait_for_state(deployment, state)
 
     def test_good_version_is_done(self) -> None:
