Ignore bad answers of one target that fails by itself

Cause: the answers of a single faulty target of a new version, of several, counted as evidence against the version, and a good version was rolled back. Change: counts of the new version are kept by target; the worst target's bad answers count only up to those of all others and one, if several targets have a tenth of the calls each.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from ...ids import InstanceId, ServiceName, SoftwareVersion
-from .versionevidence import RouteCounts, Verdict, VersionEvidence
+from ...ids import InstanceId, ServiceName, SoftwareVersion, TargetId
+from .versionevidence import CountKey, RouteCounts, Verdict, VersionEvidence
 
 # Used part of the budget that operators allow, for calls that are counted late.
 BUDGET_SHARE = 0.8
@@ -122,7 +122,7 @@
     # Whether all its calls move, and its calls that run at old targets.
     is_moved: bool
     running_old: int
-    routes: Mapping[str, RouteCounts]
+    calls: Mapping[CountKey, RouteCounts]
 
 
 @dataclass(frozen=True)
@@ -165,7 +165,7 @@
     # Calls that this instance has sent: those of the service, and those to the new version.
     sent_calls: int = 0
     sent_new: int = 0
-    own_counts: dict[str, RouteCounts] = field(default_factory=dict)
+    own_counts: dict[CountKey, RouteCounts] = field(default_factory=dict)
     reports: dict[InstanceId, _Report] = field(default_factory=dict)
     # The evidence that is sufficient for a rollback; it stays sufficient.
     verdict: Verdict | None = None
@@ -253,35 +253,40 @@
         self.sent_calls = max(0, self.sent_calls - 1)
 
     def record_outcome(
-        self, route: str, version: SoftwareVersion, is_bad: bool, is_slow: bool
+        self,
+        route: str,
+        target: TargetId,
+        version: SoftwareVersion,
+        *,
+        is_bad: bool,
+        is_slow: bool,
     ) -> None:
         """Counts an ended call of this instance."""
         if version == self.order.version:
+            key = CountKey(route, target)
             count = RouteCounts(new_calls=1, new_bad=is_bad, new_slow=is_slow)
         elif self.is_old(version):
+            key = CountKey(route, "")
             count = RouteCounts(old_calls=1, old_bad=is_bad, old_slow=is_slow)
         else:
             return
-        self.own_counts.setdefault(route, RouteCounts()).add(count)
+        self.own_counts.setdefault(key, RouteCounts()).add(count)
 
     def apply_report(self, instance: InstanceId, counts: InstanceCounts, now: float) -> None:
         """Adds what has come since the instance's last report; older reports are ignored."""
         if counts.version != self.order.version:
             return
         last = self.reports.get(instance)
-        earlier: Mapping[str, RouteCounts] = {}
+        earlier: Mapping[CountKey, RouteCounts] = {}
         if last is not None:
             key = (counts.process, counts.number)
             if key <= (last.counts.process, last.counts.number):
                 return
             if last.counts.process == counts.process:
-                earlier = last.counts.routes
+                earlier = last.counts.calls
         self.reports[instance] = _Report(counts, now)
         none = RouteCounts()
-        ended = {
-            route: count.subtract(earlier.get(route, none))
-            for route, count in counts.routes.items()
-        }
+        ended = {key: count.subtract(earlier.get(key, none)) for key, count in counts.calls.items()}
         if last is None and not self.is_witness:
             # The share was another one at times before this instance started, so these calls
             # cannot be compared as if they were of one window.
--- a/src/mulberryrill/internal/core/serving/versionevidence.py
+++ b/src/mulberryrill/internal/core/serving/versionevidence.py
@@ -10,6 +10,9 @@
 binomial one in convex order). By Ville's inequality, such a product ever reaches ``1 / error``
 with a probability of ``error`` at most, however often it is looked at.
 
+A single target that fails, or is slow, by itself is no evidence against its version: its bad
+answers count only as far as other targets of the version have some, too.
+
 In a window with few calls of the old version, its rate since the order stands for them. The stated
 error then assumes that bad answers do not become ``BASELINE_FACTOR`` times as frequent for other
 reasons.
@@ -18,6 +21,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 # Probability of a false rollback over all routes and both kinds of bad answers of one order.
 FALSE_ROLLBACK_ERROR = 5e-4
@@ -36,6 +40,17 @@
 MIN_GOOD_RATE = 0.005
 # From this value on, evidence that is not sufficient for a rollback keeps the share from growing.
 SUSPICION = math.log(20.0)
+# Bad answers of a version's worst target count up to this multiple of those of all others and one.
+WORST_TARGET_FACTOR = 1
+# A target with at least this part of the new version's calls counts as one of several.
+MIN_TARGET_SHARE = 0.1
+
+
+class CountKey(NamedTuple):
+    """What calls are counted by: the route, and the target if it has the new version, or ""."""
+
+    route: str
+    target: str
 
 
 @dataclass
@@ -51,13 +66,22 @@
 
     def add(self, other: "RouteCounts") -> None:
         """Adds the calls of another count."""
-        for name in COUNT_NAMES:
-            setattr(self, name, getattr(self, name) + getattr(other, name))
+        self.old_calls += other.old_calls
+        self.old_bad += other.old_bad
+        self.old_slow += other.old_slow
+        self.new_calls += other.new_calls
+        self.new_bad += other.new_bad
+        self.new_slow += other.new_slow
 
     def subtract(self, other: "RouteCounts") -> "RouteCounts":
         """Returns the calls that have ended since an earlier count; never negative."""
         return RouteCounts(
-            **{name: max(0, getattr(self, name) - getattr(other, name)) for name in COUNT_NAMES}
+            max(0, self.old_calls - other.old_calls),
+            max(0, self.old_bad - other.old_bad),
+            max(0, self.old_slow - other.old_slow),
+            max(0, self.new_calls - other.new_calls),
+            max(0, self.new_bad - other.new_bad),
+            max(0, self.new_slow - other.new_slow),
         )
 
 
@@ -96,10 +120,41 @@
 class _RouteEvidence:
     # Logarithm that the evidence on this route must reach for a rollback.
     threshold: float
+    # Bad answers of the new version are those that count, by targets all of them.
     total: RouteCounts = field(default_factory=RouteCounts)
+    targets: dict[str, RouteCounts] = field(default_factory=dict)
     bad: _Comparison = field(default_factory=_Comparison)
     slow: _Comparison = field(default_factory=_Comparison)
 
+    def add_calls(self, counts: Mapping[str, RouteCounts]) -> RouteCounts:
+        """Adds calls by target; returns them without the bad answers that do not count."""
+        added = _sum(counts.values())
+        for target, count in counts.items():
+            if target:
+                self.targets.setdefault(target, RouteCounts()).add(count)
+        limit_bad, limit_slow = self._limit_new_bad()
+        added.new_bad = max(0, limit_bad - self.total.new_bad)
+        added.new_slow = max(0, limit_slow - self.total.new_slow)
+        self.total.add(added)
+        return added
+
+    def _limit_new_bad(self) -> tuple[int, int]:
+        """Returns the numbers of bad and of slow answers of the new version that count."""
+        targets = list(self.targets.values())
+        calls = sum(count.new_calls for count in targets)
+        active = sum(count.new_calls >= MIN_TARGET_SHARE * calls for count in targets)
+        is_single = active < 2
+        return (
+            _limit_worst([count.new_bad for count in targets], is_single),
+            _limit_worst([count.new_slow for count in targets], is_single),
+        )
+
+
+def _limit_worst(counts: list[int], is_single: bool) -> int:
+    total, worst = sum(counts), max(counts, default=0)
+    others = total - worst
+    return total if is_single else others + min(worst, WORST_TARGET_FACTOR * others + 1)
+
 
 @dataclass(frozen=True)
 class Verdict:
@@ -141,21 +196,21 @@
 
     def __init__(self) -> None:
         self._routes: dict[str, _RouteEvidence] = {}
-        self._window: dict[str, RouteCounts] = {}
+        self._window: dict[CountKey, RouteCounts] = {}
 
-    def add(self, counts: Mapping[str, RouteCounts]) -> None:
-        """Adds ended calls by route to the present window."""
-        for route, count in counts.items():
-            self._window.setdefault(route, RouteCounts()).add(count)
+    def add(self, counts: Mapping[CountKey, RouteCounts]) -> None:
+        """Adds ended calls to the present window."""
+        for key, count in counts.items():
+            if count != RouteCounts():
+                self._window.setdefault(key, RouteCounts()).add(count)
 
-    def add_earlier(self, counts: Mapping[str, RouteCounts]) -> None:
+    def add_earlier(self, counts: Mapping[CountKey, RouteCounts]) -> None:
         """Adds calls of an unknown time: they let a version pass, but are no evidence against it.
 
         Without calls of the old version since, they also state its usual rate of bad answers.
         """
-        for route, count in counts.items():
-            if count != RouteCounts():
-                self._get_route(route).total.add(count)
+        for route, targets in _group_by_route(counts).items():
+            self._get_route(route).add_calls(targets)
 
     def _get_route(self, route: str) -> _RouteEvidence:
         if route not in self._routes:
@@ -165,16 +220,15 @@
     def close_window(self) -> None:
         """Evaluates the calls since the last window."""
         window, self._window = self._window, {}
-        for route, count in window.items():
-            if count == RouteCounts():
-                continue
+        for route, targets in _group_by_route(window).items():
             evidence = self._get_route(route)
             total = evidence.total
+            bad_rate = _estimate_rate(total.old_bad, total.old_calls)
+            slow_rate = _estimate_rate(total.old_slow, total.old_calls)
+            count = evidence.add_calls(targets)
             calls = (count.old_calls, count.new_calls)
-            bad, slow = (count.old_bad, count.new_bad), (count.old_slow, count.new_slow)
-            evidence.bad.add(calls, bad, _estimate_rate(total.old_bad, total.old_calls))
-            evidence.slow.add(calls, slow, _estimate_rate(total.old_slow, total.old_calls))
-            total.add(count)
+            evidence.bad.add(calls, (count.old_bad, count.new_bad), bad_rate)
+            evidence.slow.add(calls, (count.old_slow, count.new_slow), slow_rate)
 
     def _compute_threshold(self) -> float:
         """Returns the threshold of a further route: the errors of all routes and kinds add up."""
@@ -209,6 +263,14 @@
         return _sum(evidence.total for evidence in self._routes.values())
 
 
+def _group_by_route(counts: Mapping[CountKey, RouteCounts]) -> dict[str, dict[str, RouteCounts]]:
+    grouped: dict[str, dict[str, RouteCounts]] = {}
+    for key, count in counts.items():
+        if count != RouteCounts():
+            grouped.setdefault(key.route, {})[key.target] = count
+    return grouped
+
+
 def _sum(counts: Iterable[RouteCounts]) -> RouteCounts:
     total = RouteCounts()
     for count in counts:
--- a/src/mulberryrill/internal/entry/versionchoice.py
+++ b/src/mulberryrill/internal/entry/versionchoice.py
@@ -19,7 +19,7 @@
     RolloutState,
 )
 from ..core.serving.targettable import Target, TargetRun, TargetTable
-from ..core.serving.versionevidence import COUNT_NAMES, RouteCounts
+from ..core.serving.versionevidence import COUNT_NAMES, CountKey, RouteCounts
 from ..eventloop import EventLoop
 from ..ids import InstanceId, ServiceName, SoftwareVersion
 from ..schema.peers_pb2 import RolloutCounts as RolloutCountsMessage
@@ -225,7 +225,7 @@
         )
         if outcome is Outcome.ANSWERED and rollout.is_old(version):
             times.record(elapsed_s)
-        rollout.record_outcome(route, version, is_bad, is_slow)
+        rollout.record_outcome(route, registration.target, version, is_bad=is_bad, is_slow=is_slow)
 
     def _has_just_broken(self, traffic: _ServiceTraffic, run: TargetRun, now: float) -> bool:
         """Whether another answer of the target broke off a moment ago, for the same reason."""
@@ -253,7 +253,7 @@
                 self._report_number,
                 rollout.has_moved(self.is_current),
                 self.count_running_old(rollout),
-                {route: RouteCounts(**vars(count)) for route, count in rollout.own_counts.items()},
+                {key: RouteCounts(**vars(count)) for key, count in rollout.own_counts.items()},
             )
             rollout.apply_report(self._instance, counts, self._loop.boottime())
             collected.append(counts)
@@ -317,8 +317,8 @@
         is_moved=counts.is_moved,
         running_old=counts.running_old,
     )
-    for route, count in counts.routes.items():
-        message.routes.add(route=route, **vars(count))
+    for key, count in counts.calls.items():
+        message.routes.add(route=key.route, target=key.target, **vars(count))
     return message
 
 
@@ -332,7 +332,9 @@
         message.is_moved,
         message.running_old,
         {
-            item.route: RouteCounts(**{name: getattr(item, name) for name in COUNT_NAMES})
+            CountKey(item.route, item.target): RouteCounts(
+                **{name: getattr(item, name) for name in COUNT_NAMES}
+            )
             for item in message.routes
         },
     )
