Compare model calls by their work; keep late and repeated versions out

Cause: engines of a new version have no cached parts, so short answers to long prompts take several times longer there, which looked like a slow version. Services that answer in a few milliseconds could not be found slow at all, below 50 ms. A version whose targets registered after its order's time got an equal part of the calls at once. An order for the only version in service could roll it back. Change: times of model calls are compared in proportion to their work; an answer is slow from 2.5 times the usual time and 20 ms; the version of an order that passed gets nothing; an order for the version that all targets have is ignored.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -70,6 +70,7 @@
     BAD_DURATION = "duration is not a positive number of seconds"
     OTHER_ORDER = "another order of the service is running"
     HAS_ENDED = "a rollout of this version has ended already"
+    SERVES_ALREADY = "all targets of the service have this version already"
     NO_TARGET = "no target of this version registered before the deadline"
     WITHDRAWN = "an order cannot be deleted; it goes on"
 
@@ -469,6 +470,8 @@
             has_ended = has_ended or (status.state is not RolloutState.RUNNING and not is_initial)
         if has_ended:
             return IgnoredReason.HAS_ENDED
+        if not is_initial and set(registered) == {order.version}:
+            return IgnoredReason.SERVES_ALREADY
         self._blocked.get(order.service, set()).discard(order.version)
         old = frozenset(registered) - {order.version}
         rollout = Rollout(order, now, not is_initial, old if old and not is_initial else None)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -503,7 +503,7 @@
         self._metrics.record_attempt(target.registration.service, outcome.value)
         self._end_prefill(handler, attempt)
         self._state.loads.remove_run(target.id, count_held_tokens(handler.call))
-        self._state.version_choice.record_outcome(handler.call.route.name, attempt, outcome)
+        self._state.version_choice.record_outcome(handler.call, attempt, outcome)
         has_later_version = self._update_version(handler, attempt)
         self._crash_watch.on_attempt_end(handler.call, attempt, outcome)
         if outcome is Outcome.ANSWERED:
--- a/src/mulberryrill/internal/entry/versionchoice.py
+++ b/src/mulberryrill/internal/entry/versionchoice.py
@@ -25,6 +25,7 @@
 from ..schema.peers_pb2 import RolloutCounts as RolloutCountsMessage
 from ..schema.settings_pb2 import EntryBounds
 from .attempt import Attempt, Outcome
+from .dialect import CallRequest
 
 # What holds if the settings name no bounds.
 DEFAULT_EXPOSURE_SHARE = 0.1
@@ -33,8 +34,13 @@
 # Several answers that break off at one target within this time have one cause.
 BREAK_INTERVAL_S = 0.5
 # An answer is slow if it takes this multiple of the old version's usual time, and at least so long.
-SLOW_FACTOR = 3.0
-MIN_SLOW_S = 0.05
+SLOW_FACTOR = 2.5
+MIN_SLOW_S = 0.02
+# The time of a model call is compared in proportion to its work: new engines have no cached parts,
+# and prefill what old ones fetch. Rough figures suffice, as both versions are measured by them.
+BASE_WORK_S = 0.05
+PREFILL_S_PER_TOKEN = 1 / 40_000
+OUTPUT_S_PER_TOKEN = 0.02
 # Weight of the newest answer in the old version's usual time.
 TIME_SMOOTHING_FACTOR = 0.05
 # Peers are told of counts at this interval.
@@ -74,19 +80,20 @@
 
 @dataclass
 class _RouteTimes:
-    """The old version's usual time on a route, of this instance's calls."""
+    """The old version's usual time on a route in proportion to the work, of own calls."""
 
-    usual_s: float | None = None
+    usual: float | None = None
 
-    def is_slow(self, elapsed_s: float) -> bool:
-        return self.usual_s is not None and elapsed_s > max(MIN_SLOW_S, SLOW_FACTOR * self.usual_s)
+    def is_slow(self, elapsed_s: float, work: float) -> bool:
+        is_long = self.usual is not None and elapsed_s / work > SLOW_FACTOR * self.usual
+        return is_long and elapsed_s > MIN_SLOW_S
 
-    def record(self, elapsed_s: float) -> None:
+    def record(self, elapsed_s: float, work: float) -> None:
+        time = elapsed_s / work
+        if self.usual is None:
+            self.usual = time
         # A bounded step: single slow answers must not raise the usual time.
-        if self.usual_s is None:
-            self.usual_s = elapsed_s
-        bounded_s = min(elapsed_s, SLOW_FACTOR * self.usual_s)
-        self.usual_s += TIME_SMOOTHING_FACTOR * (bounded_s - self.usual_s)
+        self.usual += TIME_SMOOTHING_FACTOR * (min(time, SLOW_FACTOR * self.usual) - self.usual)
 
 
 @dataclass
@@ -159,7 +166,7 @@
             return allowed
         now, version = self._loop.boottime(), rollout.order.version
         if not rollout.is_in_force(now):
-            return self._leave_out_stopped(rollout, allowed)
+            return self._leave_out_ended(rollout, allowed)
         new = [t for t in allowed if t.registration.software == version]
         old = [t for t in allowed if rollout.is_old(t.registration.software)]
         if not self._has_old(rollout):
@@ -169,9 +176,15 @@
             return new or old
         return old
 
-    def _leave_out_stopped(self, rollout: Rollout, targets: list[Target]) -> list[Target]:
-        """Leaves out the targets that stop when a rollout is done; their records go later."""
+    def _leave_out_ended(self, rollout: Rollout, targets: list[Target]) -> list[Target]:
+        """Leaves out what the end of a rollout leaves no calls.
+
+        Old targets stop when it is done, and their records go later. The version of an order that
+        passed without effect is not evaluated.
+        """
         version = rollout.order.version
+        if rollout.state is None:
+            return [t for t in targets if t.registration.software != version]
         registered = self._state.targets.count_versions(rollout.order.service)
         if rollout.state is not RolloutState.DONE or version not in registered:
             return targets
@@ -197,8 +210,9 @@
         if rollout is not None and rollout.is_running:
             rollout.record_send(version, is_first)
 
-    def record_outcome(self, route: str, attempt: Attempt, outcome: Outcome) -> None:
+    def record_outcome(self, call: CallRequest, attempt: Attempt, outcome: Outcome) -> None:
         """Counts the outcome of an attempt; to be called once for each that was sent."""
+        route = call.route.name
         registration = attempt.plan.target.registration
         service, version = registration.service, registration.software
         traffic = self._get_traffic(service)
@@ -212,7 +226,7 @@
             rollout.record_unsent()
             return
         now = self._loop.now()
-        elapsed_s = now - attempt.started_at
+        elapsed_s, work = now - attempt.started_at, _estimate_work(call, attempt)
         times = traffic.times.setdefault(route, _RouteTimes())
         is_late = outcome is Outcome.CANCELLED and attempt.was_unanswered
         if outcome not in (Outcome.ANSWERED, Outcome.ERROR, Outcome.BROKEN) and not is_late:
@@ -221,10 +235,10 @@
             return
         is_bad = outcome is Outcome.BROKEN or _is_error(attempt, outcome)
         is_slow = is_late or (
-            times.is_slow(elapsed_s) and not attempt.plan.target.is_cold(now) and not is_bad
+            times.is_slow(elapsed_s, work) and not attempt.plan.target.is_cold(now) and not is_bad
         )
         if outcome is Outcome.ANSWERED and rollout.is_old(version):
-            times.record(elapsed_s)
+            times.record(elapsed_s, work)
         rollout.record_outcome(route, registration.target, version, is_bad=is_bad, is_slow=is_slow)
 
     def _has_just_broken(self, traffic: _ServiceTraffic, run: TargetRun, now: float) -> bool:
@@ -302,6 +316,15 @@
         return self._services.setdefault(service, _ServiceTraffic())
 
 
+def _estimate_work(call: CallRequest, attempt: Attempt) -> float:
+    """Returns the work of a model call in seconds of a usual engine; 1 for other calls."""
+    cache = attempt.plan.cache
+    if call.prompt is None or cache is None:
+        return 1.0
+    prefill_s = cache.prefill_tokens * PREFILL_S_PER_TOKEN
+    return BASE_WORK_S + prefill_s + call.prompt.max_output_tokens * OUTPUT_S_PER_TOKEN
+
+
 def _is_error(attempt: Attempt, outcome: Outcome) -> bool:
     is_server_error = attempt.response is not None and attempt.response.status >= MIN_ERROR_STATUS
     return outcome is Outcome.ERROR and is_server_error
--- a/tests/property/test_rollouts.py
+++ b/tests/property/test_rollouts.py
@@ -325,6 +325,30 @@
         self.assertEqual(total.new_calls, max(numbers, default=0))
         self.assertEqual(total.old_calls, 3 * max(numbers, default=0))
 
+    def test_rollout_is_done_when_the_last_call_at_an_old_target_has_ended(self) -> None:
+        rollouts = Rollouts()
+        order = RolloutOrder(SERVICE, NEW, DURATION_S)
+        rollouts.set_order(order, Counter({OLD: 1}), 0.0, 0, is_initial=False)
+        rollouts.set_status(SERVICE, RolloutStatus(RolloutState.RUNNING, NEW))
+        rollouts.set_mark(SERVICE, RolloutMark(NEW, Stage.FULL, 0, DURATION_S), 10.0, 0)
+        rollout = rollouts.get(SERVICE)
+        assert rollout is not None
+        names = [InstanceId("a"), InstanceId("b")]
+        done_at = None
+        for number in range(100, 200):
+            now = number * TICK_S
+            # The last stream at an old target ends at 14 s, the counts of an instance stop at 12 s
+            # and go on at 17 s.
+            for name in names[: 1 if 12 <= now < 17 else 2]:
+                running = int(name == "a" and now < 14)
+                counts = InstanceCounts(SERVICE, NEW, 1, number, True, running, {})
+                rollout.apply_report(name, counts, now)
+            decision = rollout.decide(BOUNDS, names, True, 9.0, now, 0)
+            if decision is not None and done_at is None:
+                done_at = now
+                self.assertEqual(decision.kind, RolloutState.DONE)
+        self.assertEqual(done_at, 17.0)
+
     def test_instance_that_starts_later_knows_when_the_order_was_given(self) -> None:
         for is_mark_first in (True, False):
             rollouts = Rollouts()
