Take the age of the statuses for whether an instance lags

Cause: whether all calls of an instance may move depended on the age of the operators' records against 3 s. Those are read with a wait of 0.4 of configuration_ms, so that in deployments with a bound above 7 s instances would have gone back to the least share between two reads. Change: the age of the rollouts' statuses against 0.9 of rollback_ms, by which they are read.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -39,8 +39,6 @@
 # Instances that do not report directly have read that all calls move within this time: usually at
 # once, and later if the instance that reads for their data centre has just fallen silent.
 MOVE_NOTICE_S = 5.0
-# An instance whose records of the store are older than this gives the new version the least.
-MAX_RECORDS_AGE_S = 3.0
 # The next instance in rank writes a decision if it is not in the store after this time.
 RANK_DELAY_S = 1.0
 # A route whose calls would give the new version fewer than this at the allowed share cannot pass.
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -133,6 +133,10 @@
         """The status of a service's rollout was written; None: it was deleted."""
         ...
 
+    def on_rollout_statuses_checked(self, complete_at: float) -> None:
+        """All statuses that were written up to boot time ``complete_at`` are known."""
+        ...
+
     def on_rollout_mark(self, service: ServiceName, mark: RolloutMark | None) -> None:
         """How much of a service may move was written; None: it was deleted."""
         ...
@@ -218,6 +222,8 @@
         self._is_store_reachable: bool | None = None
         # Boot time at which the operators' records were last found to be the newest.
         self._operator_records_checked_at: float | None = None
+        # The same of the statuses of rollouts.
+        self._rollout_statuses_checked_at: float | None = None
         # The era of the store in which they were read, and until when a restored store may lack
         # versions that were named before.
         self._operator_records_era: StoreEra | None = None
@@ -422,6 +428,16 @@
         self._log_rollout(service, f"state {status.state.value}" if status else "no state")
         self._adopt_rollout(service)
 
+    def on_rollout_statuses_checked(self, complete_at: float) -> None:
+        """Records up to when the states of rollouts were the newest ones."""
+        self._rollout_statuses_checked_at = complete_at
+
+    @property
+    def rollout_statuses_age_s(self) -> float | None:
+        """Seconds since the states of rollouts were last found to be the newest; None: never."""
+        checked_at = self._rollout_statuses_checked_at
+        return None if checked_at is None else self._loop.boottime() - checked_at
+
     def on_rollout_mark(self, service: ServiceName, mark: RolloutMark | None) -> None:
         """Applies how much of a service may move."""
         unix_ms = int(self._loop.wall() * MS_PER_S)
--- a/src/mulberryrill/internal/entry/versionchoice.py
+++ b/src/mulberryrill/internal/entry/versionchoice.py
@@ -11,7 +11,6 @@
 from typing import Protocol
 
 from ..core.serving.rollouts import (
-    MAX_RECORDS_AGE_S,
     ExposureBounds,
     InstanceCounts,
     Rollout,
@@ -31,6 +30,9 @@
 DEFAULT_EXPOSURE_SHARE = 0.1
 DEFAULT_EXPOSURE_SLACK = 50.0
 DEFAULT_ROLLBACK_MS = 5000.0
+# An instance whose statuses are older than this part of the time for a rollback gives the new
+# version the least: another instance reads at 0.8 of it if the reader is silent.
+MAX_STATUS_AGE_SHARE = 0.9
 # Several answers that break off at one target within this time have one cause.
 BREAK_INTERVAL_S = 0.5
 # An answer is slow if it takes this multiple of the old version's usual time, and at least so long.
@@ -73,8 +75,8 @@
         ...
 
     @property
-    def operator_records_age_s(self) -> float | None:
-        """Seconds since the operators' records were last found to be the newest; None: never."""
+    def rollout_statuses_age_s(self) -> float | None:
+        """Seconds since the rollouts' statuses were last found to be the newest; None: never."""
         ...
 
 
@@ -136,8 +138,9 @@
     @property
     def is_current(self) -> bool:
         """Whether what this instance knows of the store is recent."""
-        age_s = self._state.operator_records_age_s
-        return age_s is not None and age_s <= MAX_RECORDS_AGE_S
+        age_s = self._state.rollout_statuses_age_s
+        rollback_ms = self._bounds.rollback_ms or DEFAULT_ROLLBACK_MS
+        return age_s is not None and age_s <= MAX_STATUS_AGE_SHARE * rollback_ms / MS_PER_S
 
     @property
     def is_counting(self) -> bool:
--- a/src/mulberryrill/platform/follower.py
+++ b/src/mulberryrill/platform/follower.py
@@ -123,6 +123,7 @@
             lambda is_reachable, detail: None,
             self._sharing[STATUS_TOPIC],
             logs_records=True,
+            on_complete=observer.on_rollout_statuses_checked,
         )
         # The statuses of rollouts are followed once an order is known.
         self._followers: tuple[TopicFollower, ...] = (
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -124,6 +124,8 @@
         self._first_offsets: dict[str, int] = defaultdict(int)
         self._members: dict[str, list[str]] = {}
         self._generation = 0
+        # Reads by topic.
+        self._reads: dict[str, int] = defaultdict(int)
         self.is_unavailable = False
         # Long-poll reads that arrive while this is set get no response.
         self.drops_long_poll_responses = False
@@ -177,6 +179,11 @@
                 self._topics[topic] += [r for r in lost.get(topic, []) if r[0] not in written]
             self._changed.notify_all()
 
+    def count_reads(self, topic: str) -> int:
+        """Returns how many reads of a topic have begun."""
+        with self._changed:
+            return self._reads[topic]
+
     def remove_member(self, instance: str) -> None:
         """Removes a member from all groups, as if it had not joined again in time."""
         with self._changed:
@@ -199,6 +206,9 @@
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         body = request.read_body()
+        if url.path in ("/-/log-newest", "/-/log-read"):
+            with self._changed:
+                self._reads[query["topic"]] += 1
         if self.is_unavailable:
             self.reply(request, 503)
         elif url.path == "/-/log-newest":
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -92,6 +92,7 @@
     on_store_reachability = on_operator_records_checked = on_quarantine = _ignore
     on_carried_records = on_default_version = _ignore
     on_rollout_order = on_rollout_ignored = on_rollout_status = on_rollout_mark = _ignore
+    on_rollout_statuses_checked = _ignore
     on_registry_reachability = on_registry_checked = _ignore
 
 
--- a/tests/process/test_entry_rollouts.py
+++ b/tests/process/test_entry_rollouts.py
@@ -136,6 +136,16 @@
 class RolloutTest(RolloutCase):
     """Guards against orders that are not carried out, or that move calls to a bad version."""
 
+    def test_statuses_are_read_only_once_an_order_is_known(self) -> None:
+        with self.run_service() as deployment:
+            time.sleep(0.5)
+            self.assertEqual(deployment.store.count_reads("keyed.status"), 0)
+            self.order(deployment, target="v9")
+            wait_for(lambda: deployment.store.count_reads("keyed.status") > 0)
+            time.sleep(0.5)
+            # One read of all records, and one that waits.
+            self.assertEqual(deployment.store.count_reads("keyed.status"), 2)
+
     def test_good_version_is_done(self) -> None:
         with self.run_service() as deployment:
             self.order(deployment)
--- a/tests/unit/test_entry_versionchoice.py
+++ b/tests/unit/test_entry_versionchoice.py
@@ -45,7 +45,7 @@
             targets=self.targets,
             instances=(InstanceId("i1"),),
             has_peer_list=True,
-            operator_records_age_s=0.1,
+            rollout_statuses_age_s=0.1,
         )
         self.add("old-1", OLD)
         state = cast(Any, self.state)
@@ -111,7 +111,7 @@
     def test_all_calls_move_only_while_the_store_is_known(self) -> None:
         self.begin(Stage.FULL)
         self.assertEqual(self.list_allowed(is_repeat=True), ["new-1"])
-        self.state.operator_records_age_s = 10.0
+        self.state.rollout_statuses_age_s = 10.0
         self.assertEqual(self.list_allowed(is_repeat=True), ["old-1"])
 
     def test_streams_go_on_at_any_version_but_a_bad_one(self) -> None:
