Log the share of a version on trial, and evaluate it once a window

Cause: operators could not see when an instance gave the new version more or less. The evidence was evaluated for each call.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -61,6 +61,15 @@
     FULL = "full"
 
 
+class Step(Enum):
+    """How many calls an instance gives the new version; the values are logged."""
+
+    NONE = "no calls"
+    START = "first share"
+    LOAD = "every second call while the budget lasts"
+    ALL = "all calls"
+
+
 class IgnoredReason(Enum):
     """Why an order moves nothing; the values are logged."""
 
@@ -168,6 +177,8 @@
     reports: dict[InstanceId, _Report] = field(default_factory=dict)
     # The evidence that is sufficient for a rollback; it stays sufficient.
     verdict: Verdict | None = None
+    # Whether the evidence keeps the share from growing, as of the last window.
+    is_suspect: bool = False
     window_closed_at: float = 0.0
     moved_at: float | None = None
     drained_since: float | None = None
@@ -217,21 +228,23 @@
         self, fraction: float, bounds: ExposureBounds, instances: int, is_current: bool, now: float
     ) -> bool:
         """Whether a call goes to the new version; ``fraction`` is random, from 0 to 1."""
-        if self.is_blocked or self.stage is None or self.state is not RolloutState.RUNNING:
-            return False
-        if self.has_moved(is_current):
-            return True
+        step = self.find_step(is_current, now)
+        if step in (Step.NONE, Step.ALL):
+            return step is Step.ALL
         if self.sent_new + 1 > self.compute_budget(bounds, instances):
             return False
-        return fraction < self.compute_share(bounds, is_current, now)
+        share = START_SHARE * bounds.share if step is Step.START else max(LOAD_SHARE, bounds.share)
+        return fraction < share
 
-    def compute_share(self, bounds: ExposureBounds, is_current: bool, now: float) -> float:
-        """Returns the probability with which a call goes to the new version, inside the budget."""
-        worst = self.evidence.find_worst()
-        is_suspect = worst is not None and worst.is_suspect
-        if not is_current or is_suspect or self.compute_progress(now) < LOAD_FROM:
-            return START_SHARE * bounds.share
-        return max(LOAD_SHARE, bounds.share)
+    def find_step(self, is_current: bool, now: float) -> Step:
+        """Returns how many calls go to the new version; ``is_current``: the store is known."""
+        if self.is_blocked or self.stage is None or self.state is not RolloutState.RUNNING:
+            return Step.NONE
+        if self.has_moved(is_current):
+            return Step.ALL
+        if not is_current or self.is_suspect or self.compute_progress(now) < LOAD_FROM:
+            return Step.START
+        return Step.LOAD
 
     def compute_budget(self, bounds: ExposureBounds, instances: int) -> float:
         """Returns the calls that this instance may have sent to the new version until now.
@@ -300,6 +313,7 @@
         self.window_closed_at = now
         self.evidence.close_window()
         worst = self.evidence.find_worst()
+        self.is_suspect = worst is not None and worst.is_suspect
         if worst is None or not worst.is_bad or self.verdict is not None:
             return None
         self.verdict = worst
@@ -315,9 +329,7 @@
 
         A service with so few calls that a bad version may get all of them passes after a time.
         """
-        worst = self.evidence.find_worst()
-        is_suspect = worst is not None and worst.is_suspect
-        if is_suspect:
+        if self.is_suspect:
             return False
         total = self.evidence.sum_calls()
         is_late = progress >= LATE_FROM
--- a/src/mulberryrill/internal/entry/rollouts.py
+++ b/src/mulberryrill/internal/entry/rollouts.py
@@ -19,6 +19,7 @@
     RolloutOrder,
     Rollouts,
     RolloutStatus,
+    Step,
 )
 from ..core.serving.routetable import RouteTable
 from ..core.serving.targettable import TargetTable
@@ -112,6 +113,7 @@
         self._next_write_at: dict[ServiceName, float] = {}
         # Orders whose reason to be ignored has been logged.
         self._logged: set[tuple[RolloutOrder, IgnoredReason]] = set()
+        self._steps: dict[ServiceName, Step] = {}
 
     def start(self) -> None:
         """Starts to watch for orders."""
@@ -138,6 +140,10 @@
         verdict = rollout.judge(now)
         if verdict is not None:
             self._log_step(rollout, f"worse than the old version: {verdict.describe()}")
+        step = rollout.find_step(self._state.version_choice.is_current, now)
+        if step is not self._steps.get(order.service, Step.NONE):
+            self._steps[order.service] = step
+            self._log_step(rollout, f"the new version gets {step.value}")
         heard = self._list_heard(self._state.instances)
         decision = rollout.decide(
             self._state.version_choice.bounds,
--- a/src/mulberryrill/internal/entry/versionchoice.py
+++ b/src/mulberryrill/internal/entry/versionchoice.py
@@ -164,7 +164,9 @@
         rollout = rollouts.get(service)
         if rollout is None:
             return targets
-        allowed = [t for t in targets if not rollouts.is_blocked(service, t.registration.software)]
+        versions = {t.registration.software for t in targets}
+        blocked = {version for version in versions if rollouts.is_blocked(service, version)}
+        allowed = [t for t in targets if t.registration.software not in blocked]
         if is_bound:
             return allowed
         now, version = self._loop.boottime(), rollout.order.version
