--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -20,6 +20,13 @@
 from ..core.serving.placement import ColdPacer
 from ..core.serving.quiettimes import QuietTimes
 from ..core.serving.readtiming import plan_waiting_reads
+from ..core.serving.rollouts import (
+    IgnoredReason,
+    RolloutMark,
+    RolloutOrder,
+    Rollouts,
+    RolloutStatus,
+)
 from ..core.serving.routetable import RouteTable
 from ..core.serving.streamorigins import DefaultVersion, StreamOrigins
 from ..core.serving.targetlimits import LimitNews, TargetLimits
@@ -42,6 +49,7 @@
 from .originrecords import OriginRecords
 from .peers import EndNews, Peer, compute_report_interval
 from .targetupdates import TargetUpdates
+from .versionchoice import VersionChoice
 
 # An instance that has just started learns within this time from its peers for how long the current
 # model versions have been in force. Until then it uses targets with older versions, too.
@@ -114,6 +122,26 @@
         """The default software version of a service was written; None: it was deleted."""
         ...
 
+    def on_rollout_order(self, order: RolloutOrder, is_initial: bool) -> None:
+        """An operator ordered a software version; ``is_initial`` as for model versions."""
+        ...
+
+    def on_rollout_ignored(self, service: ServiceName, reason: IgnoredReason) -> None:
+        """An operator's order cannot be carried out."""
+        ...
+
+    def on_rollout_status(self, service: ServiceName, status: RolloutStatus | None) -> None:
+        """The status of a service's rollout was written; None: it was deleted."""
+        ...
+
+    def on_rollout_statuses_checked(self, complete_at: float) -> None:
+        """All statuses that were written up to boot time ``complete_at`` are known."""
+        ...
+
+    def on_rollout_mark(self, service: ServiceName, mark: RolloutMark | None) -> None:
+        """How much of a service may move was written; None: it was deleted."""
+        ...
+
     def on_peers(self, peers: list[Peer]) -> None:
         """The list of live entry instances, including this one, was read."""
         ...
@@ -164,6 +192,8 @@
         self.crash_causes = CrashCauses()
         self.stream_origins = StreamOrigins(loop.boottime())
         self.origin_records = OriginRecords(loop, self, instance)
+        self.rollouts = Rollouts()
+        self.version_choice = VersionChoice(loop, self, instance, bounds)
         self.quarantine = Quarantine()
         self.instances: tuple[InstanceId, ...] = (instance,)
         self.local_instances: tuple[InstanceId, ...] = (instance,)
@@ -194,6 +224,8 @@
         self._is_store_reachable: bool | None = None
         # Boot time at which the operators' records were last found to be the newest.
         self._operator_records_checked_at: float | None = None
+        # The same of the statuses of rollouts.
+        self._rollout_statuses_checked_at: float | None = None
         # The era of the store in which they were read, and until when a restored store may lack
         # versions that were named before.
         self._operator_records_era: StoreEra | None = None
@@ -370,6 +402,75 @@
             era=default.era if default is not None else None,
         )
 
+    def on_rollout_order(self, order: RolloutOrder, is_initial: bool) -> None:
+        """Begins to move a service to a software version, or logs why not."""
+        registered = self.targets.count_versions(order.service)
+        now, unix_ms = self._loop.boottime(), int(self._loop.wall() * MS_PER_S)
+        reason = self.rollouts.set_order(order, registered, now, unix_ms, is_initial=is_initial)
+        if reason is not None:
+            self.on_rollout_ignored(order.service, reason, order)
+
+    def on_rollout_ignored(
+        self, service: ServiceName, reason: IgnoredReason, order: RolloutOrder | None = None
+    ) -> None:
+        """Logs why an order is not carried out."""
+        log_event(
+            _LOGGER,
+            logging.WARNING,
+            Event.ENTRY_ROLLOUT_IGNORED,
+            f"rollout order ignored: {reason.value}",
+            service=service,
+            version=order.version if order is not None else None,
+            duration_s=order.duration_s if order is not None else None,
+        )
+
+    def on_rollout_status(self, service: ServiceName, status: RolloutStatus | None) -> None:
+        """Applies the state of a service's rollout."""
+        self.rollouts.set_status(service, status)
+        self._log_rollout(service, f"state {status.state.value}" if status else "no state")
+        self._adopt_rollout(service)
+
+    def on_rollout_statuses_checked(self, complete_at: float) -> None:
+        """Records up to when the states of rollouts were the newest ones."""
+        self._rollout_statuses_checked_at = complete_at
+
+    @property
+    def rollout_statuses_age_s(self) -> float | None:
+        """Seconds since the states of rollouts were last found to be the newest; None: never."""
+        checked_at = self._rollout_statuses_checked_at
+        return None if checked_at is None else self._loop.boottime() - checked_at
+
+    def on_rollout_mark(self, service: ServiceName, mark: RolloutMark | None) -> None:
+        """Applies how much of a service may move."""
+        unix_ms = int(self._loop.wall() * MS_PER_S)
+        self.rollouts.set_mark(service, mark, self._loop.boottime(), unix_ms)
+        self._log_rollout(service, f"stage {mark.stage.value}" if mark else "no stage")
+        self._adopt_rollout(service)
+
+    def _adopt_rollout(self, service: ServiceName) -> None:
+        rollout, unix_ms = self.rollouts.get(service), int(self._loop.wall() * MS_PER_S)
+        reason = self.rollouts.adopt_running(service, self._loop.boottime(), unix_ms)
+        if reason is not None and rollout is not None:
+            self.on_rollout_ignored(service, reason, rollout.order)
+
+    def _log_rollout(self, service: ServiceName, step: str) -> None:
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return
+        progress = rollout.compute_progress(self._loop.boottime())
+        log_event(
+            _LOGGER,
+            logging.INFO,
+            Event.ENTRY_ROLLOUT_STEP,
+            f"rollout has {step} in the store",
+            service=service,
+            version=rollout.order.version,
+            progress=round(progress, 2),
+            evidence=rollout.describe_evidence(),
+            sent=rollout.sent_calls,
+            sent_new=rollout.sent_new,
+        )
+
     def _report_lost(self, target: Target) -> None:
         registration = target.registration
         is_announced = registration.state is not RegistrationState.READY or self.targets.is_leaving(
--- a/tests/common/entry.py
+++ b/tests/common/entry.py
@@ -133,6 +133,8 @@
         self._first_offsets: dict[str, int] = defaultdict(int)
         self._members: dict[str, list[str]] = {}
         self._generation = 0
+        # Reads by topic.
+        self._reads: dict[str, int] = defaultdict(int)
         self.is_unavailable = False
         # Long-poll reads that arrive while this is set get no response.
         self.drops_long_poll_responses = False
@@ -186,6 +188,17 @@
                 self._topics[topic] += [r for r in lost.get(topic, []) if r[0] not in written]
             self._changed.notify_all()
 
+    def count_reads(self, topic: str) -> int:
+        """Returns how many reads of a topic have begun."""
+        with self._changed:
+            return self._reads[topic]
+
+    def remove_member(self, instance: str) -> None:
+        """Removes a member from all groups, as if it had not joined again in time."""
+        with self._changed:
+            self._members = {m: t for m, t in self._members.items() if m.split("|")[0] != instance}
+            self._generation += 1
+
     def get_values(self, topic: str) -> dict[str, bytes]:
         """Returns the newest value of each key of a topic."""
         with self._changed:
@@ -202,6 +215,9 @@
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         body = request.read_body()
+        if url.path in ("/-/log-newest", "/-/log-read"):
+            with self._changed:
+                self._reads[query["topic"]] += 1
         if self.is_unavailable:
             self.reply(request, 503)
         elif url.path == "/-/log-newest":
--- a/tests/regressions/test_fractional_bounds_stop_the_start.py
+++ b/tests/regressions/test_fractional_bounds_stop_the_start.py
@@ -27,6 +27,8 @@
     "limits.memory_mb": "128.5",
     "limits.max_fds": "4100.0",
 }
+# A bound that a deployment does not have.
+ABSENT = "absent"
 BOUND_VALUES = {"drain_ms": "2500.5", "grace_s": "8.5", "retry_slack": "37.142857142857146"}
 
 
@@ -39,7 +41,14 @@
             return bound_values.get(name.removeprefix("bounds."), "1.5")
         return OTHER_VALUES[name]
 
-    return re.sub(r"\{\{([a-z_.0-9]+)\}\}", look_up, TEMPLATE.read_text(encoding="utf-8"))
+    def expand(match: re.Match[str]) -> str:
+        """Expands a section, which is left out if there is no value."""
+        value = bound_values.get(match[1], "1.5")
+        return match[2].replace("{{.}}", value) if value != ABSENT else ""
+
+    text = TEMPLATE.read_text(encoding="utf-8")
+    text = re.sub(r"\{\{#bounds\.([a-z_]+)\}\}(.*?)\{\{/bounds\.\1\}\}", expand, text, flags=re.S)
+    return re.sub(r"\{\{([a-z_.0-9]+)\}\}", look_up, text)
 
 
 class FractionalBoundsTest(unittest.TestCase):
@@ -57,6 +66,13 @@
         self.assertAlmostEqual(bounds.retry_reserve, 37.142857142857146)
         self.assertEqual(bounds.cold_reserve, 1.5)
 
+    def test_bounds_of_rollouts_may_be_absent(self) -> None:
+        names = ("expose_share", "expose_slack", "rollback_ms")
+        bounds = self.load(dict.fromkeys(names, ABSENT)).bounds
+        self.assertEqual([getattr(bounds, name) for name in names], [0.0] * 3)
+        bounds = self.load({"expose_share": "0.1", "rollback_ms": "5000"}).bounds
+        self.assertEqual((bounds.expose_share, bounds.rollback_ms), (0.1, 5000.0))
+
     def test_fractional_limits_are_read_as_they_are(self) -> None:
         settings = self.load(BOUND_VALUES)
         self.assertEqual((settings.memory_mb, settings.max_descriptors), (128.5, 4100.0))
