Send a version on trial nothing while instances do not hear each other

Cause: with many instances that do not hear each other, 50 bad answers came before any of them had enough evidence. When they heard each other again late in an order, every second call went to a version that nobody had evaluated: 64 bad answers before the rollback at 600 calls/s. Change: nothing goes to the version in the trial unless half of the instances are heard; until 30 of its calls are evaluated, it gets at most 30 a second from all instances.

--- a/src/mulberryrill/internal/core/serving/rollouts.py
+++ b/src/mulberryrill/internal/core/serving/rollouts.py
@@ -23,6 +23,10 @@
 # later, as far as the budget lasts: some versions are bad only under load.
 START_SHARE = 0.5
 LOAD_SHARE = 0.5
+# Until so many calls at the new version are evaluated, it gets at most so many calls a second from
+# all instances: what a window and its messages take must not bring 50 bad answers.
+MIN_EVALUATED_CALLS = 30
+MAX_UNEVALUATED_RATE = 30.0
 # Parts of an order's time: when the first share ends; when all calls may move; when less proof is
 # asked for; when an order ends whose version has not passed. Versions that are bad later are seen
 # before all calls move, and streams on old targets have time to end.
@@ -177,8 +181,14 @@
     reports: dict[InstanceId, _Report] = field(default_factory=dict)
     # The evidence that is sufficient for a rollback; it stays sufficient.
     verdict: Verdict | None = None
+    # Whether half of the instances are heard. Bad answers that each of many instances sees for
+    # itself would come to 50 before any of them had enough evidence.
+    hears_most: bool = False
     # Whether the evidence keeps the share from growing, as of the last window.
     is_suspect: bool = False
+    # Whether the first calls at the new version are evaluated, and all calls of the service.
+    is_evaluated: bool = False
+    calls_per_s: float = 0.0
     window_closed_at: float = 0.0
     moved_at: float | None = None
     drained_since: float | None = None
@@ -234,6 +244,8 @@
         if self.sent_new + 1 > self.compute_budget(bounds, instances):
             return False
         share = START_SHARE * bounds.share if step is Step.START else max(LOAD_SHARE, bounds.share)
+        if not self.is_evaluated:
+            share = min(share, MAX_UNEVALUATED_RATE / max(self.calls_per_s, 1.0))
         return fraction < share
 
     def find_step(self, is_current: bool, now: float) -> Step:
@@ -242,6 +254,8 @@
             return Step.NONE
         if self.has_moved(is_current):
             return Step.ALL
+        if not self.hears_most:
+            return Step.NONE
         if not is_current or self.is_suspect or self.compute_progress(now) < LOAD_FROM:
             return Step.START
         return Step.LOAD
@@ -310,8 +324,13 @@
         """Evaluates the counts; returns the evidence if it has just become sufficient."""
         if now - self.window_closed_at < WINDOW_S or not self.is_running:
             return None
+        before, elapsed_s = self.evidence.sum_calls(), now - self.window_closed_at
         self.window_closed_at = now
         self.evidence.close_window()
+        total = self.evidence.sum_calls()
+        ended = total.subtract(before)
+        self.calls_per_s = (ended.old_calls + ended.new_calls) / elapsed_s
+        self.is_evaluated = total.new_calls >= MIN_EVALUATED_CALLS
         worst = self.evidence.find_worst()
         self.is_suspect = worst is not None and worst.is_suspect
         if worst is None or not worst.is_bad or self.verdict is not None:
@@ -383,6 +402,7 @@
         ``instances`` report; ``hears_all``: there are no others.
         """
         version = self.order.version
+        self.hears_most = 2 * len(self._list_recent(instances, now)) >= len(instances)
         if not self.is_running:
             return None
         if self.verdict is not None:
@@ -397,8 +417,7 @@
                 reason = "all calls have moved, and those at old targets have ended"
                 return Decision(status, None, reason)
             return None
-        hears_most = 2 * len(self._list_recent(instances, now)) >= len(instances)
-        if progress >= FULL_FROM and hears_most and self.has_passed(bounds, progress):
+        if progress >= FULL_FROM and self.hears_most and self.has_passed(bounds, progress):
             mark = replace(self.mark, stage=Stage.FULL)
             return Decision(None, mark, "as good as the old version on all routes")
         if progress >= GIVE_UP_FROM:
--- a/tests/unit/test_entry_versionchoice.py
+++ b/tests/unit/test_entry_versionchoice.py
@@ -74,6 +74,9 @@
         mark = RolloutMark(NEW, stage, 0, DURATION_S)
         self.rollouts.set_mark(SERVICE, mark, self.loop.boottime(), 0)
         self.set_state(RolloutState.RUNNING)
+        rollout = self.rollouts.get(SERVICE)
+        assert rollout is not None
+        rollout.hears_most = True
 
     def set_state(self, state: RolloutState) -> None:
         self.rollouts.set_status(SERVICE, RolloutStatus(state, NEW))
