--- a/src/mulberryrill/internal/entry/rollouts.py
+++ b/src/mulberryrill/internal/entry/rollouts.py
@@ -30,6 +30,8 @@
 from .versionchoice import VersionChoice
 
 TICK_INTERVAL_S = 0.1
+# Interval while no rollout is running.
+IDLE_TICK_INTERVAL_S = 0.5
 # A write that failed, or that another record made void, is decided again after this time.
 WRITE_RETRY_S = 0.5
 MS_PER_S = 1000
@@ -117,11 +119,18 @@
 
     def start(self) -> None:
         """Starts to watch for orders."""
-        self._loop.call_every(TICK_INTERVAL_S, self._tick)
+        self._run_tick()
+
+    def _run_tick(self) -> None:
+        is_running = self._state.version_choice.is_counting
+        # Scheduled first, so that a failure of this tick does not end the repetition.
+        self._loop.call_later(
+            TICK_INTERVAL_S if is_running else IDLE_TICK_INTERVAL_S, self._run_tick
+        )
+        if is_running:
+            self._tick()
 
     def _tick(self) -> None:
-        if not self._state.rollouts.has_orders:
-            return
         self._state.version_choice.collect_own_counts()
         for rollout in self._state.rollouts.rollouts:
             if rollout.is_running:
