Share calls among targets that are about equally fast at low load

Expected ends within a quarter of the earliest one now count as equal for targets in the same distance of which at most a quarter of the slots is in use. The test passes, and a new one guards against the cause.

--- a/src/mulberryrill/internal/core/serving/placement.py
+++ b/src/mulberryrill/internal/core/serving/placement.py
@@ -29,6 +29,12 @@
 MAX_COLD_CALLS_PER_SENDER = 2
 MIN_COLD_INTERVAL_S = 0.51
 
+# Expected ends up to this multiple of the earliest one count as equal for targets with room. A
+# learned speed is uncertain by this much; without it, targets that seemed a little slower once got
+# no calls at low load, and so no chance to show their speed.
+COMPLETION_TOLERANCE = 1.25
+# A target of which no larger share of the slots is in use has room: a call starts there at once.
+MAX_IDLE_OCCUPANCY = 0.25
 # Returns when a call would end on each target, given the number of calls that run on each.
 CompletionEstimator = Callable[[list[Target], list[float]], list[CompletionEstimate]]
 
@@ -112,7 +118,18 @@
             scores = list(map(self._score_by_load, candidates, running))
         else:
             estimates = estimate_completions(candidates, running)
-            scores = list(map(self._score_by_completion, candidates, estimates))
+            scores = [
+                self._score_by_completion(target, estimate)
+                for target, estimate in zip(candidates, estimates, strict=True)
+            ]
+            best = min(range(len(candidates)), key=scores.__getitem__)
+            best_s, is_remote = scores[best][0], self._is_remote(candidates[best])
+            for position, (score_s, tie) in enumerate(scores):
+                target = candidates[position]
+                is_similar = score_s <= COMPLETION_TOLERANCE * best_s
+                has_room = running[position] <= MAX_IDLE_OCCUPANCY * target.registration.slots
+                if is_similar and has_room and self._is_remote(target) == is_remote:
+                    scores[position] = best_s, tie
         return candidates[min(range(len(candidates)), key=scores.__getitem__)]
 
     def list_candidates(
@@ -158,8 +175,10 @@
 
     def _get_remote_penalty(self, target: Target) -> float:
         """Returns the running calls that the distance to a target counts as."""
-        is_remote = target.registration.data_centre != self._data_centre
-        return REMOTE_PENALTY if is_remote else 0.0
+        return REMOTE_PENALTY if self._is_remote(target) else 0.0
+
+    def _is_remote(self, target: Target) -> bool:
+        return target.registration.data_centre != self._data_centre
 
 
 def build_affinity_key(request: PlacementRequest) -> str:
--- a/tests/unit/test_serving_callcosts.py
+++ b/tests/unit/test_serving_callcosts.py
@@ -345,6 +345,21 @@
         chosen = self.tracker.choose_target(self.create_call(), self.service, self.targets, request)
         self.assertIs(chosen, self.targets[1])
 
+    def test_idle_target_that_seemed_a_little_slower_still_gets_calls(self) -> None:
+        """Guards against a target without calls, which cannot show that it is as fast again."""
+        remote = create_target("t9", slots=6, data_centre=DataCentre("elsewhere"))
+        for _ in range(MAX_SAMPLES):
+            run_call(self.costs, self.targets[0].registration, 0.1)
+            run_call(self.costs, self.targets[1].registration, 0.11)
+        request = PlacementRequest(None, None, (), 0.01)
+        targets = [*self.targets, remote]
+        chosen = [
+            self.tracker.choose_target(self.create_call(), self.service, targets, request)
+            for _ in range(100)
+        ]
+        self.assertTrue(all(chosen.count(target) >= 20 for target in self.targets))
+        self.assertEqual(chosen.count(remote), 0)
+
     def test_distance_counts_as_half_a_running_call(self) -> None:
         remote = create_target("t9", slots=6, data_centre=DataCentre("elsewhere"))
         for _ in range(MAX_SAMPLES):
