--- a/review/common-2/parts.py
+++ b/review/common-2/parts.py
@@ -9,6 +9,7 @@
 import itertools
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -23,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LOCAL = "127.0.0.1"
+_GIVEN_PORTS: set[int] = set()
 PARTS = 12
 # Bounds of the standard deployments, as their sheets state them.
 BOUNDS = {
@@ -58,9 +60,19 @@
 
 
 def find_port(host: str = LOCAL) -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Returns a free port, outside of those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(12_000, 32_000)
+        if port in _GIVEN_PORTS:
+            continue
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        _GIVEN_PORTS.add(port)
+        return port
 
 
 class Request:
@@ -726,6 +738,8 @@
         async with asyncio.timeout(110):
             return await main(deployment, has_trouble)
 
+    # A case that is told to end still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         is_broken = asyncio.run(run())
         status = 1 if is_broken else 0
