Keep a target that has left away when one of its writes comes late

A write to the platform's store that gets no response may be executed seconds later. A registration that came after the removal of its target's record made the target ready again, because the memory of targets that are gone counted only after a restore, and only for those that had announced their end.

Ruled out: instances that had not applied the removal, and connections of before it that are still used: no call reached the target from 0.33 s after the removal until 0.45 s after the late write.

How a target went now decides what brings it back in the same incarnation: nothing if it had announced its end; three further registrations if its record was removed while it wrote; the next one if the record lapsed, in an outage or after two silent heartbeats, or if the removal may be a late one of the start before. Late writes come once each, and a live target goes on to write. The interval of the heartbeats is the learned one.

test_target_may_return_under_its_id_when_nothing_was_restored asserted the fault: a target that drained and was removed was back with one registration of the same incarnation. It now asserts that a new start is back at once after either end, and a further test that the old start never is.

--- a/src/mulberryrill/internal/core/serving/heartbeats.py
+++ b/src/mulberryrill/internal/core/serving/heartbeats.py
@@ -36,6 +36,13 @@
         self._learned_s = 0.0
         self._learned_records = 0.0
 
+    @property
+    def interval_s(self) -> float | None:
+        """Seconds between two records of a target; None: too few were seen."""
+        if self._learned_records < MIN_LEARNED_RECORDS:
+            return None
+        return self._learned_s / self._learned_records
+
     def record(self, target: TargetId) -> None:
         """Counts a record that a target has written."""
         self._counts[target] += 1
@@ -67,9 +74,10 @@
         return was_available
 
     def _was_available(self, gap_s: float, counts: Counter[TargetId], size: int) -> bool:
-        if self._learned_records < MIN_LEARNED_RECORDS or not size:
+        interval_s = self.interval_s
+        if interval_s is None or not size:
             return False
-        expected = gap_s * self._learned_records / self._learned_s
+        expected = gap_s / interval_s
         needed = math.ceil(WRITING_SHARE * size)
         ranked = sorted(counts.values(), reverse=True)
         found = ranked[needed - 1] if len(ranked) >= needed else 0
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -3,6 +3,10 @@
 Registrations arrive in the order of the platform's log. Within one incarnation a target never
 returns from draining to ready. Registrations that expired during an outage of the platform's store,
 which holds the registry, are kept for a short time after it, because live targets register again.
+
+Pattern: a target's write to the store gets no response, and is executed seconds later, when its
+registration has been removed. A target that has left therefore does not come back with a single
+registration, whereas one whose registration lapsed comes back with the first.
 """
 
 from collections import Counter
@@ -34,6 +38,14 @@
 # What the registry lost when it came back from a copy is written again within this time.
 REWRITING_S = 10.0
 MAX_GONE_TARGETS = 5_000
+# A registration lapses after three intervals without a write. One that was removed within this
+# number of them was removed on purpose.
+MIN_LAPSE_INTERVALS = 2.0
+# A target that left while it was ready, and goes on to write its registration, lives after all once
+# it has done so this often: so many of its writes are not all late.
+RETURN_RECORD_COUNT = 3
+# The store may execute a write that got no response this much later.
+LATE_WRITE_S = 10.0
 # A target that leaves is gone within this time of its last response and of the lapse of its
 # registration. Until then a registration that is written again does not bring it back.
 LEAVING_RETENTION_S = 600.0
@@ -46,6 +58,17 @@
     DRAINING = "draining"
 
 
+class Departure(Enum):
+    """How a registration came to an end, which decides what brings the target back."""
+
+    # The target announced its end: nothing does.
+    DRAINED = "drained"
+    # The registration was removed while the target wrote it: that the target goes on writing it.
+    LEFT = "left"
+    # The target was silent, or could not write: its next registration.
+    LAPSED = "lapsed"
+
+
 @dataclass(frozen=True)
 class TargetRun:
     """One incarnation of a target."""
@@ -83,6 +106,11 @@
     """A target and its condition as seen by this instance."""
 
     registration: Registration
+    # When it was registered first and last.
+    registered_at: float = float("-inf")
+    written_at: float = float("-inf")
+    # Whether this incarnation took the place of another one whose registration was not removed.
+    has_replaced: bool = False
     cold_until: float = 0.0
     removed_at: float | None = None
     consecutive_failures: int = 0
@@ -162,11 +190,31 @@
         self.failure_rate += FAILURE_SMOOTHING_FACTOR * (1.0 - self.failure_rate)
 
 
+@dataclass
+class _GoneTarget:
+    """What is known of an incarnation that is not registered any more."""
+
+    departure: Departure
+    gone_at: float
+    # Registrations that were written since.
+    record_count: int = 0
+
+
 def _compute_cooldown(consecutive_count: int) -> float:
     """Returns the cooldown in seconds after a number of consecutive events."""
     return min(MAX_COOLDOWN_S, INITIAL_COOLDOWN_S * 2 ** (consecutive_count - 1))
 
 
+def _classify_removal(target: Target, now: float, heartbeat_s: float | None) -> Departure:
+    """Returns how a target went whose registration was removed while the registry was there."""
+    # The call that removed the registration of the incarnation before may have been late.
+    if target.has_replaced and now - target.registered_at < LATE_WRITE_S:
+        return Departure.LAPSED
+    if heartbeat_s is None or now - target.written_at < MIN_LAPSE_INTERVALS * heartbeat_s:
+        return Departure.LEFT
+    return Departure.LAPSED
+
+
 class TargetTable:
     """All registered targets, by id."""
 
@@ -182,8 +230,8 @@
         # Incarnations whose own responses said that they leave, and when they last did or were last
         # registered.
         self._leaving: dict[TargetRun, float] = {}
-        # Targets that are gone, with their last registered state and when they went, oldest first.
-        self._gone: dict[TargetRun, tuple[RegistrationState, float]] = {}
+        # Incarnations that are gone, the one that went first at the front.
+        self._gone: dict[TargetRun, _GoneTarget] = {}
 
     @property
     def targets(self) -> list[Target]:
@@ -210,12 +258,16 @@
         """Applies a registration; returns whether incarnation, state, models or address changed."""
         current = self._targets.get(registration.target)
         if current is None or current.registration.incarnation != registration.incarnation:
-            if self._has_left(registration.run, now):
-                return False
+            gone = self._find_gone(registration.run, now)
+            if gone is not None:
+                gone.record_count += 1
+                if self._may_be_late(registration, gone, now):
+                    return False
+            has_replaced = current is not None
             if current is not None:
-                self._add_gone(current, now)
+                self._add_gone(current, now, Departure.LEFT)
             self._gone.pop(registration.run, None)
-            current = Target(registration)
+            current = Target(registration, now, now, has_replaced)
             self._targets.pop(registration.target, None)
             self._targets[registration.target] = current
             self._by_address = None
@@ -223,6 +275,7 @@
             return True
         previous = current.registration
         current.removed_at = None
+        current.written_at = now
         if (
             previous.state is RegistrationState.DRAINING
             and registration.state is RegistrationState.READY
@@ -240,25 +293,33 @@
             registration.address,
         )
 
-    def remove(self, target: TargetId, now: float) -> None:
-        """Removes a target, or only marks it if the registry is down or has just returned."""
+    def remove(self, target: TargetId, now: float, heartbeat_s: float | None = None) -> None:
+        """Removes a target, or only marks it if the registry is down or has just returned.
+
+        ``heartbeat_s`` is the interval at which targets write their registrations; None: unknown.
+        """
         current = self._targets.get(target)
         if current is None:
             return
         if self._is_registry_down or now - self._registry_returned_at < EXPIRY_GRACE_S:
             current.removed_at = current.removed_at or now
         else:
-            self._add_gone(current, now)
+            self._add_gone(current, now, _classify_removal(current, now, heartbeat_s))
             del self._targets[target]
             self._by_address = None
 
-    def replace_all(self, registrations: list[Registration], now: float) -> None:
+    def replace_all(
+        self, registrations: list[Registration], now: float, heartbeat_s: float | None = None
+    ) -> None:
         """Replaces all registrations by those of a complete registry read."""
         listed = {registration.target for registration in registrations}
         for target in [target_id for target_id in self._targets if target_id not in listed]:
-            self.remove(target, now)
+            self.remove(target, now, heartbeat_s)
         for registration in registrations:
-            self.apply(registration, now)
+            # Reading a record again does not show that its target goes on to write.
+            gone = self._find_gone(registration.run, now)
+            if gone is None or not self._may_be_late(registration, gone, now):
+                self.apply(registration, now)
 
     def restore_all(self, registrations: list[Registration], now: float) -> None:
         """Applies a registry that came back from an older copy.
@@ -269,22 +330,35 @@
         self._registry_returned_at = self._restored_at = now
         self.replace_all([r for r in registrations if r.run not in self._gone], now)
 
-    def _has_left(self, run: TargetRun, now: float) -> bool:
-        """Whether a registration may be an older one that was written again after a restore.
+    def is_registered(self, run: TargetRun) -> bool:
+        """Whether this incarnation is the registered one."""
+        current = self._targets.get(run.target)
+        return current is not None and current.registration.run == run
 
-        It is if the target had announced its end and is gone.
-        """
-        state, _ = self._gone.get(run, (RegistrationState.READY, 0.0))
-        is_recent = now - self._restored_at < REWRITING_S
-        return is_recent and state is RegistrationState.DRAINING
+    def _find_gone(self, run: TargetRun, now: float) -> _GoneTarget | None:
+        gone = self._gone.get(run)
+        return gone if gone is not None and now - gone.gone_at < GONE_RETENTION_S else None
 
-    def _add_gone(self, target: Target, now: float) -> None:
+    def _may_be_late(self, registration: Registration, gone: _GoneTarget, now: float) -> bool:
+        """Whether a registration of a target that is gone may be a write of before that."""
+        if gone.departure is Departure.LAPSED:
+            return False
+        if gone.departure is Departure.DRAINED:
+            # A target that still drains gets no calls whether it is registered or not.
+            return registration.state is RegistrationState.READY
+        # A restored store lacks the newest records, so that targets write them again.
+        is_restored = now - self._restored_at < REWRITING_S
+        return not is_restored and gone.record_count < RETURN_RECORD_COUNT
+
+    def _add_gone(self, target: Target, now: float, departure: Departure) -> None:
+        if target.registration.state is RegistrationState.DRAINING:
+            departure = Departure.DRAINED
         run = target.registration.run
         self._gone.pop(run, None)
-        self._gone[run] = (target.registration.state, now)
+        self._gone[run] = _GoneTarget(departure, now)
         while self._gone:
-            oldest, (_, gone_at) = next(iter(self._gone.items()))
-            if len(self._gone) <= MAX_GONE_TARGETS and now - gone_at < GONE_RETENTION_S:
+            oldest, gone = next(iter(self._gone.items()))
+            if len(self._gone) <= MAX_GONE_TARGETS and now - gone.gone_at < GONE_RETENTION_S:
                 break
             del self._gone[oldest]
 
@@ -311,7 +385,7 @@
             return []
         expired = [key for key, target in self._targets.items() if target.removed_at is not None]
         for key in expired:
-            self._add_gone(self._targets.pop(key), now)
+            self._add_gone(self._targets.pop(key), now, Departure.LAPSED)
             self._by_address = None
         return expired
 
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -343,11 +343,21 @@
             self._report_lost(current)
         if has_changed:
             self._log_target(registration.target, registration.state.value, registration.address)
+        elif not self.targets.is_registered(registration.run):
+            log_event(
+                _LOGGER,
+                logging.INFO,
+                Event.ENTRY_REGISTRATION_IGNORED,
+                "registration may have been written before its target left: not used",
+                target=registration.target,
+                incarnation=registration.incarnation,
+                state=registration.state.value,
+            )
 
     def on_registration_removed(self, target: TargetId) -> None:
         """Removes a target, or marks it as expired during or just after a store outage."""
         current = self.targets.get(target)
-        self.targets.remove(target, self._loop.now())
+        self.targets.remove(target, self._loop.now(), self._heartbeats.interval_s)
         if current is not None:
             if self.targets.get(target) is None:
                 self._report_lost(current)
@@ -357,10 +367,12 @@
     def on_registry_read(self, registrations: list[Registration], is_restored: bool) -> None:
         """Replaces the list of targets, or brings it up to date with an older copy."""
         self._heartbeats.skip()
-        apply = self.targets.restore_all if is_restored else self.targets.replace_all
-        apply(registrations, self._loop.now())
+        now = self._loop.now()
         if is_restored:
+            self.targets.restore_all(registrations, now)
             self._schedule_expiry()
+        else:
+            self.targets.replace_all(registrations, now, self._heartbeats.interval_s)
         self._has_registry = True
         self._check_records_known()
         log_event(
--- a/tests/common/followersimulation.py
+++ b/tests/common/followersimulation.py
@@ -18,8 +18,16 @@
 from mulberryrill.internal.core.serving.routetable import RouteTable
 from mulberryrill.internal.core.serving.targettable import Registration, RegistrationState
 from mulberryrill.internal.entry.peers import Peer
+from mulberryrill.internal.entry.state import EntryState
 from mulberryrill.internal.eventloop import EventLoop
-from mulberryrill.internal.ids import DataCentre, InstanceId, Offset, StoreEra, TargetId
+from mulberryrill.internal.ids import (
+    DataCentre,
+    InstanceId,
+    Offset,
+    ServiceName,
+    StoreEra,
+    TargetId,
+)
 from mulberryrill.internal.schema.peers_pb2 import LogFeed, LogRequest
 from mulberryrill.internal.schema.settings_pb2 import EntryBounds
 from mulberryrill.platform.follower import StoreFollower
@@ -38,6 +46,10 @@
 LINK_DELAY_S = 0.001
 # Interval at which targets write their registration.
 HEARTBEAT_S = 1.2
+# The service of all targets.
+SERVICE = ServiceName("desk")
+# Interval at which an instance discards what has expired.
+HOUSEKEEPING_S = 1.0
 BOUNDS = EntryBounds(configuration_ms=2000, drain_ms=2000)
 
 
@@ -96,6 +108,24 @@
     on_registry_reachability = on_registry_checked = _ignore
 
 
+class InstanceState(EntryState, SimulatedObserver):  # type: ignore[misc]
+    """The state of an entry instance, with its periodic work."""
+
+    def __init__(self, loop: SimulatedLoop, name: InstanceId) -> None:
+        EntryState.__init__(self, loop, name, DATA_CENTRE, BOUNDS)
+        self.applied_at = {}
+        self.draining_since = {}
+        loop.call_every(HOUSEKEEPING_S, self.remove_expired_targets)
+
+    @property
+    def peers(self) -> tuple[InstanceId, ...]:  # type: ignore[override]
+        return self.instances
+
+    def list_used(self) -> set[str]:
+        """Returns the targets that may get calls."""
+        return {target.id for target in self.targets.list_usable(SERVICE)}
+
+
 @dataclass
 class SimulatedInstance:
     """One instance: its follower, and the faults that it suffers."""
@@ -240,13 +270,13 @@
         self, simulation: "FollowerSimulation", target: TargetId, heartbeat_s: float
     ) -> None:
         self.id = target
-        # Whether it can reach the store, and whether it still writes.
+        # Whether it cannot reach the store, and whether it has stopped to write.
         self.is_cut_off = False
         self.is_leaving = False
         self._simulation = simulation
         self._heartbeat_s = heartbeat_s
         registration = {
-            "service": "desk",
+            "service": SERVICE,
             "address": f"{target}:1",
             "zone": DATA_CENTRE,
             "state": "ready",
@@ -272,6 +302,30 @@
         """Lets the store remove its registration."""
         self._simulation.append_registration(self.id, None)
 
+    def start_again(self, **changes: object) -> None:
+        """Starts again under the same id, a millisecond of its clock later, and goes on writing.
+
+        ``changes`` are fields of its registration that differ from those of the start before.
+        """
+        registration = json.loads(self._value)
+        self.write_state(**{"born": registration["born"] + 1, **changes})
+
+    def write_state(self, **changes: object) -> None:
+        """Writes a registration with other fields, now and from now on."""
+        self._value = json.dumps({**json.loads(self._value), **changes}).encode()
+        self._simulation.append_registration(self.id, self._value)
+
+    def write_late(self, delay_s: float) -> None:
+        """Writes a heartbeat that the store executes after a delay, without a response."""
+        value = self._value
+        self._simulation.schedule(
+            delay_s, lambda: self._simulation.append_registration(self.id, value)
+        )
+
+    def remove_late(self, delay_s: float) -> None:
+        """Removes its registration by a call that the store executes after a delay."""
+        self._simulation.schedule(delay_s, self.lapse)
+
 
 class FollowerSimulation:
     """A store and the instances of one data centre, on one simulated clock."""
@@ -385,7 +439,7 @@
         """Writes a registration that says that its target is leaving."""
         target = TargetId(name or f"t{len(self.topics[REGISTRY_TOPIC])}")
         registration = {
-            "service": "desk",
+            "service": SERVICE,
             "address": "127.0.0.1:1",
             "zone": DATA_CENTRE,
             "state": "draining",
--- a/tests/regressions/test_cut_off_instance_uses_gone_target.py
+++ b/tests/regressions/test_cut_off_instance_uses_gone_target.py
@@ -9,16 +9,11 @@
 import unittest
 
 from mulberryrill.internal.core.serving.targettable import EXPIRY_GRACE_S
-from mulberryrill.internal.entry.state import EntryState
-from mulberryrill.internal.ids import InstanceId, ServiceName
 from tests.common.followersimulation import (
-    BOUNDS,
-    DATA_CENTRE,
     HEARTBEAT_S,
     FollowerSimulation,
+    InstanceState,
     SimulatedInstance,
-    SimulatedLoop,
-    SimulatedObserver,
     SimulatedTarget,
 )
 
@@ -32,25 +27,6 @@
 # Cuts begin at these phases of the reads, in steps of this many seconds.
 PHASE_STEP_S = 0.17
 PHASE_COUNT = 8
-HOUSEKEEPING_S = 1.0
-
-
-class InstanceState(EntryState, SimulatedObserver):  # type: ignore[misc]
-    """The state of an entry instance, with its periodic work."""
-
-    def __init__(self, loop: SimulatedLoop, name: InstanceId) -> None:
-        EntryState.__init__(self, loop, name, DATA_CENTRE, BOUNDS)
-        self.applied_at = {}
-        self.draining_since = {}
-        loop.call_every(HOUSEKEEPING_S, self.remove_expired_targets)
-
-    @property
-    def peers(self) -> tuple[InstanceId, ...]:  # type: ignore[override]
-        return self.instances
-
-    def list_used(self) -> set[str]:
-        """Returns the targets that may get calls."""
-        return {target.id for target in self.targets.list_usable(ServiceName("desk"))}
 
 
 class GoneTargetTest(unittest.TestCase):
--- a/tests/unit/test_serving_targettable.py
+++ b/tests/unit/test_serving_targettable.py
@@ -5,6 +5,7 @@
 
 from mulberryrill.internal.core.serving.targettable import (
     EXPIRY_GRACE_S,
+    RETURN_RECORD_COUNT,
     Registration,
     RegistrationState,
     Target,
@@ -98,10 +99,41 @@
         self.assertEqual(self.list_ids(), ["live", "crashed"], "it registered again, so it lives")
 
     def test_target_may_return_under_its_id_when_nothing_was_restored(self) -> None:
+        for number, state in enumerate(RegistrationState):
+            name = f"t{number}"
+            self.table.apply(create_registration(name, state=state), 0.0)
+            self.table.remove(TargetId(name), 1.0)
+            self.table.apply(create_registration(name, incarnation=Incarnation("2")), 2.0)
+        self.assertEqual(self.list_ids(), ["t0", "t1"])
+
+    def test_target_that_announced_its_end_never_returns_in_the_same_incarnation(self) -> None:
         self.table.apply(create_registration(state=RegistrationState.DRAINING), 0.0)
         self.table.remove(TargetId("t1"), 1.0)
-        self.table.apply(create_registration(), 2.0)
-        self.assertEqual(self.list_ids(), ["t1"])
+        for second in range(2, 20):
+            self.table.apply(create_registration(), float(second))
+            self.assertEqual(self.list_ids(), [])
+
+    def test_registration_of_an_end_makes_earlier_ones_useless(self) -> None:
+        """The late record may also come between those of a target that drains."""
+        draining = create_registration(state=RegistrationState.DRAINING)
+        self.table.apply(draining, 0.0)
+        self.table.remove(TargetId("t1"), 1.0)
+        self.table.apply(draining, 2.0)
+        self.table.apply(create_registration(), 3.0)
+        self.assertEqual(self.list_ids(), [])
+
+    def test_removed_target_needs_several_registrations_unless_it_was_silent(self) -> None:
+        """Guards against a write from before its departure, which may come late."""
+        for silence_s, needed in ((1.0, RETURN_RECORD_COUNT), (4.0, 1)):
+            with self.subTest(silence_s=silence_s):
+                self.table.apply(create_registration(incarnation=Incarnation(str(needed))), 0.0)
+                self.table.remove(TargetId("t1"), silence_s, heartbeat_s=1.2)
+                for number in range(needed):
+                    self.assertEqual(self.list_ids(), [])
+                    registration = create_registration(incarnation=Incarnation(str(needed)))
+                    self.table.apply(registration, silence_s + number)
+                self.assertEqual(self.list_ids(), ["t1"])
+                self.table = TargetTable()
 
     def test_target_that_an_older_copy_lacks_has_time_to_register_again(self) -> None:
         for name in ("t1", "t2", "t3"):
