Tell a call that ends targets from sound ones by query, method and prompt

Calls were recognized by customer, host, path and body. Sound calls that differ in the query only had the same fingerprint, and each answer to one of them cleared the deadly one.

Ruled out: ends that are not proved, and late news of them.

A call now has its fingerprint, which all its spellings share, and narrower traits: each parameter, the whole query and the prompt's own part, and these and the method. An answer clears the traits of its call. The narrowest trait that explains three ends is refused, so that rare sound calls are not refused with it, and an end under another call with a broader trait counts together with those that the refused one explains, so that a further spelling ends one target. The same cause let calls with other prompts but the same body clear each other, and dropped a second suspect with the same request id.

--- a/src/mulberryrill/internal/core/serving/crashcauses.py
+++ b/src/mulberryrill/internal/core/serving/crashcauses.py
@@ -5,9 +5,12 @@
 off with them, and sound calls share their customer, path and all other parts. Each end of a target
 is therefore kept with all calls that may have caused it, and a trait of calls counts as the cause
 once several targets have ended under it and no call with it has been answered since.
+
+A call that comes again has a trait that all its spellings share, and narrower ones. The narrowest
+one that explains the ends is the cause, so that sound calls are not refused with it. Each further
+end under another call with the broader trait counts together with those that it explains.
 """
 
-from collections import Counter
 from collections.abc import Container, Iterable
 from dataclasses import dataclass, replace
 from itertools import pairwise
@@ -16,7 +19,7 @@
 from ...ids import RequestId
 from .targettable import TargetRun
 
-# What calls can have in common: a prompt part, or path, customer and body.
+# What calls can have in common: a prompt part; path, customer and body; or these and more.
 Trait = NewType("Trait", str)
 # A call's fingerprint and the part of its prompt that belongs to it alone.
 CallIdentity = tuple[Trait, str]
@@ -57,15 +60,22 @@
     parts: tuple[Trait, ...]
     # The prompt's last part, which belongs to the call; empty without a prompt.
     own_part: str
+    # Narrower traits than the fingerprint, the broadest first.
+    variants: tuple[Trait, ...] = ()
+
+    @property
+    def call_traits(self) -> tuple[Trait, ...]:
+        """The traits by which the call itself is recognized, the broadest first."""
+        return (self.fingerprint, *self.variants)
 
     @property
     def traits(self) -> tuple[Trait, ...]:
         """All traits."""
-        return (*self.parts, self.fingerprint)
+        return (*self.parts, *self.call_traits)
 
     @property
     def identity(self) -> CallIdentity:
-        """Equal for calls that are the same call again."""
+        """Equal for calls that may be the same call again in another spelling."""
         return self.fingerprint, self.own_part
 
 
@@ -88,6 +98,8 @@
     last_end_at: float
     # Whether the call was answered shortly before the first end.
     was_answered: bool
+    # What the call has in common with those under which the targets ended.
+    trait: Trait
 
 
 @dataclass(frozen=True)
@@ -122,15 +134,23 @@
     def has_repeated_suspect(self) -> bool:
         """Whether several targets have ended under one call, without an answer since."""
         if self._has_repeated_suspect is None:
-            counts = Counter(
-                identity
-                for end in self._ends.values()
-                for identity in {suspect.identity for suspect in end.suspects}
-                if self._answered_at.get(identity[0], float("-inf")) < end.ended_at
-            )
-            self._has_repeated_suspect = any(count > 1 for count in counts.values())
+            self._has_repeated_suspect = self._find_repeated_suspect()
         return self._has_repeated_suspect
 
+    def _find_repeated_suspect(self) -> bool:
+        earlier: set[tuple[CallIdentity, Trait]] = set()
+        for end in self._ends.values():
+            keys = {
+                (suspect.identity, trait)
+                for suspect in end.suspects
+                for trait in suspect.call_traits
+                if self._answered_at.get(trait, float("-inf")) < end.ended_at
+            }
+            if not keys.isdisjoint(earlier):
+                return True
+            earlier |= keys
+        return False
+
     @property
     def has_ends(self) -> bool:
         """Whether any targets have ended recently."""
@@ -156,21 +176,29 @@
         unproven = {run for run, (_, expires_at) in self._unproven.items() if now < expires_at}
         return unproven | self._ends.keys()
 
-    def find_suspicion(self, identity: CallIdentity, now: float) -> Suspicion | None:
-        """Returns the ends under a call since its last answer, also unproven ones."""
-        trait, _ = identity
+    def find_suspicion(
+        self, identity: CallIdentity, now: float, variants: tuple[Trait, ...] = ()
+    ) -> Suspicion | None:
+        """Returns the ends under a call since its last answer, also unproven ones.
+
+        ``variants`` are the call's narrower traits. The trait under which most targets have ended
+        counts, and the broadest one of several.
+        """
+        traits = (identity[0], *variants)
         ends = {run: end for run, (end, at) in self._unproven.items() if now < at}
-        if trait in self._suspected:
+        if identity[0] in self._suspected:
             ends |= self._ends
-        candidate = _Candidate(trait, is_call=True)
+        candidates: dict[Trait, _Candidate] = {}
         for end in ends.values():
             suspects = tuple(s for s in end.suspects if s.identity == identity)
             if suspects:
-                self._count_end(replace(end, suspects=suspects), {trait: candidate}, {trait})
-        if not candidate.ends:
+                self._count_end(replace(end, suspects=suspects), candidates, traits)
+        if not candidates:
             return None
-        last_end_at = max(end.ended_at for end in candidate.ends.values())
-        return Suspicion(frozenset(candidate.ends), last_end_at, self._was_answered(candidate))
+        found = (candidates[trait] for trait in traits if trait in candidates)
+        best = max(found, key=lambda candidate: len(candidate.ends))
+        last_end_at = max(end.ended_at for end in best.ends.values())
+        return Suspicion(frozenset(best.ends), last_end_at, self._was_answered(best), best.trait)
 
     def record_answer(self, traits: Iterable[Trait], now: float) -> None:
         """Records that a target ran a call with these traits and did not end."""
@@ -205,21 +233,35 @@
         Ends that a known cause explains say nothing about other traits.
         """
         self.prune(now)
-        explained = set(known_causes)
-        ends = [
-            end
-            for end in self._ends.values()
-            if not any(trait in explained for s in end.suspects for trait in s.traits)
-        ]
+        known = set(known_causes)
+        ends: list[TargetEnd] = []
+        explained: list[TargetEnd] = []
+        for end in self._ends.values():
+            is_explained = any(trait in known for s in end.suspects for trait in s.traits)
+            (explained if is_explained else ends).append(end)
         candidates: dict[Trait, _Candidate] = {}
         for end in ends:
             self._count_end(end, candidates)
+        for end in explained:
+            self._count_known_calls(end, known, candidates)
         eligible = [c for c in candidates.values() if self._is_cause(c, ends)]
         if not eligible:
             return None
         best = max(eligible, key=lambda c: (len(c.ends), not self._was_answered(c), c.narrowness))
         return CrashCause(best.trait, tuple(best.ends))
 
+    def _count_known_calls(
+        self, end: TargetEnd, known: set[Trait], candidates: dict[Trait, "_Candidate"]
+    ) -> None:
+        """Adds an end to the candidates that are broader than the known cause of it.
+
+        Another spelling of a call that is refused already need not end as many targets again.
+        """
+        calls = tuple(s for s in end.suspects if not known.isdisjoint(s.call_traits))
+        broader = {t for s in calls for t in s.call_traits if t in candidates} - known
+        if broader:
+            self._count_end(replace(end, suspects=calls), candidates, broader)
+
     def _count_end(
         self,
         end: TargetEnd,
@@ -233,7 +275,7 @@
                     continue
                 if self._answered_at.get(trait, float("-inf")) >= end.ended_at:
                     continue
-                is_call = trait == suspect.fingerprint
+                is_call = position >= len(suspect.parts)
                 candidate = candidates.setdefault(trait, _Candidate(trait, is_call))
                 candidate.position = max(candidate.position, position)
                 candidate.calls.add(suspect.identity)
@@ -331,7 +373,7 @@
         """
         if not self.is_call:
             return self.position
-        return MAX_POSITION if len(self.calls) == 1 else -1
+        return MAX_POSITION + self.position if len(self.calls) == 1 else -1
 
 
 def _merge_end(ends: dict[TargetRun, TargetEnd], end: TargetEnd) -> bool:
@@ -342,8 +384,7 @@
         if len(ends) > MAX_ENDS:
             del ends[min(ends, key=lambda run: ends[run].ended_at)]
         return True
-    requests = {suspect.request for suspect in known.suspects}
-    added = tuple(s for s in end.suspects if s.request not in requests)
+    added = tuple(s for s in end.suspects if s not in known.suspects)
     if added:
         ended_at = min(known.ended_at, end.ended_at)
         ends[end.run] = TargetEnd(end.run, ended_at, (*known.suspects, *added))
--- a/src/mulberryrill/internal/entry/crashwatch.py
+++ b/src/mulberryrill/internal/entry/crashwatch.py
@@ -8,22 +8,24 @@
 import logging
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
-from hashlib import blake2b
 from typing import Protocol
 
 from ..core.quarantine import QUARANTINE_DURATION_MS, Quarantine
 from ..core.serving.crashcauses import (
-    CallIdentity,
     CrashCauses,
     SuspectCall,
     Suspicion,
     TargetEnd,
     Trait,
 )
-from ..core.serving.probation import ProbationRefusal, choose_trial_target
+from ..core.serving.probation import (
+    TRIAL_RETRY_DELAY_S,
+    ProbationRefusal,
+    choose_trial_target,
+)
 from ..core.serving.targettable import Registration, Target, TargetRun
 from ..eventloop import EventLoop
 from ..events import Event
@@ -31,6 +33,12 @@
 from ..logs import log_event
 from ..schema.log_pb2 import QuarantineEntry
 from .attempt import Attempt, Outcome
+from .callidentity import (
+    identify_call,
+    list_parts,
+    list_traits,
+    list_variants,
+)
 from .dialect import CallRequest
 
 # A call is no suspect if its target ended later than this after the first event of its response.
@@ -44,7 +52,6 @@
 PROBE_INTERVAL_S = 0.25
 # Time for the reports of all peers to arrive before a cause is sought: this and two intervals.
 SETTLE_MARGIN_S = 0.2
-FINGERPRINT_BYTES = 16
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -99,22 +106,32 @@
         if quarantine.is_empty:
             return None
         now_unix_ms = self._get_unix_ms()
-        traits = (*list_parts(call), compute_fingerprint(call))
+        traits = list_traits(call)
         return next((t for t in traits if quarantine.is_quarantined(t, now_unix_ms)), None)
 
     def choose_trial_target(
-        self, call: CallRequest, usable: list[Target]
+        self, call: CallRequest, usable: list[Target], running: Iterable[CallRequest]
     ) -> Target | ProbationRefusal | None:
-        """Returns the only target on which a suspected call may run; None: it is not suspected."""
+        """Returns the only target on which a suspected call may run; None: it is not suspected.
+
+        ``running`` are the other calls that have been sent to targets: of those that are suspected
+        of the same, one runs at a time.
+        """
         causes, now = self._state.crash_causes, self._loop.boottime()
         if not causes.has_suspects:
             return None
         identity = identify_call(call)
-        suspicion = causes.find_suspicion(identity, now)
+        suspicion = causes.find_suspicion(identity, now, list_variants(call, identity[0]))
         if suspicion is None:
             return None
         ended, interval_s = causes.list_ended_runs(now), self._state.report_interval_s
         choice = choose_trial_target(identity[0], suspicion, usable, ended, interval_s, now)
+        if isinstance(choice, Target):
+            for other in running:
+                if identify_call(other) == identity and suspicion.trait in list_traits(other):
+                    detail = f"the same call runs as {other.request_id}"
+                    choice = ProbationRefusal(detail, TRIAL_RETRY_DELAY_S)
+                    break
         self._log_trial(call, suspicion, choice)
         return choice
 
@@ -127,7 +144,7 @@
             Event.ENTRY_CALL_ON_PROBATION,
             choice.detail if isinstance(choice, ProbationRefusal) else "call runs on one target",
             request=call.request_id,
-            trait=compute_fingerprint(call),
+            trait=suspicion.trait,
             ended=sorted(run.target for run in suspicion.runs),
             last_end_s=round(self._loop.boottime() - suspicion.last_end_at, 3),
             target=choice.id if isinstance(choice, Target) else None,
@@ -142,8 +159,7 @@
         registration = attempt.plan.target.registration
         run = _get_run(registration)
         if outcome in (Outcome.ANSWERED, Outcome.ERROR):
-            traits = (*list_parts(call), compute_fingerprint(call))
-            self._state.crash_causes.record_answer(traits, self._loop.boottime())
+            self._state.crash_causes.record_answer(list_traits(call), self._loop.boottime())
             self._clear_break(run)
         elif outcome is Outcome.BROKEN and not attempt.was_stalled:
             first_event_at = attempt.first_event_at
@@ -176,8 +192,9 @@
         self._expire(now)
         broken = self._broken_runs.setdefault(run, _BrokenRun(now))
         fingerprint, own_part = identify_call(call)
+        variants = list_variants(call, fingerprint)
         broken.suspects.append(
-            SuspectCall(call.request_id, fingerprint, list_parts(call), own_part)
+            SuspectCall(call.request_id, fingerprint, list_parts(call), own_part, variants)
         )
         if broken.has_ended:
             self._report_end(run, broken)
@@ -320,33 +337,5 @@
             self._on_refused()
 
 
-def list_parts(call: CallRequest) -> tuple[Trait, ...]:
-    """Returns the shared parts of a call's prompt as traits; the last part is the call's own."""
-    if call.prompt is None:
-        return ()
-    return tuple(Trait(f"part:{part.lower()}") for part, _ in call.prompt.parts[:-1])
-
-
-def identify_call(call: CallRequest) -> CallIdentity:
-    """Returns what is equal for calls that are the same call again."""
-    own_part = call.prompt.parts[-1][0] if call.prompt is not None and call.prompt.parts else ""
-    return compute_fingerprint(call), own_part.lower()
-
-
-def compute_fingerprint(call: CallRequest) -> Trait:
-    """Returns a trait that calls share only if path, customer and body are the same.
-
-    How a caller writes the host, the method, the query and the headers makes no difference: one
-    call in several spellings must not count as several.
-    """
-    digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    customer = call.customer.name if call.customer is not None else ""
-    path = call.path.encode("latin-1")
-    for item in (customer.encode(), call.route.host.encode(), path, call.http.body):
-        digest.update(len(item).to_bytes(8, "big"))
-        digest.update(item)
-    return Trait(f"call:{digest.hexdigest()}")
-
-
 def _get_run(registration: Registration) -> TargetRun:
     return TargetRun(registration.target, registration.incarnation)
--- a/src/mulberryrill/internal/entry/dispatcher.py
+++ b/src/mulberryrill/internal/entry/dispatcher.py
@@ -9,7 +9,7 @@
 from ..core.serving.crashcauses import TargetEnd
 from ..core.serving.idlelimits import IdleLimits
 from ..core.serving.placement import Placement, PlacementRequest
-from ..core.serving.probation import TRIAL_RETRY_DELAY_S, ProbationRefusal
+from ..core.serving.probation import ProbationRefusal
 from ..core.serving.routetable import CallerLimits, Service
 from ..core.serving.streamorigins import OriginSource
 from ..core.serving.targettable import Registration, Target
@@ -28,7 +28,7 @@
 from ..schema.log_pb2 import QuarantineEntry
 from ..schema.settings_pb2 import EntrySettings
 from .attempt import Attempt, Outcome
-from .crashwatch import CrashWatch, identify_call
+from .crashwatch import CrashWatch
 from .dialect import (
     AttemptPlan,
     CallRefusedError,
@@ -302,19 +302,11 @@
     ) -> list[Target] | ProbationRefusal:
         """Returns the usable targets, or only one of them if targets have ended under the call."""
         untried = [target for target in usable if target.id not in handler.tried_targets]
-        choice = self._crash_watch.choose_trial_target(handler.call, untried)
+        running = (o.call for o in self._handlers if o is not handler and o.has_attempt)
+        choice = self._crash_watch.choose_trial_target(handler.call, untried, running)
         if choice is None:
             return usable
-        if isinstance(choice, ProbationRefusal):
-            return choice
-        identity = identify_call(handler.call)
-        for other in self._handlers:
-            is_running = other is not handler and other.has_attempt
-            if is_running and identify_call(other.call) == identity:
-                return ProbationRefusal(
-                    f"the same call runs as {other.call.request_id}", TRIAL_RETRY_DELAY_S
-                )
-        return [choice]
+        return choice if isinstance(choice, ProbationRefusal) else [choice]
 
     def _on_target_lost(self, registration: Registration) -> None:
         waiting = [
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -586,6 +586,7 @@
             fingerprint=suspect.fingerprint,
             parts=suspect.parts,
             own_part=suspect.own_part,
+            variants=suspect.variants,
         )
     return message
 
@@ -597,6 +598,7 @@
             Trait(suspect.fingerprint),
             tuple(Trait(part) for part in suspect.parts),
             suspect.own_part,
+            tuple(Trait(variant) for variant in suspect.variants),
         )
         for suspect in message.suspects
     )
--- a/tests/process/test_entry_crashes.py
+++ b/tests/process/test_entry_crashes.py
@@ -229,6 +229,14 @@
             lambda entry: self.call("crashing", entry, path, host=HOST.upper(), is_chunked=True),
         )
 
+    def test_sound_requests_that_differ_in_the_query_clear_it(self) -> None:
+        """Guards against a request that is never refused beside sound ones for its path."""
+        self.start_caller("sound", SOUND_INTERVAL_S, "/get/find?lang=el&q=sound")
+        self.check_request(
+            lambda entry: self.call("crashing", entry, f"/get/find?lang=el&q={CRASHING_PART}"),
+            lambda entry: self.call("crashing", entry, f"/get/find?lang=%65l&q={CRASHING_PART}"),
+        )
+
     def call_crashing(self, entry: EntryProcess) -> None:
         self.call("crashing", entry, f"/get/{CRASHING_PART}")
 
--- a/tests/unit/test_serving_probation.py
+++ b/tests/unit/test_serving_probation.py
@@ -64,7 +64,8 @@
     def choose(
         self, end_count: int, age_s: float, targets: list[Target] | None = None
     ) -> Target | ProbationRefusal:
-        suspicion = Suspicion(frozenset(map(create_run, range(end_count))), 0.0, self.was_answered)
+        runs = frozenset(map(create_run, range(end_count)))
+        suspicion = Suspicion(runs, 0.0, self.was_answered, CALL)
         usable = self.targets if targets is None else targets
         return choose_trial_target(CALL, suspicion, usable, set(), REPORT_INTERVAL_S, age_s)
 
@@ -97,7 +98,7 @@
 
     def test_ended_target_is_not_used(self) -> None:
         ended = {target.registration.run for target in self.targets[:2]}
-        suspicion = Suspicion(frozenset(ended), 0.0, False)
+        suspicion = Suspicion(frozenset(ended), 0.0, False, CALL)
         chosen = choose_trial_target(
             CALL, suspicion, self.targets, ended, REPORT_INTERVAL_S, RECOVERY_S
         )
