Keep a restarted target's registration when one of its earlier start comes late

A target that was upgraded in place had written its registration before its restart without a response, and the store executed that write after it. The table took each registration of another incarnation for a new start, so that the target passed for its earlier self until its next heartbeat; streams of the old version went on at it, and a cold target passed for a warm one.

Ruled out: streams whose version is not known (those that broke off went to targets registered with their version only), and targets told apart by their id alone (nothing is mixed without the late write).

Starts are now ordered by the target's clock, as born states it. A complete read of the registry follows the same rule, and an address belongs to the target there that started last.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -5,8 +5,9 @@
 which holds the registry, are kept for a short time after it, because live targets register again.
 
 Pattern: a target's write to the store gets no response, and is executed seconds later, when its
-registration has been removed. A target that has left therefore does not come back with a single
-registration, whereas one whose registration lapsed comes back with the first.
+registration has been removed, or the target has started again. A single registration therefore
+neither brings back a target that has left, nor replaces one of a later start, whereas a target
+whose registration lapsed comes back with the first.
 """
 
 from collections import Counter
@@ -94,6 +95,8 @@
     order_count: int
     models: tuple[tuple[ModelName, WeightVersion], ...] = ()
     software: SoftwareVersion = SoftwareVersion("")
+    # Start of the incarnation in Unix milliseconds of the target's clock.
+    started_ms: int = 0
 
     @property
     def run(self) -> TargetRun:
@@ -192,12 +195,21 @@
 
 @dataclass
 class _GoneTarget:
-    """What is known of an incarnation that is not registered any more."""
+    """The last incarnation of a target that is not registered any more."""
 
+    run: TargetRun
+    started_ms: int
     departure: Departure
     gone_at: float
-    # Registrations that were written since.
-    record_count: int = 0
+
+
+class _Doubt(Enum):
+    """Why a registration may have been written before what is known of its target."""
+
+    # The target announced its end, and is gone.
+    DRAINED = "drained"
+    # Its registration was removed, or it has started again.
+    SUPERSEDED = "superseded"
 
 
 def _compute_cooldown(consecutive_count: int) -> float:
@@ -220,7 +232,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[TargetId, Target] = {}
-        # The target that registered an address last; None: to be computed again.
+        # The target that started last at an address; None: to be computed again.
         self._by_address: dict[str, Target] | None = None
         self._evacuated: set[DataCentre] = set()
         self._is_registry_down = False
@@ -230,8 +242,10 @@
         # Incarnations whose own responses said that they leave, and when they last did or were last
         # registered.
         self._leaving: dict[TargetRun, float] = {}
-        # Incarnations that are gone, the one that went first at the front.
-        self._gone: dict[TargetRun, _GoneTarget] = {}
+        # Targets that are gone, the one that went first at the front.
+        self._gone: dict[TargetId, _GoneTarget] = {}
+        # Incarnations whose last registrations were in doubt, and the number of these.
+        self._doubted: dict[TargetId, tuple[TargetRun, int]] = {}
 
     @property
     def targets(self) -> list[Target]:
@@ -243,9 +257,10 @@
         return self._targets.get(target)
 
     def find_by_address(self, address: str) -> Target | None:
-        """Returns the target that registered an address last, or None."""
+        """Returns the target that started last of those at an address, or None."""
         if self._by_address is None:
-            self._by_address = {t.registration.address: t for t in self._targets.values()}
+            targets = sorted(self._targets.values(), key=lambda t: t.registration.started_ms)
+            self._by_address = {target.registration.address: target for target in targets}
         return self._by_address.get(address)
 
     def find_newest_version(self, model: ModelName) -> WeightVersion | None:
@@ -256,17 +271,12 @@
 
     def apply(self, registration: Registration, now: float, age_s: float = 0.0) -> bool:
         """Applies a registration; returns whether incarnation, state, models or address changed."""
+        if self._is_disbelieved(registration, now):
+            return False
         current = self._targets.get(registration.target)
         if current is None or current.registration.incarnation != registration.incarnation:
-            gone = self._find_gone(registration.run, now)
-            if gone is not None:
-                gone.record_count += 1
-                if self._may_be_late(registration, gone, now):
-                    return False
             has_replaced = current is not None
-            if current is not None:
-                self._add_gone(current, now, Departure.LEFT)
-            self._gone.pop(registration.run, None)
+            self._gone.pop(registration.target, None)
             current = Target(registration, now, now, has_replaced)
             self._targets.pop(registration.target, None)
             self._targets[registration.target] = current
@@ -317,8 +327,7 @@
             self.remove(target, now, heartbeat_s)
         for registration in registrations:
             # Reading a record again does not show that its target goes on to write.
-            gone = self._find_gone(registration.run, now)
-            if gone is None or not self._may_be_late(registration, gone, now):
+            if self._find_doubt(registration, now) is None:
                 self.apply(registration, now)
 
     def restore_all(self, registrations: list[Registration], now: float) -> None:
@@ -328,39 +337,67 @@
         that have started since, which have some time to register again.
         """
         self._registry_returned_at = self._restored_at = now
-        self.replace_all([r for r in registrations if r.run not in self._gone], now)
+        self.replace_all([r for r in registrations if not self._was_superseded(r)], now)
 
     def is_registered(self, run: TargetRun) -> bool:
         """Whether this incarnation is the registered one."""
         current = self._targets.get(run.target)
         return current is not None and current.registration.run == run
 
-    def _find_gone(self, run: TargetRun, now: float) -> _GoneTarget | None:
-        gone = self._gone.get(run)
-        return gone if gone is not None and now - gone.gone_at < GONE_RETENTION_S else None
-
-    def _may_be_late(self, registration: Registration, gone: _GoneTarget, now: float) -> bool:
-        """Whether a registration of a target that is gone may be a write of before that."""
-        if gone.departure is Departure.LAPSED:
-            return False
+    def _was_superseded(self, registration: Registration) -> bool:
+        """Whether this incarnation is known to be gone, or a later one is known."""
+        current, gone = self._targets.get(registration.target), self._gone.get(registration.target)
+        is_gone = gone is not None and gone.run == registration.run
+        later = max(
+            current.registration.started_ms if current is not None else 0,
+            gone.started_ms if gone is not None else 0,
+        )
+        return is_gone or registration.started_ms < later
+
+    def _find_doubt(self, registration: Registration, now: float) -> _Doubt | None:
+        """Returns why a registration may be a late write of before what is known, or None."""
+        current, gone = self._targets.get(registration.target), self._gone.get(registration.target)
+        if current is not None and registration.started_ms < current.registration.started_ms:
+            return _Doubt.SUPERSEDED
+        if gone is None or now - gone.gone_at >= GONE_RETENTION_S:
+            return None
+        if registration.run != gone.run:
+            return _Doubt.SUPERSEDED if registration.started_ms < gone.started_ms else None
         if gone.departure is Departure.DRAINED:
             # A target that still drains gets no calls whether it is registered or not.
-            return registration.state is RegistrationState.READY
+            is_ready = registration.state is RegistrationState.READY
+            return _Doubt.DRAINED if is_ready else None
         # A restored store lacks the newest records, so that targets write them again.
         is_restored = now - self._restored_at < REWRITING_S
-        return not is_restored and gone.record_count < RETURN_RECORD_COUNT
+        is_back = is_restored or gone.departure is Departure.LAPSED
+        return None if is_back else _Doubt.SUPERSEDED
+
+    def _is_disbelieved(self, registration: Registration, now: float) -> bool:
+        """Whether a registration is in doubt, and its target has not gone on to write it."""
+        doubt = self._find_doubt(registration, now)
+        if doubt is None:
+            self._doubted.pop(registration.target, None)
+            return False
+        run, count = self._doubted.get(registration.target, (registration.run, 0))
+        count = count + 1 if run == registration.run else 1
+        self._doubted[registration.target] = registration.run, count
+        return doubt is _Doubt.DRAINED or count < RETURN_RECORD_COUNT
 
     def _add_gone(self, target: Target, now: float, departure: Departure) -> None:
-        if target.registration.state is RegistrationState.DRAINING:
+        registration = target.registration
+        if registration.state is RegistrationState.DRAINING:
             departure = Departure.DRAINED
-        run = target.registration.run
-        self._gone.pop(run, None)
-        self._gone[run] = _GoneTarget(departure, now)
+        self._gone.pop(target.id, None)
+        self._gone[target.id] = _GoneTarget(
+            registration.run, registration.started_ms, departure, now
+        )
+        self._doubted.pop(target.id, None)
         while self._gone:
             oldest, gone = next(iter(self._gone.items()))
             if len(self._gone) <= MAX_GONE_TARGETS and now - gone.gone_at < GONE_RETENTION_S:
                 break
             del self._gone[oldest]
+            self._doubted.pop(oldest, None)
 
     def set_registry_down(self, is_down: bool, now: float) -> None:
         """Records whether the registry is down; its return starts the grace period."""
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -348,7 +348,7 @@
                 _LOGGER,
                 logging.INFO,
                 Event.ENTRY_REGISTRATION_IGNORED,
-                "registration may have been written before its target left: not used",
+                "registration may be from before what is known of its target: not used",
                 target=registration.target,
                 incarnation=registration.incarnation,
                 state=registration.state.value,
--- a/src/mulberryrill/platform/records.py
+++ b/src/mulberryrill/platform/records.py
@@ -330,14 +330,15 @@
         state = RegistrationState(item.get_string("state"))
     except ValueError as error:
         raise CorruptRecordError(f"registration of {key}: {error}") from error
+    # Start time of the target in Unix milliseconds; a target may keep its id after a restart.
+    started_ms = item.get_integer("born", 0)
     return Registration(
         target=TargetId(key),
         service=ServiceName(item.get_string("service")),
         address=address,
         data_centre=DataCentre(item.get_string("zone")),
         state=state,
-        # Start time of the target in Unix milliseconds; a target may keep its id after a restart.
-        incarnation=Incarnation(str(item.get_integer("born", 0))),
+        incarnation=Incarnation(str(started_ms)),
         slots=item.get_integer("slots"),
         cold_s=item.get_number("cold_remaining_ms", 0) / 1000,
         order_count=item.get_integer("seq", 0),
@@ -346,6 +347,7 @@
             for model in item.get_objects("models")
         ),
         software=SoftwareVersion(item.get_string("version", "")),
+        started_ms=started_ms,
     )
 
 
