--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -1,28 +1,24 @@
 """The registration and the observed condition of each target.
 
-Registrations arrive in the order of the platform's log. Within one incarnation a target never
-returns from draining to ready. Registrations that expired during an outage of the platform's store,
-which holds the registry, are kept for a short time after it, because live targets register again.
-
-Pattern: a target's write to the store gets no response, and is executed seconds later, when its
-registration has been removed, or the target has started again. A single registration therefore
-neither brings back a target that has left, nor replaces one of a later start, whereas a target
-whose registration lapsed comes back with the first.
+Registrations arrive in the order of the platform's log; ``departures`` decides which of them may
+have been written before what is known. Within one incarnation a target never returns from draining
+to ready. Registrations that expired during an outage of the platform's store, which holds the
+registry, are kept for a short time after it, because live targets register again.
 """
 
 from collections import Counter
 from dataclasses import dataclass, field
-from enum import Enum
 
 from ...ids import (
     DataCentre,
-    Incarnation,
     ModelName,
     ServiceName,
     SoftwareVersion,
     TargetId,
     WeightVersion,
 )
+from .departures import LATE_WRITE_S, MIN_LAPSE_INTERVALS, Departure, Departures
+from .registrations import Registration, RegistrationState, TargetRun
 
 # Calls avoid a target for this long after a failure; each consecutive failure doubles the time.
 INITIAL_COOLDOWN_S = 0.25
@@ -33,77 +29,13 @@
 FAILURE_SMOOTHING_FACTOR = 0.12
 # Live targets whose registrations expired during a registry outage register again in this time.
 EXPIRY_GRACE_S = 2.0
-# Targets that are gone are remembered for this long, well beyond the age of a copy from which the
-# registry may come back, and up to this number.
-GONE_RETENTION_S = 120.0
 # What the registry lost when it came back from a copy is written again within this time.
 REWRITING_S = 10.0
-MAX_GONE_TARGETS = 5_000
-# A registration lapses after three intervals without a write. One that was removed within this
-# number of them was removed on purpose.
-MIN_LAPSE_INTERVALS = 2.0
-# A target that left while it was ready, and goes on to write its registration, lives after all once
-# it has done so this often: so many of its writes are not all late.
-RETURN_RECORD_COUNT = 3
-# The store may execute a write that got no response this much later.
-LATE_WRITE_S = 10.0
 # A target that leaves is gone within this time of its last response and of the lapse of its
 # registration. Until then a registration that is written again does not bring it back.
 LEAVING_RETENTION_S = 600.0
 
 
-class RegistrationState(Enum):
-    """Whether a registered target accepts new calls."""
-
-    READY = "ready"
-    DRAINING = "draining"
-
-
-class Departure(Enum):
-    """How a registration came to an end, which decides what brings the target back."""
-
-    # The target announced its end: nothing does.
-    DRAINED = "drained"
-    # The registration was removed while the target wrote it: that the target goes on writing it.
-    LEFT = "left"
-    # The target was silent, or could not write: its next registration.
-    LAPSED = "lapsed"
-
-
-@dataclass(frozen=True)
-class TargetRun:
-    """One incarnation of a target."""
-
-    target: TargetId
-    incarnation: Incarnation
-
-
-@dataclass(frozen=True)
-class Registration:
-    """A target's record in the platform's registry, written by the target itself."""
-
-    target: TargetId
-    service: ServiceName
-    address: str
-    data_centre: DataCentre
-    state: RegistrationState
-    incarnation: Incarnation
-    slots: int
-    # The target stays cold this long after the registration was written.
-    cold_s: float
-    # Orders that the target has accepted since its start.
-    order_count: int
-    models: tuple[tuple[ModelName, WeightVersion], ...] = ()
-    software: SoftwareVersion = SoftwareVersion("")
-    # Start of the incarnation in Unix milliseconds of the target's clock.
-    started_ms: int = 0
-
-    @property
-    def run(self) -> TargetRun:
-        """The target in its present incarnation."""
-        return TargetRun(self.target, self.incarnation)
-
-
 @dataclass
 class Target:
     """A target and its condition as seen by this instance."""
@@ -193,25 +125,6 @@
         self.failure_rate += FAILURE_SMOOTHING_FACTOR * (1.0 - self.failure_rate)
 
 
-@dataclass
-class _GoneTarget:
-    """The last incarnation of a target that is not registered any more."""
-
-    run: TargetRun
-    started_ms: int
-    departure: Departure
-    gone_at: float
-
-
-class _Doubt(Enum):
-    """Why a registration may have been written before what is known of its target."""
-
-    # The target announced its end, and is gone.
-    DRAINED = "drained"
-    # Its registration was removed, or it has started again.
-    SUPERSEDED = "superseded"
-
-
 def _compute_cooldown(consecutive_count: int) -> float:
     """Returns the cooldown in seconds after a number of consecutive events."""
     return min(MAX_COOLDOWN_S, INITIAL_COOLDOWN_S * 2 ** (consecutive_count - 1))
@@ -242,10 +155,7 @@
         # Incarnations whose own responses said that they leave, and when they last did or were last
         # registered.
         self._leaving: dict[TargetRun, float] = {}
-        # Targets that are gone, the one that went first at the front.
-        self._gone: dict[TargetId, _GoneTarget] = {}
-        # Incarnations whose last registrations were in doubt, and the number of these.
-        self._doubted: dict[TargetId, tuple[TargetRun, int]] = {}
+        self._departures = Departures()
 
     @property
     def targets(self) -> list[Target]:
@@ -271,12 +181,14 @@
 
     def apply(self, registration: Registration, now: float, age_s: float = 0.0) -> bool:
         """Applies a registration; returns whether incarnation, state, models or address changed."""
-        if self._is_disbelieved(registration, now):
-            return False
         current = self._targets.get(registration.target)
+        known = self._get_registration(registration.target)
+        is_restored = self._is_restored(now)
+        if not self._departures.believe(registration, known, now, is_restored=is_restored):
+            return False
         if current is None or current.registration.incarnation != registration.incarnation:
             has_replaced = current is not None
-            self._gone.pop(registration.target, None)
+            self._departures.discard(registration.target)
             current = Target(registration, now, now, has_replaced)
             self._targets.pop(registration.target, None)
             self._targets[registration.target] = current
@@ -314,7 +226,8 @@
         if self._is_registry_down or now - self._registry_returned_at < EXPIRY_GRACE_S:
             current.removed_at = current.removed_at or now
         else:
-            self._add_gone(current, now, _classify_removal(current, now, heartbeat_s))
+            departure = _classify_removal(current, now, heartbeat_s)
+            self._departures.add(current.registration, departure, now)
             del self._targets[target]
             self._by_address = None
 
@@ -325,9 +238,11 @@
         listed = {registration.target for registration in registrations}
         for target in [target_id for target_id in self._targets if target_id not in listed]:
             self.remove(target, now, heartbeat_s)
+        is_restored = self._is_restored(now)
         for registration in registrations:
             # Reading a record again does not show that its target goes on to write.
-            if self._find_doubt(registration, now) is None:
+            known = self._get_registration(registration.target)
+            if not self._departures.is_doubtful(registration, known, now, is_restored=is_restored):
                 self.apply(registration, now)
 
     def restore_all(self, registrations: list[Registration], now: float) -> None:
@@ -337,67 +252,26 @@
         that have started since, which have some time to register again.
         """
         self._registry_returned_at = self._restored_at = now
-        self.replace_all([r for r in registrations if not self._was_superseded(r)], now)
+        present = [
+            registration
+            for registration in registrations
+            if not self._departures.was_superseded(
+                registration, self._get_registration(registration.target)
+            )
+        ]
+        self.replace_all(present, now)
 
     def is_registered(self, run: TargetRun) -> bool:
         """Whether this incarnation is the registered one."""
         current = self._targets.get(run.target)
         return current is not None and current.registration.run == run
 
-    def _was_superseded(self, registration: Registration) -> bool:
-        """Whether this incarnation is known to be gone, or a later one is known."""
-        current, gone = self._targets.get(registration.target), self._gone.get(registration.target)
-        is_gone = gone is not None and gone.run == registration.run
-        later = max(
-            current.registration.started_ms if current is not None else 0,
-            gone.started_ms if gone is not None else 0,
-        )
-        return is_gone or registration.started_ms < later
-
-    def _find_doubt(self, registration: Registration, now: float) -> _Doubt | None:
-        """Returns why a registration may be a late write of before what is known, or None."""
-        current, gone = self._targets.get(registration.target), self._gone.get(registration.target)
-        if current is not None and registration.started_ms < current.registration.started_ms:
-            return _Doubt.SUPERSEDED
-        if gone is None or now - gone.gone_at >= GONE_RETENTION_S:
-            return None
-        if registration.run != gone.run:
-            return _Doubt.SUPERSEDED if registration.started_ms < gone.started_ms else None
-        if gone.departure is Departure.DRAINED:
-            # A target that still drains gets no calls whether it is registered or not.
-            is_ready = registration.state is RegistrationState.READY
-            return _Doubt.DRAINED if is_ready else None
-        # A restored store lacks the newest records, so that targets write them again.
-        is_restored = now - self._restored_at < REWRITING_S
-        is_back = is_restored or gone.departure is Departure.LAPSED
-        return None if is_back else _Doubt.SUPERSEDED
-
-    def _is_disbelieved(self, registration: Registration, now: float) -> bool:
-        """Whether a registration is in doubt, and its target has not gone on to write it."""
-        doubt = self._find_doubt(registration, now)
-        if doubt is None:
-            self._doubted.pop(registration.target, None)
-            return False
-        run, count = self._doubted.get(registration.target, (registration.run, 0))
-        count = count + 1 if run == registration.run else 1
-        self._doubted[registration.target] = registration.run, count
-        return doubt is _Doubt.DRAINED or count < RETURN_RECORD_COUNT
+    def _get_registration(self, target: TargetId) -> Registration | None:
+        current = self._targets.get(target)
+        return current.registration if current is not None else None
 
-    def _add_gone(self, target: Target, now: float, departure: Departure) -> None:
-        registration = target.registration
-        if registration.state is RegistrationState.DRAINING:
-            departure = Departure.DRAINED
-        self._gone.pop(target.id, None)
-        self._gone[target.id] = _GoneTarget(
-            registration.run, registration.started_ms, departure, now
-        )
-        self._doubted.pop(target.id, None)
-        while self._gone:
-            oldest, gone = next(iter(self._gone.items()))
-            if len(self._gone) <= MAX_GONE_TARGETS and now - gone.gone_at < GONE_RETENTION_S:
-                break
-            del self._gone[oldest]
-            self._doubted.pop(oldest, None)
+    def _is_restored(self, now: float) -> bool:
+        return now - self._restored_at < REWRITING_S
 
     def set_registry_down(self, is_down: bool, now: float) -> None:
         """Records whether the registry is down; its return starts the grace period."""
@@ -422,7 +296,7 @@
             return []
         expired = [key for key, target in self._targets.items() if target.removed_at is not None]
         for key in expired:
-            self._add_gone(self._targets.pop(key), now, Departure.LAPSED)
+            self._departures.add(self._targets.pop(key).registration, Departure.LAPSED, now)
             self._by_address = None
         return expired
 
--- a/tests/regressions/test_late_registration_undoes_a_restart.py
+++ b/tests/regressions/test_late_registration_undoes_a_restart.py
@@ -9,12 +9,9 @@
 import json
 import unittest
 
-from mulberryrill.internal.core.serving.targettable import (
-    GONE_RETENTION_S,
-    RETURN_RECORD_COUNT,
-    Registration,
-    TargetTable,
-)
+from mulberryrill.internal.core.serving.departures import GONE_RETENTION_S, RETURN_RECORD_COUNT
+from mulberryrill.internal.core.serving.registrations import Registration
+from mulberryrill.internal.core.serving.targettable import TargetTable
 from mulberryrill.platform.records import parse_registration
 from tests.common.followersimulation import (
     HEARTBEAT_S,
--- a/tests/unit/test_serving_targettable.py
+++ b/tests/unit/test_serving_targettable.py
@@ -3,14 +3,9 @@
 import unittest
 from dataclasses import replace
 
-from mulberryrill.internal.core.serving.targettable import (
-    EXPIRY_GRACE_S,
-    RETURN_RECORD_COUNT,
-    Registration,
-    RegistrationState,
-    Target,
-    TargetTable,
-)
+from mulberryrill.internal.core.serving.departures import RETURN_RECORD_COUNT
+from mulberryrill.internal.core.serving.registrations import Registration, RegistrationState
+from mulberryrill.internal.core.serving.targettable import EXPIRY_GRACE_S, Target, TargetTable
 from mulberryrill.internal.ids import (
     DataCentre,
     Incarnation,
