Tell starting instances which targets left or started again a moment ago

Calls went to a target that had left, and streams of the old software version to one that had started again, until the registration lapsed or the next heartbeat came.

The usual rules follow: one that had announced its end stays away, one that goes on to write is back, and a later start is used at once. A lapse says nothing against a target that is registered.

--- a/src/mulberryrill/internal/core/serving/departures.py
+++ b/src/mulberryrill/internal/core/serving/departures.py
@@ -48,6 +48,19 @@
     gone_at: float
 
 
+@dataclass(frozen=True)
+class StartNews:
+    """The last start of a target that an instance knows, for instances that have just started."""
+
+    run: TargetRun
+    # In Unix milliseconds of the target's clock.
+    started_ms: int
+    # How it came to an end; None: it is registered.
+    departure: Departure | None
+    # Seconds since then.
+    age_s: float = 0.0
+
+
 class _Doubt(Enum):
     """Why a registration may have been written before what is known of its target."""
 
@@ -81,6 +94,24 @@
                 break
             self.discard(oldest)
 
+    def learn(self, news: StartNews, now: float) -> None:
+        """Records what a peer knows of a target that is not registered here."""
+        known = self._gone.get(news.run.target)
+        if known is not None and news.started_ms < known.started_ms:
+            return
+        if known is not None and news.run == known.run:
+            return
+        departure = news.departure if news.departure is not None else Departure.LAPSED
+        self._put(GoneTarget(news.run, news.started_ms, departure, now - news.age_s), now)
+
+    def list_recent(self, now: float) -> list[StartNews]:
+        """Returns the targets of which an earlier write may still be executed."""
+        return [
+            StartNews(gone.run, gone.started_ms, gone.departure, now - gone.gone_at)
+            for gone in self._gone.values()
+            if now - gone.gone_at < LATE_WRITE_S
+        ]
+
     def discard(self, target: TargetId) -> None:
         """Forgets a target: it is registered again."""
         self._gone.pop(target, None)
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -17,7 +17,7 @@
     TargetId,
     WeightVersion,
 )
-from .departures import LATE_WRITE_S, MIN_LAPSE_INTERVALS, Departure, Departures
+from .departures import LATE_WRITE_S, MIN_LAPSE_INTERVALS, Departure, Departures, StartNews
 from .registrations import Registration, RegistrationState, TargetRun
 
 # Calls avoid a target for this long after a failure; each consecutive failure doubles the time.
@@ -44,7 +44,9 @@
     # When it was registered first and last.
     registered_at: float = float("-inf")
     written_at: float = float("-inf")
-    # Whether this incarnation took the place of another one whose registration was not removed.
+    # Whether an earlier start of the target is known, and whether this one took its place while
+    # that was registered.
+    is_restart: bool = False
     has_replaced: bool = False
     cold_until: float = 0.0
     removed_at: float | None = None
@@ -188,8 +190,9 @@
             return False
         if current is None or current.registration.incarnation != registration.incarnation:
             has_replaced = current is not None
+            is_restart = has_replaced or self._departures.knows(registration.target)
             self._departures.discard(registration.target)
-            current = Target(registration, now, now, has_replaced)
+            current = Target(registration, now, now, is_restart, has_replaced)
             self._targets.pop(registration.target, None)
             self._targets[registration.target] = current
             self._by_address = None
@@ -261,6 +264,40 @@
         ]
         self.replace_all(present, now)
 
+    def list_start_news(self, now: float) -> list[StartNews]:
+        """Returns the targets that have left or started again a short time ago.
+
+        The store may still execute a write of before that, which instances that start would take
+        for the last word of the target.
+        """
+        restarted = [
+            StartNews(target.registration.run, target.registration.started_ms, None)
+            for target in self._targets.values()
+            if target.is_restart and now - target.registered_at < LATE_WRITE_S
+        ]
+        return [*restarted, *self._departures.list_recent(now)]
+
+    def apply_start_news(self, news: StartNews, now: float) -> bool:
+        """Applies what a peer knows of a target; returns whether it is no longer registered.
+
+        For an instance that has just started, and has read the registry only since then.
+        """
+        current = self._targets.get(news.run.target)
+        if current is None:
+            self._departures.learn(news, now)
+            return False
+        registration = current.registration
+        is_gone = news.run == registration.run and news.departure in (
+            Departure.DRAINED,
+            Departure.LEFT,
+        )
+        if not is_gone and news.started_ms <= registration.started_ms:
+            return False
+        del self._targets[news.run.target]
+        self._by_address = None
+        self._departures.learn(news, now)
+        return True
+
     def is_registered(self, run: TargetRun) -> bool:
         """Whether this incarnation is the registered one."""
         current = self._targets.get(run.target)
--- a/src/mulberryrill/internal/entry/peers.py
+++ b/src/mulberryrill/internal/entry/peers.py
@@ -17,6 +17,7 @@
 
 from ..core.rendezvous import rank_members
 from ..core.serving.crashcauses import CrashCauses, SuspectCall, TargetEnd, Trait
+from ..core.serving.departures import Departure, StartNews
 from ..core.serving.loads import IDLE_REPORT_INTERVAL_S, LoadReport, LoadTable, build_report
 from ..core.serving.namedversions import NamedVersion
 from ..core.serving.targetlimits import LimitNews, TargetLimits
@@ -39,6 +40,7 @@
 from ..schema.peers_pb2 import NamedLimit as NamedLimitMessage
 from ..schema.peers_pb2 import NamedVersion as NamedVersionMessage
 from ..schema.peers_pb2 import TargetEnd as TargetEndMessage
+from ..schema.peers_pb2 import TargetStart as TargetStartMessage
 from .cachesharing import CacheSharing
 from .originrecords import OriginRecords, decode_origin, encode_origin
 from .targetupdates import TargetUpdates, find_leaving_run
@@ -141,6 +143,14 @@
         """Applies a limit that a target named to a peer."""
         ...
 
+    def list_start_news(self) -> list[StartNews]:
+        """Returns the targets that have left or started again a short time ago."""
+        ...
+
+    def apply_start_news(self, news: StartNews) -> None:
+        """Applies what a peer knows of such a target to this instance, which has just started."""
+        ...
+
     @property
     def carried_topics(self) -> list[str]:
         """Topics of which this instance knows records that the restored store has lost."""
@@ -376,6 +386,7 @@
             report.tells_all_ends = True
             earlier = [end for end in causes.list_newest_ends(MAX_RETOLD_ENDS) if end not in ends]
             report.target_ends.extend(_encode_end(end, boottime) for end in earlier)
+            report.target_starts.extend(map(_encode_start, self._state.list_start_news()))
         # Messages can get lost while connections are established, so recent ends are repeated.
         is_due = now - self._ends_sent_at >= END_REPORT_INTERVAL_S
         if ends and (is_due or ends != self._sent_ends):
@@ -492,6 +503,9 @@
         self._apply_rollouts(report)
         self._state.origin_records.apply_peer_origins(map(decode_origin, report.begun_streams))
         self._apply_ends(report)
+        if now - self._started_at < END_REQUEST_DURATION_S:
+            for start in report.target_starts:
+                self._state.apply_start_news(_decode_start(start))
 
     def _apply_rollouts(self, report: PeerReport) -> None:
         self._state.version_choice.apply_reports(InstanceId(report.instance), report.rollouts)
@@ -606,6 +620,26 @@
     return TargetEnd(run, boottime - message.age_ms / MS_PER_S, suspects)
 
 
+def _encode_start(news: StartNews) -> TargetStartMessage:
+    return TargetStartMessage(
+        target=news.run.target,
+        incarnation=news.run.incarnation,
+        started_ms=news.started_ms,
+        departure=news.departure.value if news.departure is not None else "",
+        age_ms=_encode_age(news.age_s),
+    )
+
+
+def _decode_start(message: TargetStartMessage) -> StartNews:
+    """Decodes a target's start; raises ValueError for an unknown departure."""
+    return StartNews(
+        TargetRun(TargetId(message.target), Incarnation(message.incarnation)),
+        message.started_ms,
+        Departure(message.departure) if message.departure else None,
+        message.age_ms / MS_PER_S,
+    )
+
+
 def _encode_limit(news: LimitNews, boottime: float) -> NamedLimitMessage:
     return NamedLimitMessage(
         target=news.run.target,
--- a/src/mulberryrill/internal/entry/state.py
+++ b/src/mulberryrill/internal/entry/state.py
@@ -13,6 +13,7 @@
 from ..core.serving.cachevalidity import ValidParts, VersionTimes
 from ..core.serving.callcosts import CallCosts
 from ..core.serving.crashcauses import CrashCauses, TargetEnd
+from ..core.serving.departures import StartNews
 from ..core.serving.heartbeats import HeartbeatLog
 from ..core.serving.loads import LoadTable
 from ..core.serving.namedversions import NamedVersion, NamedVersions
@@ -364,6 +365,15 @@
             state = "removed" if self.targets.get(target) is None else "lapsed"
             self._log_target(target, state, current.registration.address)
 
+    def list_start_news(self) -> list[StartNews]:
+        """Returns the targets that have left or started again a short time ago."""
+        return self.targets.list_start_news(self._loop.now())
+
+    def apply_start_news(self, news: StartNews) -> None:
+        """Applies what a peer knows of such a target to this instance, which has just started."""
+        if self.targets.apply_start_news(news, self._loop.now()):
+            self._log_target(news.run.target, "removed: a peer knows that it left or restarted", "")
+
     def on_registry_read(self, registrations: list[Registration], is_restored: bool) -> None:
         """Replaces the list of targets, or brings it up to date with an older copy."""
         self._heartbeats.skip()
