Count a registration as lapsed after two and a half silent heartbeats

The store waits three. An instance reads the last write and the removal up to half an interval late, so it measures 2.5 to 3.5; a target that was removed on purpose has usually written within one. The nearer the threshold is to what a lapse takes, the fewer lost heartbeats before a departure pass for a lapse.

--- a/src/mulberryrill/internal/core/serving/departures.py
+++ b/src/mulberryrill/internal/core/serving/departures.py
@@ -18,7 +18,7 @@
 MAX_GONE_TARGETS = 5_000
 # A registration lapses after three intervals without a write. One that was removed within this
 # number of them was removed on purpose.
-MIN_LAPSE_INTERVALS = 2.0
+MIN_LAPSE_INTERVALS = 2.5
 # A target that left while it was ready, and goes on to write its registration, lives after all once
 # it has done so this often: so many of its writes are not all late.
 RETURN_RECORD_COUNT = 3
