Take a removal for a late one only if the start before had drained

A property test lets a target drain, leave, crash, lapse and start again in any order, while the store executes up to two of its writes late. It found that a target which crashes, is back, and leaves within 10 s is brought back by a late write: its removal passed for a late one of the start before. A start that crashed has removed nothing. The removal is taken for a late one only if the start before was draining and its record had not been removed.

--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -44,10 +44,10 @@
     # When it was registered first and last.
     registered_at: float = float("-inf")
     written_at: float = float("-inf")
-    # Whether an earlier start of the target is known, and whether this one took its place while
-    # that was registered.
+    # Whether an earlier start of the target is known, and whether that one drained, and its
+    # registration was not removed.
     is_restart: bool = False
-    has_replaced: bool = False
+    has_replaced_draining: bool = False
     cold_until: float = 0.0
     removed_at: float | None = None
     consecutive_failures: int = 0
@@ -134,8 +134,8 @@
 
 def _classify_removal(target: Target, now: float, heartbeat_s: float | None) -> Departure:
     """Returns how a target went whose registration was removed while the registry was there."""
-    # The call that removed the registration of the incarnation before may have been late.
-    if target.has_replaced and now - target.registered_at < LATE_WRITE_S:
+    # The call with which the incarnation before removed its registration may have been late.
+    if target.has_replaced_draining and now - target.registered_at < LATE_WRITE_S:
         return Departure.LAPSED
     if heartbeat_s is None or now - target.written_at < MIN_LAPSE_INTERVALS * heartbeat_s:
         return Departure.LEFT
@@ -189,10 +189,12 @@
         if not self._departures.believe(registration, known, now, is_restored=is_restored):
             return False
         if current is None or current.registration.incarnation != registration.incarnation:
-            has_replaced = current is not None
-            is_restart = has_replaced or self._departures.knows(registration.target)
+            is_restart = current is not None or self._departures.knows(registration.target)
+            has_replaced_draining = (
+                current is not None and current.registration.state is RegistrationState.DRAINING
+            )
             self._departures.discard(registration.target)
-            current = Target(registration, now, now, is_restart, has_replaced)
+            current = Target(registration, now, now, is_restart, has_replaced_draining)
             self._targets.pop(registration.target, None)
             self._targets[registration.target] = current
             self._by_address = None
