Tell a departure from a lapse also while the registry is not read

A target whose registration is removed while an instance cannot read the registry, or just after, is kept for 2 s. When it was dropped it counted as lapsed, so that one late write brought it back, although the target had left and only this instance had missed a read.

The silence before the removal decides here too. It is measured by the clock, and by what the other targets wrote meanwhile: after a gap an instance reads in a moment what was written in seconds, and in an outage nobody writes.

--- a/src/mulberryrill/internal/core/serving/departures.py
+++ b/src/mulberryrill/internal/core/serving/departures.py
@@ -33,7 +33,7 @@
     DRAINED = "drained"
     # The registration was removed while the target wrote it: that the target goes on writing it.
     LEFT = "left"
-    # The target was silent, or could not write: its next registration.
+    # The target was silent before, or the registry away: its next registration.
     LAPSED = "lapsed"
 
 
--- a/src/mulberryrill/internal/core/serving/targettable.py
+++ b/src/mulberryrill/internal/core/serving/targettable.py
@@ -41,15 +41,18 @@
     """A target and its condition as seen by this instance."""
 
     registration: Registration
-    # When it was registered first and last.
+    # When it was registered first and last, and the number of all registrations at the last one.
     registered_at: float = float("-inf")
     written_at: float = float("-inf")
+    written_count: int = 0
     # Whether an earlier start of the target is known, and whether that one drained, and its
     # registration was not removed.
     is_restart: bool = False
     has_replaced_draining: bool = False
     cold_until: float = 0.0
+    # When its registration was removed, and what that says, while it is kept nevertheless.
     removed_at: float | None = None
+    departure: Departure = Departure.LAPSED
     consecutive_failures: int = 0
     failure_rate: float = 0.0
     cooldown_until: float = 0.0
@@ -132,16 +135,6 @@
     return min(MAX_COOLDOWN_S, INITIAL_COOLDOWN_S * 2 ** (consecutive_count - 1))
 
 
-def _classify_removal(target: Target, now: float, heartbeat_s: float | None) -> Departure:
-    """Returns how a target went whose registration was removed while the registry was there."""
-    # The call with which the incarnation before removed its registration may have been late.
-    if target.has_replaced_draining and now - target.registered_at < LATE_WRITE_S:
-        return Departure.LAPSED
-    if heartbeat_s is None or now - target.written_at < MIN_LAPSE_INTERVALS * heartbeat_s:
-        return Departure.LEFT
-    return Departure.LAPSED
-
-
 class TargetTable:
     """All registered targets, by id."""
 
@@ -158,6 +151,8 @@
         # registered.
         self._leaving: dict[TargetRun, float] = {}
         self._departures = Departures()
+        # Number of registrations that were applied.
+        self._written_count = 0
 
     @property
     def targets(self) -> list[Target]:
@@ -188,13 +183,20 @@
         is_restored = self._is_restored(now)
         if not self._departures.believe(registration, known, now, is_restored=is_restored):
             return False
+        self._written_count += 1
         if current is None or current.registration.incarnation != registration.incarnation:
             is_restart = current is not None or self._departures.knows(registration.target)
             has_replaced_draining = (
                 current is not None and current.registration.state is RegistrationState.DRAINING
             )
             self._departures.discard(registration.target)
-            current = Target(registration, now, now, is_restart, has_replaced_draining)
+            current = Target(
+                registration,
+                registered_at=now,
+                is_restart=is_restart,
+                has_replaced_draining=has_replaced_draining,
+            )
+            self._record_write(current, now)
             self._targets.pop(registration.target, None)
             self._targets[registration.target] = current
             self._by_address = None
@@ -202,7 +204,7 @@
             return True
         previous = current.registration
         current.removed_at = None
-        current.written_at = now
+        self._record_write(current, now)
         if (
             previous.state is RegistrationState.DRAINING
             and registration.state is RegistrationState.READY
@@ -228,14 +230,39 @@
         current = self._targets.get(target)
         if current is None:
             return
-        if self._is_registry_down or now - self._registry_returned_at < EXPIRY_GRACE_S:
-            current.removed_at = current.removed_at or now
+        departure = self._classify_removal(current, now, heartbeat_s)
+        if self._is_registry_kept(now):
+            if current.removed_at is None:
+                current.removed_at, current.departure = now, departure
         else:
-            departure = _classify_removal(current, now, heartbeat_s)
             self._departures.add(current.registration, departure, now)
             del self._targets[target]
             self._by_address = None
 
+    def _record_write(self, target: Target, now: float) -> None:
+        target.written_at, target.written_count = now, self._written_count
+
+    def _classify_removal(self, target: Target, now: float, heartbeat_s: float | None) -> Departure:
+        """Returns how a target goes whose registration is removed.
+
+        Its silence before is measured by the clock and by what the others wrote meanwhile: an
+        instance may read in a moment what was written in seconds, and the others may be silent too.
+        """
+        # The call with which the incarnation before removed its registration may have been late.
+        if target.has_replaced_draining and now - target.registered_at < LATE_WRITE_S:
+            return Departure.LAPSED
+        others_count = max(1, len(self._targets) - 1)
+        intervals = (self._written_count - target.written_count) / others_count
+        if heartbeat_s is not None:
+            intervals = max(intervals, (now - target.written_at) / heartbeat_s)
+        elif self._is_registry_kept(now):
+            return Departure.LAPSED
+        return Departure.LAPSED if intervals >= MIN_LAPSE_INTERVALS else Departure.LEFT
+
+    def _is_registry_kept(self, now: float) -> bool:
+        """Whether targets are kept whose registrations are removed."""
+        return self._is_registry_down or now - self._registry_returned_at < EXPIRY_GRACE_S
+
     def replace_all(
         self, registrations: list[Registration], now: float, heartbeat_s: float | None = None
     ) -> None:
@@ -331,11 +358,12 @@
 
     def expire(self, now: float) -> list[TargetId]:
         """Removes targets that have not registered again after an outage; returns their ids."""
-        if self._is_registry_down or now - self._registry_returned_at < EXPIRY_GRACE_S:
+        if self._is_registry_kept(now):
             return []
         expired = [key for key, target in self._targets.items() if target.removed_at is not None]
         for key in expired:
-            self._departures.add(self._targets.pop(key).registration, Departure.LAPSED, now)
+            target = self._targets.pop(key)
+            self._departures.add(target.registration, target.departure, now)
             self._by_address = None
         return expired
 
--- a/tests/regressions/test_late_registration_brings_back_gone_target.py
+++ b/tests/regressions/test_late_registration_brings_back_gone_target.py
@@ -84,6 +84,34 @@
                 state.on_registry_read(registrations, False)
             self.assertEqual(self.count_users(), 0)
 
+    def test_target_that_left_while_the_registry_was_not_read(self) -> None:
+        """Guards against a departure that passes for a lapse, since an instance lost a moment."""
+        self.target.write_late(6.0)
+        for instance in self.simulation.instances:
+            instance.is_cut_off = True
+        self.simulation.run_for(2.2)
+        self.target.leave()
+        for instance in self.simulation.instances:
+            instance.is_cut_off = False
+        self.simulation.run_for(2 * READ_S)
+        self.check_stays_away(6.0)
+
+    def test_target_that_lapsed_while_the_registry_was_not_read(self) -> None:
+        """All that it wrote before is read in the same moment as the removal."""
+        for instance in self.simulation.instances:
+            instance.is_cut_off = True
+        self.simulation.run_for(2 * HEARTBEAT_S)
+        self.target.is_cut_off = True
+        self.simulation.run_for(HEARTBEAT_S + SILENCE_S)
+        self.target.lapse()
+        for instance in self.simulation.instances:
+            instance.is_cut_off = False
+        self.simulation.run_for(2 * READ_S)
+        self.assertEqual(self.count_users(), 0)
+        self.target.write_state()
+        self.simulation.run_for(READ_S)
+        self.assertEqual(self.count_users(), 2)
+
     def test_target_that_lapsed_in_an_outage_is_back_at_once(self) -> None:
         self.target.is_cut_off = self.simulation.is_store_down = True
         self.simulation.run_for(OUTAGE_S)
